--- /dev/null
+++ b/packages/core/include/galenaford/audit.h
@@ -0,0 +1,86 @@
+/* The audit trail: a bounded ring of the changes in force at a process.  */
+
+#ifndef GALENAFORD_AUDIT_H
+#define GALENAFORD_AUDIT_H
+
+#include <stdint.h>
+
+#include <galenaford/clock.h>
+#include <galenaford/result.h>
+
+/* One row per event: name, short word, meaning.  */
+#define GALENA_AUDIT_EVENTS(X)                                                \
+  X (GALENA_AUDIT_STARTED, "started", "The process began an incarnation.")    \
+  X (GALENA_AUDIT_STOPPING, "stopping", "The process began to stop.")         \
+  X (GALENA_AUDIT_RECORD_TAKEN, "record-taken", "A record came into force.")  \
+  X (GALENA_AUDIT_RECORD_REFUSED, "record-refused",                           \
+     "A record was refused; the last good one stays in force.")               \
+  X (GALENA_AUDIT_UPSTREAM_ADDED, "upstream-added", "An upstream joined.")    \
+  X (GALENA_AUDIT_UPSTREAM_LEAVING, "upstream-leaving",                       \
+     "An upstream takes no new flows.")                                       \
+  X (GALENA_AUDIT_UPSTREAM_REMOVED, "upstream-removed",                       \
+     "An upstream is no longer in the record.")                               \
+  X (GALENA_AUDIT_OVERLOAD_ENTERED, "overload-entered",                       \
+     "A kind of work began to be refused.")                                   \
+  X (GALENA_AUDIT_OVERLOAD_LEFT, "overload-left",                             \
+     "A kind of work is no longer refused.")                                  \
+  X (GALENA_AUDIT_OWNER_LOST, "owner-lost", "An agent stopped replying.")     \
+  X (GALENA_AUDIT_OWNER_BACK, "owner-back", "An agent replies again.")        \
+  X (GALENA_AUDIT_PAUSED, "paused", "The process woke up late.")
+
+enum galena_audit_event
+{
+#define GALENA_AUDIT_ENUM(name, word, meaning) name,
+  GALENA_AUDIT_EVENTS (GALENA_AUDIT_ENUM)
+#undef GALENA_AUDIT_ENUM
+      GALENA_AUDIT_EVENT_COUNT
+};
+
+struct galena_audit_row
+{
+  /* Position in the trail since the process started, from 1.  */
+  uint64_t sequence;
+  struct galena_clock at;
+  enum galena_audit_event event;
+  /* Number of the service, upstream and kind concerned; 0 when none.  */
+  uint32_t service;
+  uint32_t upstream;
+  uint32_t kind;
+  /* Generation concerned, or 0; for a pause, its milliseconds.  */
+  uint64_t generation;
+  enum galena_result result;
+};
+
+struct galena_audit_options
+{
+  /* Rows kept; older ones are overwritten.  */
+  uint32_t capacity;
+};
+
+struct galena_audit;
+
+/* Creates an empty trail in *OUT; the caller owns it.
+   Errors: GALENA_ERR_INVALID, GALENA_ERR_MEMORY.  */
+enum galena_result
+galena_audit_create (const struct galena_audit_options *options,
+                     struct galena_audit **out);
+
+/* Destroys AUDIT; accepts NULL.  */
+void galena_audit_destroy (struct galena_audit *audit);
+
+/* Appends ROW with the next sequence number.  */
+void galena_audit_append (struct galena_audit *audit,
+                          const struct galena_audit_row *row);
+
+/* Returns the first kept row with a sequence of at least SEQUENCE, or NULL;
+   valid until the next append.  */
+const struct galena_audit_row *
+galena_audit_find (const struct galena_audit *audit, uint64_t sequence);
+
+/* Returns the short word of EVENT.  */
+const char *galena_audit_word (enum galena_audit_event event);
+
+/* Returns one sentence on EVENT.  */
+const char *galena_audit_meaning (enum galena_audit_event event);
+
+#endif
--- /dev/null
+++ b/packages/core/include/galenaford/config.h
@@ -0,0 +1,143 @@
+/* An immutable snapshot of the published records.
+
+   A control thread builds a snapshot and hands it to the worlds; a world
+   reads it during one tick and keeps no pointer into it.  */
+
+#ifndef GALENAFORD_CONFIG_H
+#define GALENAFORD_CONFIG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <galenaford/message.h>
+#include <galenaford/result.h>
+
+enum
+{
+  /* Bytes of a name, its end mark too.  */
+  GALENA_NAME_BYTES = 32,
+  /* Most kinds of work in one service.  */
+  GALENA_KINDS_MAX = 16,
+  /* Most candidates of one flow.  */
+  GALENA_CANDIDATES_MAX = 3
+};
+
+enum galena_upstream_state
+{
+  /* Takes new flows.  */
+  GALENA_UPSTREAM_ACTIVE,
+  /* Keeps its flows and takes no new ones.  */
+  GALENA_UPSTREAM_LEAVING,
+  /* No longer in the record; packets of its flows are still routed.  */
+  GALENA_UPSTREAM_REMOVED
+};
+
+struct galena_kind
+{
+  char name[GALENA_NAME_BYTES];
+  /* Number in messages, below GALENA_KINDS_MAX.  */
+  uint16_t number;
+  /* 0 is the most urgent.  */
+  uint16_t urgency;
+  /* Whether running a request twice does no harm.  */
+  bool idempotent;
+  /* An endless answer; holds a connection and no slot.  */
+  bool endless;
+  /* Default deadline of a request in milliseconds.  */
+  uint32_t deadline_ms;
+  /* Share of the slots kept for this kind, in percent.  */
+  uint16_t minimum_share_percent;
+};
+
+struct galena_upstream
+{
+  /* Number in flow tags; unique over all services, never used again.  */
+  uint32_t number;
+  char host[GALENA_NAME_BYTES];
+  char zone[GALENA_NAME_BYTES];
+  /* Where the upstream's agent receives datagrams.  */
+  struct galena_endpoint agent;
+  /* Requests that run at once.  */
+  uint32_t slots;
+  /* Flows open at once.  */
+  uint32_t connections;
+  /* Relative share of new flows, at least 1.  */
+  uint32_t weight;
+  enum galena_upstream_state state;
+  /* Index of the upstream's service in the snapshot.  */
+  uint32_t service;
+};
+
+struct galena_service
+{
+  /* Number that names the service in every record.  */
+  uint32_t number;
+  char name[GALENA_NAME_BYTES];
+  /* Address and port that callers use.  */
+  struct galena_endpoint address;
+  /* Generation and digest of the record in force.  */
+  uint64_t generation;
+  uint64_t digest;
+  /* Schema version of the record in force.  */
+  uint32_t schema;
+  uint32_t first_upstream;
+  uint32_t upstream_count;
+  uint32_t kind_count;
+  struct galena_kind kinds[GALENA_KINDS_MAX];
+};
+
+struct galena_config_options
+{
+  /* Copied.  Each service's upstreams stand together, in order.  */
+  const struct galena_service *services;
+  uint32_t service_count;
+  const struct galena_upstream *upstreams;
+  uint32_t upstream_count;
+};
+
+struct galena_config;
+
+/* Creates a snapshot in *OUT; the caller owns it.
+   Errors: GALENA_ERR_MEMORY, GALENA_ERR_EXISTS for an address or upstream
+   number that stands twice.  */
+enum galena_result
+galena_config_create (const struct galena_config_options *options,
+                      struct galena_config **out);
+
+/* Destroys CONFIG; accepts NULL.  */
+void galena_config_destroy (struct galena_config *config);
+
+uint32_t galena_config_service_count (const struct galena_config *config);
+uint32_t galena_config_upstream_count (const struct galena_config *config);
+
+/* Returns service INDEX of the snapshot.  */
+const struct galena_service *
+galena_config_service (const struct galena_config *config, uint32_t index);
+
+/* Returns upstream INDEX of the snapshot.  */
+const struct galena_upstream *
+galena_config_upstream (const struct galena_config *config, uint32_t index);
+
+/* Returns the service at ADDRESS, or NULL.  */
+const struct galena_service *
+galena_config_service_at (const struct galena_config *config,
+                          struct galena_endpoint address);
+
+/* Returns the upstream with NUMBER, or NULL.  */
+const struct galena_upstream *
+galena_config_upstream_numbered (const struct galena_config *config,
+                                 uint32_t number);
+
+/* Returns the kind with NUMBER in SERVICE, or NULL.  */
+const struct galena_kind *
+galena_service_kind (const struct galena_service *service, uint16_t number);
+
+/* Stores the indices of the candidates of FLOW in CHOSEN, best first, by
+   weighted rendezvous hashing over the active upstreams of SERVICE.
+   Returns their number, at most GALENA_CANDIDATES_MAX.  */
+uint32_t galena_config_candidates (const struct galena_config *config,
+                                   const struct galena_service *service,
+                                   struct galena_flow_id flow,
+                                   uint32_t chosen[GALENA_CANDIDATES_MAX]);
+
+#endif
--- /dev/null
+++ b/packages/core/include/galenaford/counters.h
@@ -0,0 +1,56 @@
+/* The project's own counters: one row per event that operators may count.  */
+
+#ifndef GALENAFORD_COUNTERS_H
+#define GALENAFORD_COUNTERS_H
+
+#include <stdint.h>
+
+/* One row per counter: name, short word, meaning.  */
+#define GALENA_COUNTERS(X)                                                    \
+  X (GALENA_COUNT_TICKS, "ticks", "Ticks run.")                               \
+  X (GALENA_COUNT_RECEIVED, "received", "Messages received.")                 \
+  X (GALENA_COUNT_SENT, "sent", "Messages sent.")                             \
+  X (GALENA_COUNT_UNSENT, "unsent", "Messages dropped: the outbox was full.") \
+  X (GALENA_COUNT_UNEXPECTED, "unexpected", "Messages of a wrong type.")      \
+  X (GALENA_COUNT_MALFORMED, "malformed", "Datagrams that did not decode.")   \
+  X (GALENA_COUNT_NO_ROUTE, "no_route", "Packets whose tag has no upstream.") \
+  X (GALENA_COUNT_WRONG_SERVICE, "wrong_service",                             \
+     "Packets whose service is not the flow's own.")                          \
+  X (GALENA_COUNT_OPENS, "opens", "Opens seen first.")                        \
+  X (GALENA_COUNT_RETRIES, "retries", "Opens sent to a further candidate.")   \
+  X (GALENA_COUNT_RETRIES_DENIED, "retries_denied",                           \
+     "Opens not retried: the budget was spent.")                              \
+  X (GALENA_COUNT_ACCEPTED, "accepted", "Flows accepted.")                    \
+  X (GALENA_COUNT_REFUSED, "refused", "Opens and requests refused.")          \
+  X (GALENA_COUNT_SHED, "shed", "Opens shed at the entry.")                   \
+  X (GALENA_COUNT_HANDED_ON, "handed_on", "Opens handed to another agent.")   \
+  X (GALENA_COUNT_LOST, "lost", "Packets of flows that are not known.")       \
+  X (GALENA_COUNT_EXPIRED_FLOWS, "expired_flows", "Flows ended as silent.")   \
+  X (GALENA_COUNT_REQUESTS, "requests", "Requests seen first.")               \
+  X (GALENA_COUNT_DUPLICATES, "duplicates", "Request parts seen before.")     \
+  X (GALENA_COUNT_RUNS, "runs", "Requests handed to the upstream.")           \
+  X (GALENA_COUNT_ANSWERED, "answered", "Requests answered in full.")         \
+  X (GALENA_COUNT_UNKNOWN, "unknown", "Requests whose outcome is unknown.")   \
+  X (GALENA_COUNT_CANCELLED, "cancelled", "Requests cancelled.")              \
+  X (GALENA_COUNT_RESENT, "resent", "Parts sent again.")
+
+enum galena_counter
+{
+#define GALENA_COUNTER_ENUM(name, word, meaning) name,
+  GALENA_COUNTERS (GALENA_COUNTER_ENUM)
+#undef GALENA_COUNTER_ENUM
+      GALENA_COUNTER_COUNT
+};
+
+struct galena_counters
+{
+  uint64_t values[GALENA_COUNTER_COUNT];
+};
+
+/* Returns the short word of COUNTER.  */
+const char *galena_counter_word (enum galena_counter counter);
+
+/* Returns one sentence on COUNTER.  */
+const char *galena_counter_meaning (enum galena_counter counter);
+
+#endif
--- /dev/null
+++ b/packages/core/include/galenaford/message.h
@@ -0,0 +1,169 @@
+/* Typed messages between callers, entries and agents.
+
+   A message here is a decision's input or output; packages/wire turns it
+   into bytes.  Mailboxes are the tables that hold messages of one tick.  */
+
+#ifndef GALENAFORD_MESSAGE_H
+#define GALENAFORD_MESSAGE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <galenaford/result.h>
+#include <galenaford/table.h>
+
+enum
+{
+  /* Most body bytes in one message.  */
+  GALENA_PART_BYTES = 1024
+};
+
+/* Value of `total' while the number of parts is not known yet.  */
+#define GALENA_TOTAL_UNKNOWN UINT32_MAX
+
+struct galena_endpoint
+{
+  /* IPv4 address in host byte order; 0 means none.  */
+  uint32_t ip;
+  /* Port in host byte order.  */
+  uint16_t port;
+};
+
+/* Chosen by the caller at random; names a flow for its whole life.  */
+struct galena_flow_id
+{
+  uint64_t high;
+  uint64_t low;
+};
+
+/* One row per type: name, number, short word.  */
+#define GALENA_MESSAGE_TYPES(X)                                               \
+  X (GALENA_MESSAGE_OPEN, 1, "open")                                          \
+  X (GALENA_MESSAGE_ACCEPT, 2, "accept")                                      \
+  X (GALENA_MESSAGE_REFUSE, 3, "refuse")                                      \
+  X (GALENA_MESSAGE_REQUEST, 4, "request")                                    \
+  X (GALENA_MESSAGE_ACK_REQUEST, 5, "ack-request")                            \
+  X (GALENA_MESSAGE_ANSWER, 6, "answer")                                      \
+  X (GALENA_MESSAGE_ACK_ANSWER, 7, "ack-answer")                              \
+  X (GALENA_MESSAGE_CANCEL, 8, "cancel")                                      \
+  X (GALENA_MESSAGE_CLOSE, 9, "close")                                        \
+  X (GALENA_MESSAGE_LOST, 10, "lost")                                         \
+  X (GALENA_MESSAGE_LOAD, 11, "load")                                         \
+  X (GALENA_MESSAGE_RUN, 20, "run")                                           \
+  X (GALENA_MESSAGE_RUN_CANCEL, 21, "run-cancel")                             \
+  X (GALENA_MESSAGE_RUN_DATA, 22, "run-data")                                 \
+  X (GALENA_MESSAGE_RUN_END, 23, "run-end")
+
+enum galena_message_type
+{
+#define GALENA_MESSAGE_ENUM(name, number, word) name = number,
+  GALENA_MESSAGE_TYPES (GALENA_MESSAGE_ENUM)
+#undef GALENA_MESSAGE_ENUM
+      GALENA_MESSAGE_TYPE_END
+};
+
+/* The sides of a process.  The application is the upstream beside an agent,
+   or the program that uses a caller; run messages stay on that link.  */
+enum galena_link
+{
+  GALENA_LINK_CALLER,
+  GALENA_LINK_PEER,
+  GALENA_LINK_APPLICATION,
+  GALENA_LINK_COUNT
+};
+
+struct galena_message
+{
+  enum galena_message_type type;
+  /* Side on which the message came in or goes out.  */
+  enum galena_link link;
+  /* Where the datagram came from, or where it goes to.  */
+  struct galena_endpoint peer;
+  /* The service's address as the caller used it.  */
+  struct galena_endpoint service;
+  /* Return path to the caller, filled in by the entry.  */
+  struct galena_endpoint caller;
+  /* Entry that handles the open, filled in when agents hand it on.  */
+  struct galena_endpoint entry;
+  struct galena_flow_id flow;
+  /* Given by the accepting agent; 0 in an open.  See tag.h.  */
+  uint64_t tag;
+  /* Generation of the service's record that the sender acts on.  */
+  uint64_t generation;
+  /* Number of the request in its flow, from 1.  */
+  uint32_t request;
+  /* Kind of work, as numbered in the service's record.  */
+  uint16_t kind;
+  /* Agents that have passed this open on.  */
+  uint8_t hops;
+  /* Overload level of the kind at the agent, 0 to 255.  */
+  uint8_t overload;
+  /* Part number of the body; in acks, the next part expected.  */
+  uint32_t part;
+  /* Number of parts of the whole body, or GALENA_TOTAL_UNKNOWN.  */
+  uint32_t total;
+  /* Milliseconds left for the request.  */
+  uint32_t deadline_ms;
+  /* Expected wait at the sending agent in milliseconds.  */
+  uint32_t wait_ms;
+  /* Request row that a run message speaks of, in the sender's world.  */
+  struct galena_request_handle run;
+  /* What became of the open or request.  */
+  enum galena_result result;
+  /* Borrowed; valid until the mailbox is cleared.  */
+  const uint8_t *body;
+  uint32_t body_size;
+};
+
+/* Returns the short word of TYPE, or "unknown".  */
+const char *galena_message_word (enum galena_message_type type);
+
+static inline bool
+galena_endpoint_equal (struct galena_endpoint a, struct galena_endpoint b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+static inline bool
+galena_flow_id_equal (struct galena_flow_id a, struct galena_flow_id b)
+{
+  return a.high == b.high && a.low == b.low;
+}
+
+struct galena_mailbox_options
+{
+  /* Most messages held at once.  */
+  uint32_t capacity;
+};
+
+struct galena_mailbox;
+
+/* Creates an empty mailbox in *OUT; the caller owns it.
+   Errors: GALENA_ERR_INVALID, GALENA_ERR_MEMORY.  */
+enum galena_result
+galena_mailbox_create (const struct galena_mailbox_options *options,
+                       struct galena_mailbox **out);
+
+/* Destroys MAILBOX; accepts NULL.  */
+void galena_mailbox_destroy (struct galena_mailbox *mailbox);
+
+/* Copies MESSAGE and its body into MAILBOX.
+   Errors: GALENA_ERR_FULL, GALENA_ERR_TOO_LARGE.  */
+enum galena_result galena_mailbox_push (struct galena_mailbox *mailbox,
+                                        const struct galena_message *message);
+
+/* Returns the number of messages held.  */
+uint32_t galena_mailbox_count (const struct galena_mailbox *mailbox);
+
+/* Returns how many messages still fit.  */
+uint32_t galena_mailbox_room (const struct galena_mailbox *mailbox);
+
+/* Returns message INDEX; valid until the mailbox is cleared.  */
+const struct galena_message *
+galena_mailbox_get (const struct galena_mailbox *mailbox, uint32_t index);
+
+/* Removes all messages.  */
+void galena_mailbox_clear (struct galena_mailbox *mailbox);
+
+#endif
--- /dev/null
+++ b/packages/core/include/galenaford/result.h
@@ -0,0 +1,71 @@
+/* Numbered result codes shared by every call and every message.
+
+   docs/ERRORS.md lists the same table for operators.  */
+
+#ifndef GALENAFORD_RESULT_H
+#define GALENAFORD_RESULT_H
+
+/* One row per code: name, number, short word, meaning.  */
+#define GALENA_RESULTS(X)                                                     \
+  X (GALENA_OK, 0, "ok", "The call or request succeeded.")                    \
+  X (GALENA_ERR_MEMORY, 1, "memory", "Memory could not be allocated.")        \
+  X (GALENA_ERR_FULL, 2, "full", "A bounded table or queue has no room.")     \
+  X (GALENA_ERR_STALE, 3, "stale", "A handle names a row that was removed.")  \
+  X (GALENA_ERR_INVALID, 4, "invalid", "An argument or option is invalid.")   \
+  X (GALENA_ERR_IO, 5, "io", "A system call or transfer failed.")             \
+  X (GALENA_ERR_EXISTS, 6, "exists", "The key is already present.")           \
+  X (GALENA_ERR_NOT_FOUND, 7, "not-found", "The name or key is unknown.")     \
+  X (GALENA_ERR_TRUNCATED, 20, "truncated", "A message ends too early.")      \
+  X (GALENA_ERR_SCHEMA, 21, "schema", "The schema version is unknown.")       \
+  X (GALENA_ERR_TYPE, 22, "type", "A field or message has a wrong type.")     \
+  X (GALENA_ERR_TOO_LARGE, 23, "too-large", "A size exceeds its limit.")      \
+  X (GALENA_ERR_RANGE, 24, "range", "A value is out of its range.")           \
+  X (GALENA_ERR_GENERATION, 25, "generation",                                 \
+     "A record is not newer than the one in force.")                          \
+  X (GALENA_REFUSED_NO_SERVICE, 40, "no-service",                             \
+     "Not run: no service has this address.")                                 \
+  X (GALENA_REFUSED_NO_UPSTREAM, 41, "no-upstream",                           \
+     "Not run: no upstream of the service takes new flows.")                  \
+  X (GALENA_REFUSED_LEAVING, 42, "leaving",                                   \
+     "Not run: the upstream is leaving.")                                     \
+  X (GALENA_REFUSED_OVERLOAD, 43, "overload",                                 \
+     "Not run: the queue of this kind is full.")                              \
+  X (GALENA_REFUSED_DEADLINE, 44, "deadline",                                 \
+     "Not run: the deadline can't be met or has passed.")                     \
+  X (GALENA_REFUSED_CONNECTIONS, 45, "connections",                           \
+     "Not run: the upstream holds its limit of flows.")                       \
+  X (GALENA_REFUSED_KIND, 46, "kind",                                         \
+     "Not run: the kind of work is unknown.")                                 \
+  X (GALENA_REFUSED_CANCELLED, 47, "cancelled",                               \
+     "Not run: the caller cancelled before the hand-over.")                   \
+  X (GALENA_REFUSED_SHED, 48, "shed",                                         \
+     "Not run: the entry shed this kind early.")                              \
+  X (GALENA_REFUSED_BY_UPSTREAM, 49, "by-upstream",                           \
+     "Not run: the upstream itself refused the request.")                     \
+  X (GALENA_REFUSED_WRONG_SERVICE, 50, "wrong-service",                       \
+     "Not run: the message is meant for another service.")                    \
+  X (GALENA_REFUSED_BODY, 51, "body", "Not run: the body exceeds its limit.") \
+  X (GALENA_UNKNOWN_OUTCOME, 60, "outcome-unknown",                           \
+     "The request may have run; its answer is lost.")                         \
+  X (GALENA_UNKNOWN_FLOW, 61, "flow-lost",                                    \
+     "The agent does not know this flow any more.")                           \
+  X (GALENA_FLOW_MOVE, 62, "move",                                            \
+     "The flow should be opened again elsewhere.")
+
+enum galena_result
+{
+#define GALENA_RESULT_ENUM(name, number, word, meaning) name = number,
+  GALENA_RESULTS (GALENA_RESULT_ENUM)
+#undef GALENA_RESULT_ENUM
+};
+
+/* Returns the short word of RESULT, or "unknown".  Never fails.  */
+const char *galena_result_word (enum galena_result result);
+
+/* Returns one sentence on RESULT, or an empty string.  Never fails.  */
+const char *galena_result_meaning (enum galena_result result);
+
+/* Tells whether RESULT promises that the request was not run.  */
+int galena_result_is_refusal (enum galena_result result);
+
+#endif
--- /dev/null
+++ b/packages/core/include/galenaford/tag.h
@@ -0,0 +1,46 @@
+/* The flow tag: which upstream accepted a flow, in which life of its agent.
+
+   An entry routes a packet by the upstream number alone.  The agent compares
+   the whole tag, so a restarted agent never takes an older flow's packets.  */
+
+#ifndef GALENAFORD_TAG_H
+#define GALENAFORD_TAG_H
+
+#include <stdint.h>
+
+enum
+{
+  GALENA_TAG_UPSTREAM_BITS = 20,
+  GALENA_TAG_INCARNATION_BITS = 20,
+  GALENA_TAG_NONCE_BITS = 24
+};
+
+/* Returns the tag of its three fields; each is cut to its bits.  */
+static inline uint64_t
+galena_tag_make (uint32_t upstream, uint32_t incarnation, uint32_t nonce)
+{
+  uint64_t tag = upstream & ((1u << GALENA_TAG_UPSTREAM_BITS) - 1);
+
+  tag <<= GALENA_TAG_INCARNATION_BITS;
+  tag |= incarnation & ((1u << GALENA_TAG_INCARNATION_BITS) - 1);
+  tag <<= GALENA_TAG_NONCE_BITS;
+  tag |= nonce & ((1u << GALENA_TAG_NONCE_BITS) - 1);
+  return tag;
+}
+
+/* Returns the upstream number in TAG.  */
+static inline uint32_t
+galena_tag_upstream (uint64_t tag)
+{
+  return (uint32_t)(tag >> (64 - GALENA_TAG_UPSTREAM_BITS));
+}
+
+/* Returns the incarnation in TAG.  */
+static inline uint32_t
+galena_tag_incarnation (uint64_t tag)
+{
+  return (uint32_t)(tag >> GALENA_TAG_NONCE_BITS)
+         & ((1u << GALENA_TAG_INCARNATION_BITS) - 1);
+}
+
+#endif
--- /dev/null
+++ b/packages/core/src/agent.h
@@ -0,0 +1,219 @@
+/* The tables of an agent: flows, requests, and the queues of each kind.  */
+
+#ifndef GALENAFORD_AGENT_H
+#define GALENAFORD_AGENT_H
+
+#include <galenaford/config.h>
+#include <galenaford/map.h>
+#include <galenaford/stream.h>
+
+#include "policy.h"
+#include "world_private.h"
+
+struct galena_flow
+{
+  struct galena_flow_id id;
+  uint64_t tag;
+  /* Return path: the caller and the entry last heard from.  */
+  struct galena_endpoint caller;
+  struct galena_endpoint entry;
+  struct galena_clock heard;
+  /* Requests of this flow in the request table.  */
+  uint32_t open_requests;
+  /* All request numbers up to this one are done with.  */
+  uint32_t done_floor;
+  /* Bit N is set when request done_floor + 1 + N is done with.  */
+  uint64_t done_bits;
+  /* Whether the caller has sent anything with the tag.  */
+  bool confirmed;
+};
+
+enum galena_request_state
+{
+  /* Parts of the body are still missing.  */
+  GALENA_REQUEST_RECEIVING,
+  /* Waits for a slot.  */
+  GALENA_REQUEST_QUEUED,
+  /* Handed to the upstream.  */
+  GALENA_REQUEST_RUNNING,
+  /* The result is known; kept until acknowledged.  */
+  GALENA_REQUEST_ENDED
+};
+
+struct galena_request
+{
+  struct galena_flow_handle flow;
+  uint32_t number;
+  uint16_t kind;
+  enum galena_request_state state;
+  bool idempotent;
+  bool endless;
+  /* Whether the request is in the list of those with parts to send.  */
+  bool ready;
+  /* Whether a cancel was passed to the upstream.  */
+  bool cancelling;
+  /* Valid when ENDED: GALENA_OK, a refusal, or the unknown outcome.  */
+  enum galena_result result;
+  struct galena_clock deadline;
+  struct galena_clock queued;
+  struct galena_clock started;
+  /* When an ended request is forgotten without an acknowledgement.  */
+  struct galena_clock forget;
+  /* When unacknowledged parts are sent again.  */
+  struct galena_clock resend;
+  /* Parts of the body that came out of order.  */
+  struct galena_stream received;
+  /* Body so far; owned.  */
+  uint8_t *body;
+  uint32_t body_size;
+  uint32_t body_capacity;
+  /* Parts of the answer that the caller has not acknowledged.  */
+  struct galena_stream answer;
+  /* Next request in the queue of its kind.  */
+  struct galena_request_handle next;
+};
+
+struct galena_kind_queue
+{
+  struct galena_request_handle head;
+  struct galena_request_handle tail;
+  uint32_t queued;
+  uint32_t running;
+  /* Smoothed run time in milliseconds.  */
+  double run_ms;
+};
+
+struct galena_agent
+{
+  struct galena_table *flows;
+  struct galena_map *flows_by_id;
+  struct galena_table *requests;
+  struct galena_map *requests_by_number;
+  struct galena_kind_queue queues[GALENA_KINDS_MAX];
+  /* Requests that run and hold a slot.  */
+  uint32_t running;
+  /* Requests with answer parts to send in this tick.  */
+  struct galena_request_handle *ready;
+  uint32_t ready_count;
+  uint64_t body_bytes;
+  const struct galena_admission_policy *admission;
+};
+
+enum
+{
+  /* Most bytes of one request's body.  */
+  GALENA_BODY_BYTES_MAX = 1024 * 1024
+};
+
+/* agent.c */
+
+/* Returns the record of the upstream beside this agent, or NULL.  */
+const struct galena_upstream *
+galena_agent_self (const struct galena_world *world);
+
+/* Returns the service of the upstream beside this agent, or NULL.  */
+const struct galena_service *
+galena_agent_service (const struct galena_world *world);
+
+/* Returns an answer to MESSAGE, addressed along its return path, with the
+   present load of KIND.  */
+struct galena_message galena_agent_reply (const struct galena_world *world,
+                                          const struct galena_message *message,
+                                          enum galena_message_type type);
+
+/* agent_flow.c */
+
+void galena_agent_on_open (struct galena_world *world,
+                           const struct galena_message *message);
+void galena_agent_on_close (struct galena_world *world,
+                            const struct galena_message *message);
+
+/* Finds the flow of MESSAGE by id and whole tag and notes its return path;
+   sends LOST and returns NULL when there is none.  */
+struct galena_flow *galena_agent_flow_of (struct galena_world *world,
+                                          const struct galena_message *message,
+                                          struct galena_flow_handle *handle);
+
+/* Ends flows that have been silent too long.  */
+void galena_agent_run_expire_flows (struct galena_world *world);
+
+/* Tells whether request NUMBER of FLOW was done with before.  */
+bool galena_flow_is_done (const struct galena_flow *flow, uint32_t number);
+
+/* Notes that request NUMBER of FLOW is done with.  */
+void galena_flow_set_done (struct galena_flow *flow, uint32_t number);
+
+/* agent_request.c */
+
+void galena_agent_on_request (struct galena_world *world,
+                              const struct galena_message *message);
+void galena_agent_on_ack_answer (struct galena_world *world,
+                                 const struct galena_message *message);
+void galena_agent_on_cancel (struct galena_world *world,
+                             const struct galena_message *message);
+
+/* Ends a request with RESULT and lets its answer be sent.  */
+void galena_agent_end_request (struct galena_world *world,
+                               struct galena_request_handle handle,
+                               enum galena_result result);
+
+/* Removes a request and all that it holds.  */
+void galena_agent_forget_request (struct galena_world *world,
+                                  struct galena_request_handle handle);
+
+/* Forgets ended requests and refuses queued ones past their deadline.  */
+void galena_agent_run_expire_requests (struct galena_world *world);
+
+/* agent_answer.c */
+
+/* Puts a request on the list of those with something to send.  */
+void galena_agent_set_ready (struct galena_world *world,
+                             struct galena_request_handle handle);
+
+/* Sends the parts of all requests on that list.  */
+void galena_agent_run_answer (struct galena_world *world);
+
+/* Marks answers that were not acknowledged in time to be sent again.  */
+void galena_agent_run_resend (struct galena_world *world);
+
+/* agent_run.c */
+
+void galena_agent_on_run_data (struct galena_world *world,
+                               const struct galena_message *message);
+void galena_agent_on_run_end (struct galena_world *world,
+                              const struct galena_message *message);
+
+/* Passes a cancel of a running request to the upstream, once.  */
+void galena_agent_cancel_run (struct galena_world *world,
+                              struct galena_request_handle handle);
+
+/* Puts a complete request into the queue of its kind, or refuses it.  */
+void galena_agent_enqueue (struct galena_world *world,
+                           struct galena_request_handle handle);
+
+/* Takes a request out of the queue of its kind.  */
+void galena_agent_dequeue (struct galena_world *world,
+                           struct galena_request_handle handle);
+
+/* Hands queued requests to the upstream while it has room.  */
+void galena_agent_run_admit (struct galena_world *world);
+
+/* Returns the expected wait of a new request of KIND in milliseconds.  */
+uint32_t galena_agent_expected_wait_ms (const struct galena_world *world,
+                                        uint16_t kind);
+
+static inline struct galena_request *
+galena_agent_request (const struct galena_world *world,
+                      struct galena_request_handle handle)
+{
+  return galena_table_get (world->agent->requests, handle.row);
+}
+
+static inline struct galena_flow *
+galena_agent_flow (const struct galena_world *world,
+                   struct galena_flow_handle handle)
+{
+  return galena_table_get (world->agent->flows, handle.row);
+}
+
+#endif
--- /dev/null
+++ b/packages/core/src/agent_answer.c
@@ -0,0 +1,159 @@
+/* Answers on their way to the caller, along the flow's latest return path. */
+
+#include "agent.h"
+
+enum
+{
+  /* An answer that stays unacknowledged is sent again after this long.  */
+  RESEND_MS = 200,
+  /* Most parts sent again at once.  */
+  RESEND_PARTS = 8
+};
+
+void
+galena_agent_set_ready (struct galena_world *world,
+                        struct galena_request_handle handle)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_request *request = galena_agent_request (world, handle);
+
+  if (request->ready)
+    return;
+  request->ready = true;
+  agent->ready[agent->ready_count++] = handle;
+}
+
+/* Returns a message of REQUEST towards its caller.  */
+static struct galena_message
+message_to_caller (const struct galena_world *world,
+                   const struct galena_request *request,
+                   enum galena_message_type type)
+{
+  const struct galena_flow *flow = galena_agent_flow (world, request->flow);
+  const struct galena_service *service = galena_agent_service (world);
+  struct galena_message message = { 0 };
+
+  message.type = type;
+  message.link = GALENA_LINK_PEER;
+  message.peer = flow->entry;
+  message.caller = flow->caller;
+  message.flow = flow->id;
+  message.tag = flow->tag;
+  message.request = request->number;
+  message.kind = request->kind;
+  message.result = request->result;
+  message.wait_ms = galena_agent_expected_wait_ms (world, request->kind);
+  if (service != NULL)
+    message.service = service->address;
+  return message;
+}
+
+static uint32_t
+announced_total (const struct galena_stream *answer)
+{
+  return answer->finished ? answer->total : GALENA_TOTAL_UNKNOWN;
+}
+
+static void
+send_parts (struct galena_world *world, struct galena_request *request)
+{
+  struct galena_stream *answer = &request->answer;
+
+  while (answer->unsent != answer->end)
+    {
+      struct galena_message message
+          = message_to_caller (world, request, GALENA_MESSAGE_ANSWER);
+
+      message.part = answer->unsent;
+      message.total = announced_total (answer);
+      message.body
+          = galena_stream_part (answer, answer->unsent, &message.body_size);
+      answer->unsent++;
+      galena_world_send (world, &message);
+    }
+}
+
+/* Tells the end of an answer all of whose parts went out before.  */
+static void
+send_end (struct galena_world *world, const struct galena_request *request)
+{
+  struct galena_message message
+      = message_to_caller (world, request, GALENA_MESSAGE_ANSWER);
+
+  message.part = request->answer.total;
+  message.total = request->answer.total;
+  galena_world_send (world, &message);
+}
+
+static void
+send_refusal (struct galena_world *world, const struct galena_request *request)
+{
+  struct galena_message message
+      = message_to_caller (world, request, GALENA_MESSAGE_REFUSE);
+
+  message.part = request->answer.total;
+  message.total = request->answer.total;
+  galena_world_send (world, &message);
+}
+
+static void
+send_request_state (struct galena_world *world, struct galena_request *request)
+{
+  if (galena_agent_flow (world, request->flow) == NULL)
+    return;
+  request->resend = galena_clock_after (world->now, RESEND_MS);
+  if (request->state == GALENA_REQUEST_ENDED && request->result != GALENA_OK)
+    {
+      send_refusal (world, request);
+      return;
+    }
+  send_parts (world, request);
+  if (request->state == GALENA_REQUEST_ENDED)
+    send_end (world, request);
+}
+
+void
+galena_agent_run_answer (struct galena_world *world)
+{
+  struct galena_agent *agent = world->agent;
+
+  for (uint32_t i = 0; i < agent->ready_count; i++)
+    {
+      struct galena_request *request
+          = galena_agent_request (world, agent->ready[i]);
+      if (request == NULL)
+        continue;
+      request->ready = false;
+      send_request_state (world, request);
+    }
+  agent->ready_count = 0;
+}
+
+static bool
+awaits_acknowledgement (const struct galena_request *request)
+{
+  const struct galena_stream *answer = &request->answer;
+
+  return request->state == GALENA_REQUEST_ENDED
+         || answer->base != answer->unsent;
+}
+
+void
+galena_agent_run_resend (struct galena_world *world)
+{
+  struct galena_request *request;
+  struct galena_request_handle handle;
+  uint32_t cursor = 0;
+
+  while ((request
+          = galena_table_next (world->agent->requests, &cursor, &handle.row))
+         != NULL)
+    {
+      if (!awaits_acknowledgement (request)
+          || !galena_clock_reached (world->now, request->resend))
+        continue;
+      galena_world_count (world, GALENA_COUNT_RESENT);
+      request->answer.unsent = request->answer.base;
+      galena_agent_set_ready (world, handle);
+    }
+}
--- /dev/null
+++ b/packages/core/src/agent_flow.c
@@ -0,0 +1,277 @@
+/* Flows at the agent that owns them: acceptance, lookup and expiry.  */
+
+#include <galenaford/tag.h>
+
+#include "agent.h"
+
+enum
+{
+  /* A flow whose accept nobody confirmed ends after this long.  */
+  UNCONFIRMED_FLOW_MS = 5000,
+  /* A silent flow ends after this long.  */
+  SILENT_FLOW_MS = 120000,
+  /* Request numbers remembered one by one above the floor.  */
+  DONE_BITS = 64
+};
+
+static struct galena_flow *
+find_flow (const struct galena_world *world, struct galena_flow_id id,
+           struct galena_flow_handle *handle)
+{
+  const struct galena_agent *agent = world->agent;
+  uint64_t key = galena_flow_key (agent->flows_by_id, id);
+  struct galena_flow *flow;
+  uint64_t packed;
+
+  if (!galena_map_find (agent->flows_by_id, key, &packed))
+    return NULL;
+  handle->row = galena_handle_unpack (packed);
+  flow = galena_agent_flow (world, *handle);
+  if (flow == NULL || !galena_flow_id_equal (flow->id, id))
+    return NULL;
+  return flow;
+}
+
+static void
+remove_flow (struct galena_world *world, struct galena_flow_handle handle)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_flow *flow = galena_agent_flow (world, handle);
+  uint64_t key = galena_flow_key (agent->flows_by_id, flow->id);
+
+  galena_map_remove (agent->flows_by_id, key);
+  galena_table_remove (agent->flows, handle.row);
+}
+
+static void
+refuse_open (struct galena_world *world, const struct galena_message *open,
+             enum galena_result result)
+{
+  struct galena_message refusal
+      = galena_agent_reply (world, open, GALENA_MESSAGE_REFUSE);
+
+  refusal.result = result;
+  galena_world_count (world, GALENA_COUNT_REFUSED);
+  galena_world_send (world, &refusal);
+}
+
+/* Tells whether this agent may accept OPEN, and why not.  */
+static enum galena_result
+check_open (const struct galena_world *world,
+            const struct galena_message *open)
+{
+  const struct galena_upstream *self = galena_agent_self (world);
+  const struct galena_service *service = galena_agent_service (world);
+
+  if (service == NULL
+      || !galena_endpoint_equal (service->address, open->service))
+    return GALENA_REFUSED_WRONG_SERVICE;
+  if (world->draining || self->state != GALENA_UPSTREAM_ACTIVE)
+    return GALENA_REFUSED_LEAVING;
+  if (galena_service_kind (service, open->kind) == NULL)
+    return GALENA_REFUSED_KIND;
+  if (galena_table_count (world->agent->flows) >= self->connections)
+    return GALENA_REFUSED_CONNECTIONS;
+  if (open->deadline_ms == 0)
+    return GALENA_REFUSED_DEADLINE;
+  if (galena_agent_expected_wait_ms (world, open->kind) > open->deadline_ms)
+    return GALENA_REFUSED_OVERLOAD;
+  return GALENA_OK;
+}
+
+static struct galena_flow *
+insert_flow (struct galena_world *world, const struct galena_message *open)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_flow_handle handle;
+  struct galena_flow *flow = galena_table_insert (agent->flows, &handle.row);
+  uint64_t key = galena_flow_key (agent->flows_by_id, open->flow);
+
+  if (flow == NULL)
+    return NULL;
+  flow->id = open->flow;
+  flow->tag
+      = galena_tag_make (world->options.upstream, world->options.incarnation,
+                         (uint32_t)galena_random_next (&world->random));
+  flow->heard = world->now;
+  if (galena_map_insert (agent->flows_by_id, key,
+                         galena_handle_pack (handle.row))
+      == GALENA_OK)
+    return flow;
+  galena_table_remove (agent->flows, handle.row);
+  return NULL;
+}
+
+static void
+accept_open (struct galena_world *world, const struct galena_message *open,
+             struct galena_flow *flow)
+{
+  struct galena_message accept
+      = galena_agent_reply (world, open, GALENA_MESSAGE_ACCEPT);
+
+  flow->caller = open->caller;
+  flow->entry = accept.peer;
+  accept.tag = flow->tag;
+  galena_world_send (world, &accept);
+}
+
+void
+galena_agent_on_open (struct galena_world *world,
+                      const struct galena_message *message)
+{
+  struct galena_flow_handle handle;
+  struct galena_flow *flow = find_flow (world, message->flow, &handle);
+  enum galena_result result;
+
+  if (flow != NULL)
+    {
+      accept_open (world, message, flow);
+      return;
+    }
+  result = check_open (world, message);
+  if (result != GALENA_OK)
+    {
+      refuse_open (world, message, result);
+      return;
+    }
+  flow = insert_flow (world, message);
+  if (flow == NULL)
+    {
+      refuse_open (world, message, GALENA_REFUSED_CONNECTIONS);
+      return;
+    }
+  galena_world_count (world, GALENA_COUNT_ACCEPTED);
+  accept_open (world, message, flow);
+}
+
+static void
+send_lost (struct galena_world *world, const struct galena_message *message)
+{
+  struct galena_message lost
+      = galena_agent_reply (world, message, GALENA_MESSAGE_LOST);
+
+  lost.tag = message->tag;
+  lost.result = GALENA_UNKNOWN_FLOW;
+  galena_world_count (world, GALENA_COUNT_LOST);
+  galena_world_send (world, &lost);
+}
+
+struct galena_flow *
+galena_agent_flow_of (struct galena_world *world,
+                      const struct galena_message *message,
+                      struct galena_flow_handle *handle)
+{
+  struct galena_flow *flow = find_flow (world, message->flow, handle);
+
+  if (flow == NULL || flow->tag != message->tag)
+    {
+      send_lost (world, message);
+      return NULL;
+    }
+  flow->caller = message->caller;
+  flow->entry = message->peer;
+  flow->heard = world->now;
+  flow->confirmed = true;
+  return flow;
+}
+
+/* Forgets the requests of FLOW; those that run are cancelled first and go
+   when the upstream has told their end.  */
+static void
+drop_requests_of (struct galena_world *world, struct galena_flow_handle flow)
+{
+  struct galena_request *request;
+  struct galena_request_handle handle;
+  uint32_t cursor = 0;
+
+  while ((request
+          = galena_table_next (world->agent->requests, &cursor, &handle.row))
+         != NULL)
+    {
+      if (galena_handle_pack (request->flow.row)
+          != galena_handle_pack (flow.row))
+        continue;
+      if (request->state == GALENA_REQUEST_RUNNING)
+        galena_agent_cancel_run (world, handle);
+      else
+        galena_agent_forget_request (world, handle);
+    }
+}
+
+static void
+end_flow (struct galena_world *world, struct galena_flow_handle handle)
+{
+  if (galena_agent_flow (world, handle)->open_requests > 0)
+    drop_requests_of (world, handle);
+  remove_flow (world, handle);
+}
+
+void
+galena_agent_on_close (struct galena_world *world,
+                       const struct galena_message *message)
+{
+  struct galena_flow_handle handle;
+  struct galena_flow *flow = find_flow (world, message->flow, &handle);
+
+  if (flow == NULL || flow->tag != message->tag)
+    return;
+  end_flow (world, handle);
+}
+
+static bool
+is_expired (const struct galena_world *world, const struct galena_flow *flow)
+{
+  int64_t silent_ms = galena_clock_between (flow->heard, world->now);
+
+  if (!flow->confirmed)
+    return silent_ms >= UNCONFIRMED_FLOW_MS;
+  return silent_ms >= SILENT_FLOW_MS;
+}
+
+void
+galena_agent_run_expire_flows (struct galena_world *world)
+{
+  struct galena_flow *flow;
+  struct galena_flow_handle handle;
+  uint32_t cursor = 0;
+
+  while ((flow = galena_table_next (world->agent->flows, &cursor, &handle.row))
+         != NULL)
+    {
+      if (!is_expired (world, flow))
+        continue;
+      galena_world_count (world, GALENA_COUNT_EXPIRED_FLOWS);
+      end_flow (world, handle);
+    }
+}
+
+bool
+galena_flow_is_done (const struct galena_flow *flow, uint32_t number)
+{
+  uint32_t ahead = number - flow->done_floor - 1;
+
+  if (number <= flow->done_floor)
+    return true;
+  if (ahead >= DONE_BITS)
+    return false;
+  return (flow->done_bits >> ahead) & 1;
+}
+
+static void
+raise_floor (struct galena_flow *flow, uint32_t by)
+{
+  flow->done_bits = by >= DONE_BITS ? 0 : flow->done_bits >> by;
+  flow->done_floor += by;
+}
+
+void
+galena_flow_set_done (struct galena_flow *flow, uint32_t number)
+{
+  if (galena_flow_is_done (flow, number))
+    return;
+  if (number - flow->done_floor > DONE_BITS)
+    raise_floor (flow, number - flow->done_floor - DONE_BITS);
+  flow->done_bits |= UINT64_C (1) << (number - flow->done_floor - 1);
+  while (flow->done_bits & 1)
+    raise_floor (flow, 1);
+}
--- /dev/null
+++ b/packages/core/src/agent_request.c
@@ -0,0 +1,347 @@
+/* Requests at the agent: each number of a flow runs at most once.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent.h"
+
+enum
+{
+  /* An ended request is kept this long for late acknowledgements.  */
+  RETENTION_MS = 30000,
+  FIRST_BODY_CAPACITY = 1024
+};
+
+struct request_key
+{
+  uint64_t flow;
+  uint64_t number;
+};
+
+static uint64_t
+request_key (const struct galena_world *world, struct galena_flow_handle flow,
+             uint32_t number)
+{
+  struct request_key key = { galena_handle_pack (flow.row), number };
+
+  return galena_map_hash (world->agent->requests_by_number, &key, sizeof key);
+}
+
+static struct galena_request *
+find_request (const struct galena_world *world, struct galena_flow_handle flow,
+              uint32_t number, struct galena_request_handle *handle)
+{
+  uint64_t key = request_key (world, flow, number);
+  uint64_t packed;
+
+  if (!galena_map_find (world->agent->requests_by_number, key, &packed))
+    return NULL;
+  handle->row = galena_handle_unpack (packed);
+  return galena_agent_request (world, *handle);
+}
+
+/* Answers MESSAGE with a refusal or the unknown outcome.  */
+static void
+send_result (struct galena_world *world, const struct galena_message *message,
+             enum galena_result result)
+{
+  struct galena_message refusal
+      = galena_agent_reply (world, message, GALENA_MESSAGE_REFUSE);
+
+  refusal.tag = message->tag;
+  refusal.result = result;
+  galena_world_count (world, GALENA_COUNT_REFUSED);
+  galena_world_send (world, &refusal);
+}
+
+static void
+send_acknowledgement (struct galena_world *world,
+                      const struct galena_message *message,
+                      const struct galena_request *request)
+{
+  struct galena_message ack
+      = galena_agent_reply (world, message, GALENA_MESSAGE_ACK_REQUEST);
+
+  ack.tag = message->tag;
+  ack.part = request->received.base;
+  galena_world_send (world, &ack);
+}
+
+static struct galena_request *
+insert_request (struct galena_world *world,
+                const struct galena_message *message,
+                struct galena_flow_handle flow, const struct galena_kind *kind,
+                struct galena_request_handle *handle)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_request *request
+      = galena_table_insert (agent->requests, &handle->row);
+
+  if (request == NULL)
+    return NULL;
+  request->flow = flow;
+  request->number = message->request;
+  request->kind = kind->number;
+  request->idempotent = kind->idempotent;
+  request->endless = kind->endless;
+  request->deadline = galena_clock_after (world->now, message->deadline_ms);
+  if (galena_map_insert (agent->requests_by_number,
+                         request_key (world, flow, message->request),
+                         galena_handle_pack (handle->row))
+      == GALENA_OK)
+    {
+      galena_agent_flow (world, flow)->open_requests++;
+      return request;
+    }
+  galena_table_remove (agent->requests, handle->row);
+  return NULL;
+}
+
+void
+galena_agent_forget_request (struct galena_world *world,
+                             struct galena_request_handle handle)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_request *request = galena_agent_request (world, handle);
+  struct galena_flow *flow = galena_agent_flow (world, request->flow);
+
+  if (request->state == GALENA_REQUEST_QUEUED)
+    galena_agent_dequeue (world, handle);
+  if (flow != NULL)
+    {
+      galena_flow_set_done (flow, request->number);
+      flow->open_requests--;
+    }
+  galena_map_remove (agent->requests_by_number,
+                     request_key (world, request->flow, request->number));
+  galena_stream_release (&request->received);
+  galena_stream_release (&request->answer);
+  agent->body_bytes -= request->body_capacity;
+  free (request->body);
+  galena_table_remove (agent->requests, handle.row);
+}
+
+static enum galena_result
+reserve_body (struct galena_world *world, struct galena_request *request,
+              uint32_t size)
+{
+  uint32_t capacity = request->body_capacity;
+  uint8_t *body;
+
+  if (size > GALENA_BODY_BYTES_MAX)
+    return GALENA_REFUSED_BODY;
+  if (capacity == 0)
+    capacity = FIRST_BODY_CAPACITY;
+  while (capacity < size)
+    capacity *= 2;
+  if (capacity == request->body_capacity)
+    return GALENA_OK;
+  body = realloc (request->body, capacity);
+  if (body == NULL)
+    return GALENA_REFUSED_OVERLOAD;
+  world->agent->body_bytes += capacity - request->body_capacity;
+  request->body = body;
+  request->body_capacity = capacity;
+  return GALENA_OK;
+}
+
+/* Moves the parts that are in order from the window into the body.  */
+static enum galena_result
+collect_body (struct galena_world *world, struct galena_request *request)
+{
+  struct galena_stream *received = &request->received;
+  const uint8_t *part;
+  uint32_t size;
+
+  while ((part = galena_stream_part (received, received->base, &size)) != NULL)
+    {
+      enum galena_result result
+          = reserve_body (world, request, request->body_size + size);
+      if (result != GALENA_OK)
+        return result;
+      memcpy (request->body + request->body_size, part, size);
+      request->body_size += size;
+      galena_stream_acknowledge (received, received->base + 1);
+    }
+  return GALENA_OK;
+}
+
+static void
+receive_part (struct galena_world *world, const struct galena_message *message,
+              struct galena_request *request,
+              struct galena_request_handle handle)
+{
+  struct galena_stream *received = &request->received;
+  enum galena_result result;
+
+  if (!received->finished && message->total != GALENA_TOTAL_UNKNOWN)
+    {
+      received->finished = true;
+      received->total = message->total;
+    }
+  if (galena_stream_store (received, message->part, message->body,
+                           message->body_size)
+      == GALENA_ERR_EXISTS)
+    galena_world_count (world, GALENA_COUNT_DUPLICATES);
+  result = collect_body (world, request);
+  if (result != GALENA_OK)
+    {
+      galena_agent_end_request (world, handle, result);
+      return;
+    }
+  send_acknowledgement (world, message, request);
+  if (galena_stream_complete (received))
+    galena_agent_enqueue (world, handle);
+}
+
+/* A part of a request that has all its parts: tells the caller the state. */
+static void
+repeat_state (struct galena_world *world, const struct galena_message *message,
+              struct galena_request *request,
+              struct galena_request_handle handle)
+{
+  galena_world_count (world, GALENA_COUNT_DUPLICATES);
+  send_acknowledgement (world, message, request);
+  if (request->state != GALENA_REQUEST_ENDED)
+    return;
+  request->answer.unsent = request->answer.base;
+  galena_agent_set_ready (world, handle);
+}
+
+static void
+start_request (struct galena_world *world,
+               const struct galena_message *message,
+               struct galena_flow_handle flow)
+{
+  const struct galena_service *service = galena_agent_service (world);
+  const struct galena_kind *kind = NULL;
+  struct galena_request_handle handle;
+  struct galena_request *request;
+
+  if (service != NULL)
+    kind = galena_service_kind (service, message->kind);
+  if (kind == NULL)
+    {
+      send_result (world, message, GALENA_REFUSED_KIND);
+      return;
+    }
+  request = insert_request (world, message, flow, kind, &handle);
+  if (request == NULL)
+    {
+      send_result (world, message, GALENA_REFUSED_OVERLOAD);
+      return;
+    }
+  galena_world_count (world, GALENA_COUNT_REQUESTS);
+  receive_part (world, message, request, handle);
+}
+
+void
+galena_agent_on_request (struct galena_world *world,
+                         const struct galena_message *message)
+{
+  struct galena_flow_handle flow_handle;
+  struct galena_flow *flow
+      = galena_agent_flow_of (world, message, &flow_handle);
+  struct galena_request_handle handle;
+  struct galena_request *request;
+
+  if (flow == NULL)
+    return;
+  if (galena_flow_is_done (flow, message->request))
+    {
+      send_result (world, message, GALENA_UNKNOWN_OUTCOME);
+      return;
+    }
+  request = find_request (world, flow_handle, message->request, &handle);
+  if (request == NULL)
+    start_request (world, message, flow_handle);
+  else if (request->state == GALENA_REQUEST_RECEIVING)
+    receive_part (world, message, request, handle);
+  else
+    repeat_state (world, message, request, handle);
+}
+
+void
+galena_agent_on_ack_answer (struct galena_world *world,
+                            const struct galena_message *message)
+{
+  struct galena_flow_handle flow_handle;
+  struct galena_request_handle handle;
+  struct galena_request *request;
+
+  if (galena_agent_flow_of (world, message, &flow_handle) == NULL)
+    return;
+  request = find_request (world, flow_handle, message->request, &handle);
+  if (request == NULL)
+    return;
+  galena_stream_acknowledge (&request->answer, message->part);
+  if (request->state == GALENA_REQUEST_ENDED
+      && message->total != GALENA_TOTAL_UNKNOWN
+      && galena_stream_complete (&request->answer))
+    {
+      galena_agent_forget_request (world, handle);
+      return;
+    }
+  if (request->answer.unsent != request->answer.end)
+    galena_agent_set_ready (world, handle);
+}
+
+void
+galena_agent_on_cancel (struct galena_world *world,
+                        const struct galena_message *message)
+{
+  struct galena_flow_handle flow_handle;
+  struct galena_request_handle handle;
+  struct galena_request *request;
+
+  if (galena_agent_flow_of (world, message, &flow_handle) == NULL)
+    return;
+  request = find_request (world, flow_handle, message->request, &handle);
+  if (request == NULL || request->state == GALENA_REQUEST_ENDED)
+    return;
+  galena_world_count (world, GALENA_COUNT_CANCELLED);
+  if (request->state == GALENA_REQUEST_RUNNING)
+    galena_agent_cancel_run (world, handle);
+  else
+    galena_agent_end_request (world, handle, GALENA_REFUSED_CANCELLED);
+}
+
+void
+galena_agent_end_request (struct galena_world *world,
+                          struct galena_request_handle handle,
+                          enum galena_result result)
+{
+  struct galena_request *request = galena_agent_request (world, handle);
+
+  if (request->state == GALENA_REQUEST_QUEUED)
+    galena_agent_dequeue (world, handle);
+  request->state = GALENA_REQUEST_ENDED;
+  request->result = result;
+  request->forget = galena_clock_after (world->now, RETENTION_MS);
+  galena_stream_finish (&request->answer);
+  if (galena_agent_flow (world, request->flow) == NULL)
+    galena_agent_forget_request (world, handle);
+  else
+    galena_agent_set_ready (world, handle);
+}
+
+void
+galena_agent_run_expire_requests (struct galena_world *world)
+{
+  struct galena_request *request;
+  struct galena_request_handle handle;
+  uint32_t cursor = 0;
+
+  while ((request
+          = galena_table_next (world->agent->requests, &cursor, &handle.row))
+         != NULL)
+    {
+      bool late = galena_clock_reached (world->now, request->deadline);
+
+      if (request->state == GALENA_REQUEST_ENDED
+          && galena_clock_reached (world->now, request->forget))
+        galena_agent_forget_request (world, handle);
+      else if (request->state <= GALENA_REQUEST_QUEUED && late)
+        galena_agent_end_request (world, handle, GALENA_REFUSED_DEADLINE);
+    }
+}
--- /dev/null
+++ b/packages/core/src/caller.c
@@ -0,0 +1,327 @@
+/* The caller role: its tables and what applications call.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "caller_tables.h"
+
+enum
+{
+  SEND_PERIOD_MS = 5
+};
+
+static void
+draw_id (struct galena_world *world, struct galena_flow_id *id)
+{
+  id->high = galena_random_next (&world->random);
+  id->low = galena_random_next (&world->random);
+}
+
+static enum galena_result
+index_flow (struct galena_world *world, struct galena_flow_handle handle)
+{
+  struct galena_caller *caller = world->caller;
+  struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+
+  return galena_map_insert (caller->flows_by_id,
+                            galena_flow_key (caller->flows_by_id, flow->id),
+                            galena_handle_pack (handle.row));
+}
+
+static void
+unindex_flow (struct galena_world *world,
+              const struct galena_caller_flow *flow)
+{
+  struct galena_caller *caller = world->caller;
+
+  galena_map_remove (caller->flows_by_id,
+                     galena_flow_key (caller->flows_by_id, flow->id));
+}
+
+enum galena_result
+galena_caller_open (struct galena_world *world,
+                    const struct galena_caller_flow_options *options,
+                    struct galena_flow_handle *flow)
+{
+  struct galena_caller_flow *row
+      = galena_table_insert (world->caller->flows, &flow->row);
+
+  if (row == NULL)
+    return GALENA_ERR_FULL;
+  draw_id (world, &row->id);
+  row->service = options->service;
+  row->kind = options->kind;
+  row->deadline_ms = options->deadline_ms;
+  row->deadline = galena_clock_after (world->now, options->deadline_ms);
+  row->resend = world->now;
+  row->heard = world->now;
+  return index_flow (world, *flow);
+}
+
+static void
+remove_request (struct galena_world *world,
+                struct galena_request_handle handle)
+{
+  struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+  struct galena_caller_flow *flow = galena_caller_flow (world, request->flow);
+
+  if (flow != NULL)
+    flow->open_requests--;
+  galena_stream_release (&request->answer);
+  free (request->body);
+  galena_table_remove (world->caller->requests, handle.row);
+}
+
+/* Calls VISIT for each request of FLOW.  */
+static void
+for_each_request (struct galena_world *world, struct galena_flow_handle flow,
+                  void (*visit) (struct galena_world *world,
+                                 struct galena_request_handle handle,
+                                 enum galena_result result),
+                  enum galena_result result)
+{
+  struct galena_caller_request *request;
+  struct galena_request_handle handle;
+  uint32_t cursor = 0;
+
+  while ((request
+          = galena_table_next (world->caller->requests, &cursor, &handle.row))
+         != NULL)
+    if (galena_handle_pack (request->flow.row)
+        == galena_handle_pack (flow.row))
+      visit (world, handle, result);
+}
+
+void
+galena_caller_end (struct galena_world *world,
+                   struct galena_request_handle handle,
+                   enum galena_result result)
+{
+  const struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+  struct galena_message end = { .type = GALENA_MESSAGE_RUN_END,
+                                .link = GALENA_LINK_APPLICATION,
+                                .run = handle,
+                                .kind = request->kind,
+                                .result = result };
+
+  galena_world_send (world, &end);
+  remove_request (world, handle);
+}
+
+void
+galena_caller_end_flow (struct galena_world *world,
+                        struct galena_flow_handle handle,
+                        enum galena_result result)
+{
+  struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+
+  for_each_request (world, handle, galena_caller_end, result);
+  unindex_flow (world, flow);
+  galena_table_remove (world->caller->flows, handle.row);
+}
+
+static void
+drop_request (struct galena_world *world, struct galena_request_handle handle,
+              enum galena_result result)
+{
+  (void)result;
+  remove_request (world, handle);
+}
+
+enum galena_result
+galena_caller_close (struct galena_world *world,
+                     struct galena_flow_handle handle)
+{
+  struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+  struct galena_message close;
+
+  if (flow == NULL)
+    return GALENA_ERR_STALE;
+  close = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
+  if (flow->state == GALENA_CALLER_FLOW_OPEN)
+    galena_world_send (world, &close);
+  for_each_request (world, handle, drop_request, GALENA_OK);
+  unindex_flow (world, flow);
+  galena_table_remove (world->caller->flows, handle.row);
+  return GALENA_OK;
+}
+
+/* Prepares a request for a flow that was opened again.  */
+static void
+start_over (struct galena_world *world, struct galena_request_handle handle,
+            enum galena_result result)
+{
+  struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+
+  if (request->sent > 0 && !request->idempotent)
+    {
+      galena_caller_end (world, handle, result);
+      return;
+    }
+  request->number = 0;
+  request->sent = 0;
+  request->acknowledged = 0;
+  galena_stream_release (&request->answer);
+  request->answer = (struct galena_stream){ 0 };
+}
+
+void
+galena_caller_reopen (struct galena_world *world,
+                      struct galena_flow_handle handle)
+{
+  struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+
+  for_each_request (world, handle, start_over, GALENA_UNKNOWN_OUTCOME);
+  unindex_flow (world, flow);
+  draw_id (world, &flow->id);
+  flow->state = GALENA_CALLER_FLOW_OPENING;
+  flow->tag = 0;
+  flow->last_request = 0;
+  flow->deadline = galena_clock_after (world->now, flow->deadline_ms);
+  flow->resend = world->now;
+  flow->heard = world->now;
+  index_flow (world, handle);
+}
+
+static enum galena_result
+copy_body (struct galena_caller_request *request,
+           const struct galena_caller_request_options *options)
+{
+  uint32_t parts
+      = (options->body_size + GALENA_PART_BYTES - 1) / GALENA_PART_BYTES;
+
+  request->total = parts == 0 ? 1 : parts;
+  request->body_size = options->body_size;
+  if (options->body_size == 0)
+    return GALENA_OK;
+  request->body = malloc (options->body_size);
+  if (request->body == NULL)
+    return GALENA_ERR_MEMORY;
+  memcpy (request->body, options->body, options->body_size);
+  return GALENA_OK;
+}
+
+enum galena_result
+galena_caller_request (struct galena_world *world,
+                       const struct galena_caller_request_options *options,
+                       struct galena_request_handle *handle)
+{
+  struct galena_caller_flow *flow = galena_caller_flow (world, options->flow);
+  struct galena_caller_request *request;
+
+  if (flow == NULL)
+    return GALENA_ERR_STALE;
+  if (options->body_size > UINT32_MAX / 2)
+    return GALENA_ERR_TOO_LARGE;
+  request = galena_table_insert (world->caller->requests, &handle->row);
+  if (request == NULL)
+    return GALENA_ERR_FULL;
+  request->flow = options->flow;
+  request->kind = options->kind;
+  request->idempotent = options->idempotent;
+  request->endless = options->endless;
+  request->deadline = galena_clock_after (world->now, options->deadline_ms);
+  request->resend = world->now;
+  if (copy_body (request, options) != GALENA_OK)
+    {
+      galena_table_remove (world->caller->requests, handle->row);
+      return GALENA_ERR_MEMORY;
+    }
+  flow->open_requests++;
+  return GALENA_OK;
+}
+
+enum galena_result
+galena_caller_cancel (struct galena_world *world,
+                      struct galena_request_handle handle)
+{
+  struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+
+  if (request == NULL)
+    return GALENA_ERR_STALE;
+  request->cancelled = true;
+  request->resend = world->now;
+  return GALENA_OK;
+}
+
+uint64_t
+galena_caller_tag (const struct galena_world *world,
+                   struct galena_flow_handle handle)
+{
+  const struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+
+  return flow == NULL ? 0 : flow->tag;
+}
+
+static const struct galena_system SYSTEMS[] = {
+  { "receive", 0, galena_caller_run_receive },
+  { "send", SEND_PERIOD_MS, galena_caller_run_send },
+};
+
+static enum galena_result
+create_caller (struct galena_world *world)
+{
+  struct galena_table_options flows
+      = { sizeof (struct galena_caller_flow), world->options.flows };
+  struct galena_table_options requests
+      = { sizeof (struct galena_caller_request), world->options.requests };
+  struct galena_map_options by_id
+      = { world->options.flows, world->options.seed };
+  struct galena_caller *caller = calloc (1, sizeof *caller);
+  enum galena_result result;
+
+  if (caller == NULL)
+    return GALENA_ERR_MEMORY;
+  world->caller = caller;
+  result = galena_table_create (&flows, &caller->flows);
+  if (result != GALENA_OK)
+    return result;
+  result = galena_table_create (&requests, &caller->requests);
+  if (result != GALENA_OK)
+    return result;
+  return galena_map_create (&by_id, &caller->flows_by_id);
+}
+
+static void
+destroy_caller (struct galena_world *world)
+{
+  struct galena_caller *caller = world->caller;
+  struct galena_caller_request *request;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  if (caller == NULL)
+    return;
+  while (caller->requests != NULL
+         && (request = galena_table_next (caller->requests, &cursor, &handle))
+                != NULL)
+    {
+      galena_stream_release (&request->answer);
+      free (request->body);
+    }
+  galena_table_destroy (caller->flows);
+  galena_table_destroy (caller->requests);
+  galena_map_destroy (caller->flows_by_id);
+  free (caller);
+}
+
+static void
+report_usage (const struct galena_world *world,
+              struct galena_world_usage *usage)
+{
+  usage->flows = galena_table_count (world->caller->flows);
+  usage->requests = galena_table_count (world->caller->requests);
+}
+
+const struct galena_role_operations galena_caller_role = {
+  .name = "caller",
+  .create = create_caller,
+  .destroy = destroy_caller,
+  .usage = report_usage,
+  .systems = SYSTEMS,
+  .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
+};
--- /dev/null
+++ b/packages/core/src/caller_receive.c
@@ -0,0 +1,212 @@
+/* What a caller does with each message that comes back.  */
+
+#include "caller_tables.h"
+
+struct galena_caller_flow *
+galena_caller_flow_of (const struct galena_world *world,
+                       const struct galena_message *message,
+                       struct galena_flow_handle *handle)
+{
+  const struct galena_caller *caller = world->caller;
+  uint64_t key = galena_flow_key (caller->flows_by_id, message->flow);
+  struct galena_caller_flow *flow;
+  uint64_t packed;
+
+  if (!galena_map_find (caller->flows_by_id, key, &packed))
+    return NULL;
+  handle->row = galena_handle_unpack (packed);
+  flow = galena_caller_flow (world, *handle);
+  if (flow == NULL || !galena_flow_id_equal (flow->id, message->flow))
+    return NULL;
+  return flow;
+}
+
+struct galena_caller_request *
+galena_caller_find (const struct galena_world *world,
+                    const struct galena_message *message,
+                    struct galena_request_handle *handle)
+{
+  struct galena_flow_handle flow_handle;
+  struct galena_caller_flow *flow
+      = galena_caller_flow_of (world, message, &flow_handle);
+  struct galena_caller_request *request;
+  uint32_t cursor = 0;
+
+  if (flow == NULL || flow->tag != message->tag)
+    return NULL;
+  flow->heard = world->now;
+  while ((request
+          = galena_table_next (world->caller->requests, &cursor, &handle->row))
+         != NULL)
+    if (request->number == message->request
+        && galena_handle_pack (request->flow.row)
+               == galena_handle_pack (flow_handle.row))
+      return request;
+  return NULL;
+}
+
+/* Closes a flow that a second agent accepted as well.  */
+static void
+close_surplus (struct galena_world *world, const struct galena_message *accept)
+{
+  struct galena_message close = *accept;
+
+  close.type = GALENA_MESSAGE_CLOSE;
+  close.peer = world->options.fabric;
+  close.body_size = 0;
+  galena_world_send (world, &close);
+}
+
+static void
+on_accept (struct galena_world *world, const struct galena_message *message)
+{
+  struct galena_flow_handle handle;
+  struct galena_caller_flow *flow
+      = galena_caller_flow_of (world, message, &handle);
+
+  if (flow == NULL || (flow->tag != 0 && flow->tag != message->tag))
+    {
+      close_surplus (world, message);
+      return;
+    }
+  flow->state = GALENA_CALLER_FLOW_OPEN;
+  flow->tag = message->tag;
+  flow->heard = world->now;
+  galena_world_count (world, GALENA_COUNT_ACCEPTED);
+}
+
+static void
+acknowledge (struct galena_world *world, const struct galena_message *message,
+             uint32_t part, uint32_t total)
+{
+  struct galena_message ack = *message;
+
+  ack.type = GALENA_MESSAGE_ACK_ANSWER;
+  ack.peer = world->options.fabric;
+  ack.part = part;
+  ack.total = total;
+  ack.body_size = 0;
+  galena_world_send (world, &ack);
+}
+
+static void
+on_refuse (struct galena_world *world, const struct galena_message *message)
+{
+  struct galena_flow_handle flow_handle;
+  struct galena_request_handle handle;
+  struct galena_caller_flow *flow
+      = galena_caller_flow_of (world, message, &flow_handle);
+
+  if (flow == NULL)
+    return;
+  if (message->request == 0)
+    {
+      if (flow->state == GALENA_CALLER_FLOW_OPENING)
+        galena_caller_end_flow (world, flow_handle, message->result);
+      return;
+    }
+  acknowledge (world, message, message->total, message->total);
+  if (galena_caller_find (world, message, &handle) != NULL)
+    galena_caller_end (world, handle, message->result);
+}
+
+static void
+on_ack_request (struct galena_world *world,
+                const struct galena_message *message)
+{
+  struct galena_request_handle handle;
+  struct galena_caller_request *request
+      = galena_caller_find (world, message, &handle);
+
+  if (request == NULL || message->part > request->total)
+    return;
+  if (message->part > request->acknowledged)
+    request->acknowledged = message->part;
+}
+
+/* Passes the parts that are in order to the application.  */
+static void
+deliver (struct galena_world *world, struct galena_caller_request *request,
+         struct galena_request_handle handle)
+{
+  struct galena_stream *answer = &request->answer;
+  const uint8_t *part;
+  uint32_t size;
+
+  while ((part = galena_stream_part (answer, answer->base, &size)) != NULL)
+    {
+      struct galena_message data = { .type = GALENA_MESSAGE_RUN_DATA,
+                                     .link = GALENA_LINK_APPLICATION,
+                                     .run = handle,
+                                     .kind = request->kind,
+                                     .part = answer->base,
+                                     .body = part,
+                                     .body_size = size };
+      galena_world_send (world, &data);
+      galena_stream_acknowledge (answer, answer->base + 1);
+    }
+}
+
+static void
+on_answer (struct galena_world *world, const struct galena_message *message)
+{
+  struct galena_request_handle handle;
+  struct galena_caller_request *request
+      = galena_caller_find (world, message, &handle);
+  struct galena_stream *answer;
+
+  if (request == NULL)
+    {
+      if (message->total != GALENA_TOTAL_UNKNOWN)
+        acknowledge (world, message, message->total, message->total);
+      return;
+    }
+  request->acknowledged = request->total;
+  answer = &request->answer;
+  if (message->total != GALENA_TOTAL_UNKNOWN)
+    {
+      answer->finished = true;
+      answer->total = message->total;
+    }
+  if (message->part != message->total)
+    galena_stream_store (answer, message->part, message->body,
+                         message->body_size);
+  deliver (world, request, handle);
+  acknowledge (world, message, answer->base,
+               galena_stream_complete (answer) ? answer->total
+                                               : GALENA_TOTAL_UNKNOWN);
+  if (galena_stream_complete (answer))
+    galena_caller_end (world, handle, GALENA_OK);
+}
+
+static void
+on_lost (struct galena_world *world, const struct galena_message *message)
+{
+  struct galena_flow_handle handle;
+  struct galena_caller_flow *flow
+      = galena_caller_flow_of (world, message, &handle);
+
+  if (flow == NULL || flow->tag != message->tag
+      || flow->state != GALENA_CALLER_FLOW_OPEN)
+    return;
+  galena_world_count (world, GALENA_COUNT_LOST);
+  galena_caller_reopen (world, handle);
+}
+
+static galena_handler *const
+    HANDLERS[GALENA_LINK_COUNT][GALENA_MESSAGE_TYPE_END]
+    = {
+        [GALENA_LINK_CALLER] = {
+          [GALENA_MESSAGE_ACCEPT] = on_accept,
+          [GALENA_MESSAGE_REFUSE] = on_refuse,
+          [GALENA_MESSAGE_ACK_REQUEST] = on_ack_request,
+          [GALENA_MESSAGE_ANSWER] = on_answer,
+          [GALENA_MESSAGE_LOST] = on_lost,
+        },
+      };
+
+void
+galena_caller_run_receive (struct galena_world *world)
+{
+  galena_world_dispatch (world, HANDLERS);
+}
--- /dev/null
+++ b/packages/core/src/caller_send.c
@@ -0,0 +1,218 @@
+/* What a caller sends: opens, parts of requests, probes and cancels.  */
+
+#include "caller_tables.h"
+
+enum
+{
+  OPEN_RESEND_MS = 250,
+  PART_RESEND_MS = 250,
+  /* A complete request asks for its answer this often.  */
+  PROBE_MS = 500,
+  /* Most parts on their way at once.  */
+  SEND_WINDOW_PARTS = 32,
+  /* A flow whose owner gave no sign for so long, while it was asked, is
+     opened again elsewhere.  */
+  OWNER_SILENT_MS = 3000
+};
+
+struct galena_message
+galena_caller_message (const struct galena_world *world,
+                       const struct galena_caller_flow *flow,
+                       enum galena_message_type type)
+{
+  struct galena_message message = { 0 };
+
+  message.type = type;
+  message.link = GALENA_LINK_CALLER;
+  message.peer = world->options.fabric;
+  message.service = flow->service;
+  message.flow = flow->id;
+  message.tag = flow->tag;
+  message.kind = flow->kind;
+  return message;
+}
+
+static void
+send_open (struct galena_world *world, struct galena_caller_flow *flow)
+{
+  struct galena_message open
+      = galena_caller_message (world, flow, GALENA_MESSAGE_OPEN);
+
+  open.deadline_ms = galena_clock_left (world->now, flow->deadline);
+  flow->resend = galena_clock_after (world->now, OPEN_RESEND_MS);
+  galena_world_send (world, &open);
+}
+
+static void
+run_opening (struct galena_world *world, struct galena_flow_handle handle)
+{
+  struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+
+  if (galena_clock_reached (world->now, flow->deadline))
+    galena_caller_end_flow (world, handle, GALENA_REFUSED_DEADLINE);
+  else if (galena_clock_reached (world->now, flow->resend))
+    send_open (world, flow);
+}
+
+static void
+send_part (struct galena_world *world, const struct galena_caller_flow *flow,
+           const struct galena_caller_request *request, uint32_t part)
+{
+  struct galena_message message
+      = galena_caller_message (world, flow, GALENA_MESSAGE_REQUEST);
+  uint32_t at = part * GALENA_PART_BYTES;
+  uint32_t left = request->body_size - at;
+
+  message.request = request->number;
+  message.kind = request->kind;
+  message.part = part;
+  message.total = request->total;
+  message.deadline_ms = galena_clock_left (world->now, request->deadline);
+  message.body = request->body == NULL ? NULL : request->body + at;
+  message.body_size = left < GALENA_PART_BYTES ? left : GALENA_PART_BYTES;
+  galena_world_send (world, &message);
+}
+
+static void
+send_window (struct galena_world *world, const struct galena_caller_flow *flow,
+             struct galena_caller_request *request)
+{
+  uint32_t end = request->acknowledged + SEND_WINDOW_PARTS;
+
+  if (end > request->total)
+    end = request->total;
+  while (request->sent < end)
+    send_part (world, flow, request, request->sent++);
+}
+
+static void
+send_cancel (struct galena_world *world, const struct galena_caller_flow *flow,
+             const struct galena_caller_request *request)
+{
+  struct galena_message cancel
+      = galena_caller_message (world, flow, GALENA_MESSAGE_CANCEL);
+
+  cancel.request = request->number;
+  cancel.kind = request->kind;
+  galena_world_send (world, &cancel);
+}
+
+/* Asks the owner for a sign of life, or for its answer.  */
+static void
+send_probe (struct galena_world *world, const struct galena_caller_flow *flow,
+            const struct galena_caller_request *request)
+{
+  send_part (world, flow, request, request->total - 1);
+}
+
+static void
+resend_request (struct galena_world *world,
+                const struct galena_caller_flow *flow,
+                struct galena_caller_request *request)
+{
+  bool complete = request->acknowledged == request->total;
+
+  request->resend
+      = galena_clock_after (world->now, complete ? PROBE_MS : PART_RESEND_MS);
+  if (request->cancelled)
+    send_cancel (world, flow, request);
+  if (complete)
+    {
+      send_probe (world, flow, request);
+      return;
+    }
+  if (request->sent > request->acknowledged)
+    {
+      galena_world_count (world, GALENA_COUNT_RESENT);
+      send_part (world, flow, request, request->acknowledged);
+    }
+}
+
+static bool
+is_out_of_time (const struct galena_world *world,
+                const struct galena_caller_request *request)
+{
+  bool answered = request->answer.base > 0;
+
+  if (request->endless && answered)
+    return false;
+  return galena_clock_reached (world->now, request->deadline);
+}
+
+/* Ends a request whose deadline has passed without a result.  */
+static void
+end_late_request (struct galena_world *world,
+                  struct galena_request_handle handle)
+{
+  const struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+
+  galena_caller_end (world, handle,
+                     request->sent == 0 ? GALENA_REFUSED_DEADLINE
+                                        : GALENA_UNKNOWN_OUTCOME);
+}
+
+static void
+run_request (struct galena_world *world, struct galena_request_handle handle)
+{
+  struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+  struct galena_caller_flow *flow = galena_caller_flow (world, request->flow);
+
+  if (is_out_of_time (world, request))
+    {
+      end_late_request (world, handle);
+      return;
+    }
+  if (flow->state != GALENA_CALLER_FLOW_OPEN)
+    return;
+  if (request->number == 0)
+    {
+      request->number = ++flow->last_request;
+      request->resend = galena_clock_after (world->now, PART_RESEND_MS);
+    }
+  send_window (world, flow, request);
+  if (galena_clock_reached (world->now, request->resend))
+    resend_request (world, flow, request);
+}
+
+static void
+run_requests (struct galena_world *world)
+{
+  struct galena_request_handle handle;
+  uint32_t cursor = 0;
+
+  while (galena_table_next (world->caller->requests, &cursor, &handle.row)
+         != NULL)
+    run_request (world, handle);
+}
+
+static bool
+owner_is_silent (const struct galena_world *world,
+                 const struct galena_caller_flow *flow)
+{
+  int64_t silent_ms = galena_clock_between (flow->heard, world->now);
+
+  return flow->open_requests > 0 && silent_ms >= OWNER_SILENT_MS;
+}
+
+void
+galena_caller_run_send (struct galena_world *world)
+{
+  struct galena_caller_flow *flow;
+  struct galena_flow_handle handle;
+  uint32_t cursor = 0;
+
+  while (
+      (flow = galena_table_next (world->caller->flows, &cursor, &handle.row))
+      != NULL)
+    {
+      if (flow->state == GALENA_CALLER_FLOW_OPENING)
+        run_opening (world, handle);
+      else if (flow->open_requests == 0)
+        flow->heard = world->now;
+      else if (owner_is_silent (world, flow))
+        galena_caller_reopen (world, handle);
+    }
+  run_requests (world);
+}
--- /dev/null
+++ b/packages/core/src/caller_tables.h
@@ -0,0 +1,117 @@
+/* The tables of a caller: its flows and its requests.  */
+
+#ifndef GALENAFORD_CALLER_TABLES_H
+#define GALENAFORD_CALLER_TABLES_H
+
+#include <galenaford/caller.h>
+#include <galenaford/map.h>
+#include <galenaford/stream.h>
+
+#include "world_private.h"
+
+enum galena_caller_flow_state
+{
+  GALENA_CALLER_FLOW_OPENING,
+  GALENA_CALLER_FLOW_OPEN
+};
+
+struct galena_caller_flow
+{
+  struct galena_flow_id id;
+  struct galena_endpoint service;
+  enum galena_caller_flow_state state;
+  uint64_t tag;
+  uint16_t kind;
+  /* Number of the last request sent on this flow.  */
+  uint32_t last_request;
+  uint32_t open_requests;
+  uint32_t deadline_ms;
+  struct galena_clock deadline;
+  struct galena_clock resend;
+  /* When the owner last gave a sign of life.  */
+  struct galena_clock heard;
+};
+
+struct galena_caller_request
+{
+  struct galena_flow_handle flow;
+  /* Number in the flow, from 1; 0 before the flow is open.  */
+  uint32_t number;
+  uint16_t kind;
+  bool idempotent;
+  bool endless;
+  bool cancelled;
+  /* Owned.  */
+  uint8_t *body;
+  uint32_t body_size;
+  /* Parts of the body: in all, acknowledged, sent.  */
+  uint32_t total;
+  uint32_t acknowledged;
+  uint32_t sent;
+  /* Parts of the answer that came out of order.  */
+  struct galena_stream answer;
+  struct galena_clock deadline;
+  struct galena_clock resend;
+};
+
+struct galena_caller
+{
+  struct galena_table *flows;
+  struct galena_map *flows_by_id;
+  struct galena_table *requests;
+};
+
+static inline struct galena_caller_flow *
+galena_caller_flow (const struct galena_world *world,
+                    struct galena_flow_handle handle)
+{
+  return galena_table_get (world->caller->flows, handle.row);
+}
+
+static inline struct galena_caller_request *
+galena_caller_request_row (const struct galena_world *world,
+                           struct galena_request_handle handle)
+{
+  return galena_table_get (world->caller->requests, handle.row);
+}
+
+/* Finds the request NUMBER of the flow with ID, open with TAG.  */
+struct galena_caller_request *
+galena_caller_find (const struct galena_world *world,
+                    const struct galena_message *message,
+                    struct galena_request_handle *handle);
+
+/* Finds the flow of MESSAGE; NULL when it is unknown.  */
+struct galena_caller_flow *
+galena_caller_flow_of (const struct galena_world *world,
+                       const struct galena_message *message,
+                       struct galena_flow_handle *handle);
+
+/* Tells the application how REQUEST ended and removes it.  */
+void galena_caller_end (struct galena_world *world,
+                        struct galena_request_handle handle,
+                        enum galena_result result);
+
+/* Opens FLOW again under a new id; its idempotent requests start over, the
+   others end with the unknown outcome if any part of them was sent.  */
+void galena_caller_reopen (struct galena_world *world,
+                           struct galena_flow_handle handle);
+
+/* Removes FLOW and its requests; each request ends with RESULT.  */
+void galena_caller_end_flow (struct galena_world *world,
+                             struct galena_flow_handle handle,
+                             enum galena_result result);
+
+/* caller_receive.c */
+void galena_caller_run_receive (struct galena_world *world);
+
+/* caller_send.c */
+void galena_caller_run_send (struct galena_world *world);
+
+/* Returns a message on FLOW towards the fabric.  */
+struct galena_message
+galena_caller_message (const struct galena_world *world,
+                       const struct galena_caller_flow *flow,
+                       enum galena_message_type type);
+
+#endif
--- /dev/null
+++ b/packages/core/src/entry.c
@@ -0,0 +1,499 @@
+/* Systems of an entry: it routes packets by tag and opens by choice, and
+   keeps nothing about established flows.  */
+
+#include <stdlib.h>
+
+#include <galenaford/tag.h>
+
+#include "entry.h"
+
+enum
+{
+  /* Milliseconds without a reply before an open goes to the next one.  */
+  RETRY_AFTER_MS = 100,
+  RETRY_PERIOD_MS = 10,
+  /* An upstream that left an open unanswered is avoided this long.  */
+  SUSPECT_MS = 2000,
+  /* A hint not renewed for this long is dropped.  */
+  HINT_LIFE_MS = 5000,
+  HINT_PERIOD_MS = 1000,
+  HINTS_MAX = 8192,
+  /* Most retries saved up.  */
+  RETRY_TOKENS_MAX = 10
+};
+
+/* Retries allowed for each first try.  */
+static const double RETRY_SHARE = 0.1;
+
+const struct galena_hint *
+galena_entry_hint (const struct galena_world *world, uint32_t upstream)
+{
+  const struct galena_entry *entry = world->entry;
+  uint64_t packed;
+
+  if (!galena_map_find (entry->hints_by_upstream, upstream, &packed))
+    return NULL;
+  return galena_table_get (entry->hints, galena_handle_unpack (packed));
+}
+
+/* Returns the hint on UPSTREAM, made when there is none; NULL when full.  */
+static struct galena_hint *
+hint_for (struct galena_world *world, uint32_t upstream)
+{
+  struct galena_entry *entry = world->entry;
+  struct galena_handle handle;
+  struct galena_hint *hint;
+  uint64_t packed;
+
+  if (galena_map_find (entry->hints_by_upstream, upstream, &packed))
+    return galena_table_get (entry->hints, galena_handle_unpack (packed));
+  hint = galena_table_insert (entry->hints, &handle);
+  if (hint == NULL)
+    return NULL;
+  hint->upstream = upstream;
+  hint->heard = world->now;
+  galena_map_insert (entry->hints_by_upstream, upstream,
+                     galena_handle_pack (handle));
+  return hint;
+}
+
+static struct galena_pending_open *
+find_pending (const struct galena_world *world, struct galena_flow_id flow,
+              struct galena_handle *handle)
+{
+  const struct galena_entry *entry = world->entry;
+  uint64_t key = galena_flow_key (entry->pending_by_flow, flow);
+  uint64_t packed;
+
+  if (!galena_map_find (entry->pending_by_flow, key, &packed))
+    return NULL;
+  *handle = galena_handle_unpack (packed);
+  return galena_table_get (entry->pending, *handle);
+}
+
+static void
+remove_pending (struct galena_world *world, struct galena_handle handle)
+{
+  struct galena_entry *entry = world->entry;
+  struct galena_pending_open *pending
+      = galena_table_get (entry->pending, handle);
+  uint64_t key = galena_flow_key (entry->pending_by_flow, pending->open.flow);
+
+  galena_map_remove (entry->pending_by_flow, key);
+  galena_table_remove (entry->pending, handle);
+}
+
+static void
+refuse_open (struct galena_world *world, const struct galena_message *open,
+             enum galena_result result)
+{
+  struct galena_message refusal = *open;
+
+  refusal.type = GALENA_MESSAGE_REFUSE;
+  refusal.link = GALENA_LINK_CALLER;
+  refusal.peer = open->caller;
+  refusal.result = result;
+  refusal.body_size = 0;
+  galena_world_count (world, GALENA_COUNT_REFUSED);
+  galena_world_send (world, &refusal);
+}
+
+static bool
+was_tried (const struct galena_pending_open *pending, uint32_t upstream)
+{
+  for (uint32_t i = 0; i < pending->tried_count; i++)
+    if (pending->tried[i] == upstream)
+      return true;
+  return false;
+}
+
+/* Stores the candidates of PENDING that were not tried; returns how many. */
+static uint32_t
+untried_candidates (const struct galena_world *world,
+                    const struct galena_service *service,
+                    const struct galena_pending_open *pending,
+                    uint32_t untried[GALENA_CANDIDATES_MAX])
+{
+  uint32_t all[GALENA_CANDIDATES_MAX];
+  uint32_t total = galena_config_candidates (world->config, service,
+                                             pending->open.flow, all);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < total; i++)
+    {
+      uint32_t number = galena_config_upstream (world->config, all[i])->number;
+      if (!was_tried (pending, number))
+        untried[count++] = all[i];
+    }
+  return count;
+}
+
+static void
+send_open (struct galena_world *world, struct galena_pending_open *pending,
+           const struct galena_service *service,
+           const struct galena_upstream *upstream)
+{
+  struct galena_message open = pending->open;
+  struct galena_hint *hint = hint_for (world, upstream->number);
+
+  if (hint != NULL)
+    hint->unanswered++;
+  open.link = GALENA_LINK_PEER;
+  open.peer = upstream->agent;
+  open.generation = service->generation;
+  open.deadline_ms = galena_clock_left (world->now, pending->deadline);
+  pending->tried[pending->tried_count++] = upstream->number;
+  pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
+  galena_world_send (world, &open);
+}
+
+/* Sends PENDING to its next candidate; false when there is none.  */
+static bool
+try_next (struct galena_world *world, struct galena_pending_open *pending)
+{
+  const struct galena_service *service
+      = galena_config_service_at (world->config, pending->open.service);
+  uint32_t untried[GALENA_CANDIDATES_MAX];
+  uint32_t count;
+  uint32_t chosen;
+
+  if (service == NULL || pending->tried_count == GALENA_CANDIDATES_MAX)
+    return false;
+  count = untried_candidates (world, service, pending, untried);
+  if (count == 0)
+    return false;
+  chosen = world->entry->choice->choose (world, untried, count);
+  send_open (world, pending, service,
+             galena_config_upstream (world->config, untried[chosen]));
+  return true;
+}
+
+static void
+earn_retry_tokens (struct galena_entry *entry)
+{
+  entry->retry_tokens += RETRY_SHARE;
+  if (entry->retry_tokens > RETRY_TOKENS_MAX)
+    entry->retry_tokens = RETRY_TOKENS_MAX;
+}
+
+static bool
+spend_retry_token (struct galena_world *world)
+{
+  if (world->entry->retry_tokens < 1)
+    {
+      galena_world_count (world, GALENA_COUNT_RETRIES_DENIED);
+      return false;
+    }
+  world->entry->retry_tokens -= 1;
+  galena_world_count (world, GALENA_COUNT_RETRIES);
+  return true;
+}
+
+/* Retries PENDING, or gives it up with RESULT.  */
+static void
+retry_or_refuse (struct galena_world *world, struct galena_handle handle,
+                 enum galena_result result)
+{
+  struct galena_pending_open *pending
+      = galena_table_get (world->entry->pending, handle);
+  bool left = !galena_clock_reached (world->now, pending->deadline);
+
+  if (left && spend_retry_token (world) && try_next (world, pending))
+    return;
+  refuse_open (world, &pending->open, result);
+  remove_pending (world, handle);
+}
+
+static void
+start_open (struct galena_world *world, const struct galena_message *open)
+{
+  struct galena_entry *entry = world->entry;
+  struct galena_handle handle;
+  struct galena_pending_open *pending
+      = galena_table_insert (entry->pending, &handle);
+  uint64_t key = galena_flow_key (entry->pending_by_flow, open->flow);
+
+  if (pending == NULL)
+    {
+      refuse_open (world, open, GALENA_REFUSED_SHED);
+      return;
+    }
+  pending->open = *open;
+  pending->open.body = NULL;
+  pending->open.body_size = 0;
+  pending->deadline = galena_clock_after (world->now, open->deadline_ms);
+  galena_map_insert (entry->pending_by_flow, key, galena_handle_pack (handle));
+  earn_retry_tokens (entry);
+  if (try_next (world, pending))
+    return;
+  refuse_open (world, open, GALENA_REFUSED_NO_UPSTREAM);
+  remove_pending (world, handle);
+}
+
+static void
+on_caller_open (struct galena_world *world,
+                const struct galena_message *message)
+{
+  struct galena_message open = *message;
+  struct galena_handle handle;
+
+  open.caller = message->peer;
+  open.tag = 0;
+  open.hops = 0;
+  if (find_pending (world, open.flow, &handle) != NULL)
+    return;
+  galena_world_count (world, GALENA_COUNT_OPENS);
+  if (galena_config_service_at (world->config, open.service) == NULL)
+    {
+      refuse_open (world, &open, GALENA_REFUSED_NO_SERVICE);
+      return;
+    }
+  start_open (world, &open);
+}
+
+/* Sends a caller's packet to the agent that its tag names.  */
+static void
+on_caller_data (struct galena_world *world,
+                const struct galena_message *message)
+{
+  const struct galena_upstream *upstream = galena_config_upstream_numbered (
+      world->config, galena_tag_upstream (message->tag));
+  const struct galena_service *service;
+  struct galena_message onward = *message;
+
+  if (upstream == NULL)
+    {
+      galena_world_count (world, GALENA_COUNT_NO_ROUTE);
+      return;
+    }
+  service = galena_config_service (world->config, upstream->service);
+  if (!galena_endpoint_equal (service->address, message->service))
+    {
+      galena_world_count (world, GALENA_COUNT_WRONG_SERVICE);
+      return;
+    }
+  onward.link = GALENA_LINK_PEER;
+  onward.peer = upstream->agent;
+  onward.caller = message->peer;
+  onward.generation = service->generation;
+  galena_world_send (world, &onward);
+}
+
+static void
+learn_hint (struct galena_world *world, const struct galena_message *message)
+{
+  struct galena_hint *hint
+      = hint_for (world, galena_tag_upstream (message->tag));
+
+  if (hint == NULL)
+    return;
+  if (!galena_clock_reached (world->now, hint->suspect_until))
+    galena_world_note (
+        world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
+                                          .upstream = hint->upstream });
+  hint->wait_ms = message->wait_ms;
+  hint->heard = world->now;
+  hint->unanswered = 0;
+  hint->suspect_until = world->now;
+  if (message->kind < GALENA_KINDS_MAX)
+    hint->overload[message->kind] = message->overload;
+}
+
+static void
+send_to_caller (struct galena_world *world,
+                const struct galena_message *message)
+{
+  struct galena_message onward = *message;
+
+  onward.link = GALENA_LINK_CALLER;
+  onward.peer = message->caller;
+  galena_world_send (world, &onward);
+}
+
+static void
+on_agent_accept (struct galena_world *world,
+                 const struct galena_message *message)
+{
+  struct galena_handle handle;
+
+  learn_hint (world, message);
+  if (find_pending (world, message->flow, &handle) != NULL)
+    remove_pending (world, handle);
+  galena_world_count (world, GALENA_COUNT_ACCEPTED);
+  send_to_caller (world, message);
+}
+
+static void
+on_agent_refuse (struct galena_world *world,
+                 const struct galena_message *message)
+{
+  struct galena_handle handle;
+
+  learn_hint (world, message);
+  if (message->request != 0)
+    {
+      send_to_caller (world, message);
+      return;
+    }
+  if (find_pending (world, message->flow, &handle) == NULL)
+    return;
+  retry_or_refuse (world, handle, message->result);
+}
+
+static void
+on_agent_data (struct galena_world *world,
+               const struct galena_message *message)
+{
+  learn_hint (world, message);
+  send_to_caller (world, message);
+}
+
+static galena_handler *const
+    HANDLERS[GALENA_LINK_COUNT][GALENA_MESSAGE_TYPE_END]
+    = {
+        [GALENA_LINK_CALLER] = {
+          [GALENA_MESSAGE_OPEN] = on_caller_open,
+          [GALENA_MESSAGE_REQUEST] = on_caller_data,
+          [GALENA_MESSAGE_ACK_ANSWER] = on_caller_data,
+          [GALENA_MESSAGE_CANCEL] = on_caller_data,
+          [GALENA_MESSAGE_CLOSE] = on_caller_data,
+        },
+        [GALENA_LINK_PEER] = {
+          [GALENA_MESSAGE_ACCEPT] = on_agent_accept,
+          [GALENA_MESSAGE_REFUSE] = on_agent_refuse,
+          [GALENA_MESSAGE_ANSWER] = on_agent_data,
+          [GALENA_MESSAGE_ACK_REQUEST] = on_agent_data,
+          [GALENA_MESSAGE_LOST] = on_agent_data,
+        },
+      };
+
+static void
+run_receive (struct galena_world *world)
+{
+  galena_world_dispatch (world, HANDLERS);
+}
+
+static void
+suspect_last_tried (struct galena_world *world,
+                    const struct galena_pending_open *pending)
+{
+  uint32_t upstream = pending->tried[pending->tried_count - 1];
+  struct galena_hint *hint = hint_for (world, upstream);
+
+  if (hint == NULL || hint->unanswered == 0)
+    return;
+  if (galena_clock_reached (world->now, hint->suspect_until))
+    galena_world_note (
+        world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_LOST,
+                                          .upstream = upstream });
+  hint->suspect_until = galena_clock_after (world->now, SUSPECT_MS);
+}
+
+static void
+run_retry (struct galena_world *world)
+{
+  struct galena_pending_open *pending;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while (
+      (pending = galena_table_next (world->entry->pending, &cursor, &handle))
+      != NULL)
+    {
+      if (!galena_clock_reached (world->now, pending->next_try))
+        continue;
+      suspect_last_tried (world, pending);
+      retry_or_refuse (world, handle, GALENA_REFUSED_NO_UPSTREAM);
+    }
+}
+
+static void
+run_expire_hints (struct galena_world *world)
+{
+  struct galena_entry *entry = world->entry;
+  struct galena_hint *hint;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((hint = galena_table_next (entry->hints, &cursor, &handle)) != NULL)
+    {
+      if (galena_clock_between (hint->heard, world->now) < HINT_LIFE_MS)
+        continue;
+      galena_map_remove (entry->hints_by_upstream, hint->upstream);
+      galena_table_remove (entry->hints, handle);
+    }
+}
+
+static const struct galena_system SYSTEMS[] = {
+  { "receive", 0, run_receive },
+  { "retry", RETRY_PERIOD_MS, run_retry },
+  { "expire-hints", HINT_PERIOD_MS, run_expire_hints },
+};
+
+static enum galena_result
+create_tables (struct galena_world *world)
+{
+  struct galena_entry *entry = world->entry;
+  struct galena_table_options hints
+      = { sizeof (struct galena_hint), HINTS_MAX };
+  struct galena_table_options pending
+      = { sizeof (struct galena_pending_open), world->options.flows };
+  struct galena_map_options by_upstream = { HINTS_MAX, world->options.seed };
+  struct galena_map_options by_flow
+      = { world->options.flows, world->options.seed };
+  enum galena_result result = galena_table_create (&hints, &entry->hints);
+
+  if (result != GALENA_OK)
+    return result;
+  result = galena_table_create (&pending, &entry->pending);
+  if (result != GALENA_OK)
+    return result;
+  result = galena_map_create (&by_upstream, &entry->hints_by_upstream);
+  if (result != GALENA_OK)
+    return result;
+  return galena_map_create (&by_flow, &entry->pending_by_flow);
+}
+
+static enum galena_result
+create_entry (struct galena_world *world)
+{
+  world->entry = calloc (1, sizeof *world->entry);
+  if (world->entry == NULL)
+    return GALENA_ERR_MEMORY;
+  world->entry->retry_tokens = RETRY_TOKENS_MAX;
+  world->entry->choice = galena_choice_policy (world->options.choice);
+  if (world->entry->choice == NULL)
+    return GALENA_ERR_NOT_FOUND;
+  return create_tables (world);
+}
+
+static void
+destroy_entry (struct galena_world *world)
+{
+  struct galena_entry *entry = world->entry;
+
+  if (entry == NULL)
+    return;
+  galena_table_destroy (entry->hints);
+  galena_table_destroy (entry->pending);
+  galena_map_destroy (entry->hints_by_upstream);
+  galena_map_destroy (entry->pending_by_flow);
+  free (entry);
+}
+
+static void
+report_usage (const struct galena_world *world,
+              struct galena_world_usage *usage)
+{
+  usage->pending_opens = galena_table_count (world->entry->pending);
+  usage->hints = galena_table_count (world->entry->hints);
+}
+
+const struct galena_role_operations galena_entry_role = {
+  .name = "entry",
+  .create = create_entry,
+  .destroy = destroy_entry,
+  .usage = report_usage,
+  .systems = SYSTEMS,
+  .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
+};
--- /dev/null
+++ b/packages/core/src/entry.h
@@ -0,0 +1,55 @@
+/* The tables of an entry: hints on upstreams and opens that wait.  */
+
+#ifndef GALENAFORD_ENTRY_H
+#define GALENAFORD_ENTRY_H
+
+#include <galenaford/config.h>
+#include <galenaford/map.h>
+
+#include "policy.h"
+#include "world_private.h"
+
+/* What an entry has heard of one upstream; wrong hints do no harm.  */
+struct galena_hint
+{
+  uint32_t upstream;
+  /* Expected wait in milliseconds, as the agent last told.  */
+  uint32_t wait_ms;
+  /* When the agent was last heard.  */
+  struct galena_clock heard;
+  /* Avoid the upstream until then: it left an open unanswered.  */
+  struct galena_clock suspect_until;
+  /* Opens sent since the last word from the agent.  */
+  uint32_t unanswered;
+  /* Overload level of each kind, 0 to 255.  */
+  uint8_t overload[GALENA_KINDS_MAX];
+};
+
+/* An open that no agent has answered yet.  */
+struct galena_pending_open
+{
+  /* As the caller sent it; its body is not kept.  */
+  struct galena_message open;
+  /* Upstreams tried so far, in order.  */
+  uint32_t tried[GALENA_CANDIDATES_MAX];
+  uint32_t tried_count;
+  struct galena_clock next_try;
+  struct galena_clock deadline;
+};
+
+struct galena_entry
+{
+  struct galena_table *hints;
+  struct galena_map *hints_by_upstream;
+  struct galena_table *pending;
+  struct galena_map *pending_by_flow;
+  /* Retries that may still be sent.  */
+  double retry_tokens;
+  const struct galena_choice_policy *choice;
+};
+
+/* Returns the hint on UPSTREAM, or NULL when nothing is known.  */
+const struct galena_hint *galena_entry_hint (const struct galena_world *world,
+                                             uint32_t upstream);
+
+#endif
--- /dev/null
+++ b/packages/core/src/message.c
@@ -0,0 +1,109 @@
+/* Mailboxes: the messages of one tick, with room for each one's body.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <galenaford/message.h>
+
+struct galena_mailbox
+{
+  struct galena_message *rows;
+  /* GALENA_PART_BYTES for each row.  */
+  uint8_t *bodies;
+  uint32_t capacity;
+  uint32_t count;
+};
+
+const char *
+galena_message_word (enum galena_message_type type)
+{
+  switch (type)
+    {
+#define GALENA_MESSAGE_WORD(name, number, word)                               \
+  case name:                                                                  \
+    return word;
+      GALENA_MESSAGE_TYPES (GALENA_MESSAGE_WORD)
+#undef GALENA_MESSAGE_WORD
+    case GALENA_MESSAGE_TYPE_END:
+      break;
+    }
+  return "unknown";
+}
+
+enum galena_result
+galena_mailbox_create (const struct galena_mailbox_options *options,
+                       struct galena_mailbox **out)
+{
+  struct galena_mailbox *mailbox;
+
+  if (options->capacity == 0)
+    return GALENA_ERR_INVALID;
+  mailbox = calloc (1, sizeof *mailbox);
+  if (mailbox == NULL)
+    return GALENA_ERR_MEMORY;
+  mailbox->capacity = options->capacity;
+  mailbox->rows = calloc (options->capacity, sizeof *mailbox->rows);
+  mailbox->bodies = calloc (options->capacity, GALENA_PART_BYTES);
+  if (mailbox->rows == NULL || mailbox->bodies == NULL)
+    goto fail;
+  *out = mailbox;
+  return GALENA_OK;
+
+fail:
+  galena_mailbox_destroy (mailbox);
+  return GALENA_ERR_MEMORY;
+}
+
+void
+galena_mailbox_destroy (struct galena_mailbox *mailbox)
+{
+  if (mailbox == NULL)
+    return;
+  free (mailbox->rows);
+  free (mailbox->bodies);
+  free (mailbox);
+}
+
+enum galena_result
+galena_mailbox_push (struct galena_mailbox *mailbox,
+                     const struct galena_message *message)
+{
+  struct galena_message *row;
+  uint8_t *body;
+
+  if (message->body_size > GALENA_PART_BYTES)
+    return GALENA_ERR_TOO_LARGE;
+  if (mailbox->count == mailbox->capacity)
+    return GALENA_ERR_FULL;
+  body = mailbox->bodies + (size_t)mailbox->count * GALENA_PART_BYTES;
+  row = &mailbox->rows[mailbox->count++];
+  *row = *message;
+  row->body = body;
+  if (message->body_size > 0)
+    memcpy (body, message->body, message->body_size);
+  return GALENA_OK;
+}
+
+uint32_t
+galena_mailbox_count (const struct galena_mailbox *mailbox)
+{
+  return mailbox->count;
+}
+
+uint32_t
+galena_mailbox_room (const struct galena_mailbox *mailbox)
+{
+  return mailbox->capacity - mailbox->count;
+}
+
+const struct galena_message *
+galena_mailbox_get (const struct galena_mailbox *mailbox, uint32_t index)
+{
+  return &mailbox->rows[index];
+}
+
+void
+galena_mailbox_clear (struct galena_mailbox *mailbox)
+{
+  mailbox->count = 0;
+}
--- /dev/null
+++ b/packages/core/src/policy.h
@@ -0,0 +1,36 @@
+/* Policies that are picked by name: each is a table of functions.  */
+
+#ifndef GALENAFORD_POLICY_H
+#define GALENAFORD_POLICY_H
+
+#include <galenaford/config.h>
+
+#include "world_private.h"
+
+/* Chooses the upstream for an open.  */
+struct galena_choice_policy
+{
+  const char *name;
+  /* Returns the position in CANDIDATES of the upstream to try, given COUNT
+     upstream indices, best hash first.  COUNT is at least 1.  */
+  uint32_t (*choose) (struct galena_world *world, const uint32_t *candidates,
+                      uint32_t count);
+  /* Whether the candidates are drawn from all upstreams of the service.  */
+  bool any_upstream;
+};
+
+/* Decides which queued request runs next.  */
+struct galena_admission_policy
+{
+  const char *name;
+  /* Returns the number of the kind to run next, or -1 for none.  */
+  int (*pick) (struct galena_world *world);
+};
+
+/* Finds a policy by NAME, the default for NULL; returns NULL when there is
+   no such policy.  */
+const struct galena_choice_policy *galena_choice_policy (const char *name);
+const struct galena_admission_policy *
+galena_admission_policy (const char *name);
+
+#endif
--- /dev/null
+++ b/packages/core/src/world.c
@@ -0,0 +1,226 @@
+/* Worlds: creation, the tick, and what all roles share.  */
+
+#include <stdlib.h>
+
+#include <galenaford/map.h>
+
+#include "world_private.h"
+
+enum
+{
+  AUDIT_ROWS = 1024,
+  /* A gap between ticks beyond this is noted as a pause.  */
+  PAUSE_MS = 2000
+};
+
+static const struct galena_role_operations *const ROLES[GALENA_ROLE_COUNT] = {
+  [GALENA_ROLE_ENTRY] = &galena_entry_role,
+  [GALENA_ROLE_AGENT] = &galena_agent_role,
+  [GALENA_ROLE_CALLER] = &galena_caller_role,
+};
+
+static enum galena_result
+create_mailboxes (struct galena_world *world)
+{
+  struct galena_mailbox_options options = { world->options.messages };
+  enum galena_result result = galena_mailbox_create (&options, &world->inbox);
+
+  if (result != GALENA_OK)
+    return result;
+  return galena_mailbox_create (&options, &world->outbox);
+}
+
+enum galena_result
+galena_world_create (const struct galena_world_options *options,
+                     struct galena_world **out)
+{
+  struct galena_audit_options audit_options = { AUDIT_ROWS };
+  struct galena_world *world;
+  enum galena_result result;
+
+  if (options->role >= GALENA_ROLE_COUNT)
+    return GALENA_ERR_INVALID;
+  world = calloc (1, sizeof *world);
+  if (world == NULL)
+    return GALENA_ERR_MEMORY;
+  world->options = *options;
+  world->role = ROLES[options->role];
+  world->random.seed = options->seed;
+  result = galena_audit_create (&audit_options, &world->audit);
+  if (result != GALENA_OK)
+    goto fail;
+  result = create_mailboxes (world);
+  if (result != GALENA_OK)
+    goto fail;
+  result = world->role->create (world);
+  if (result != GALENA_OK)
+    goto fail;
+  *out = world;
+  return GALENA_OK;
+
+fail:
+  galena_world_destroy (world);
+  return result;
+}
+
+void
+galena_world_destroy (struct galena_world *world)
+{
+  if (world == NULL)
+    return;
+  world->role->destroy (world);
+  galena_mailbox_destroy (world->inbox);
+  galena_mailbox_destroy (world->outbox);
+  galena_audit_destroy (world->audit);
+  free (world);
+}
+
+struct galena_mailbox *
+galena_world_inbox (struct galena_world *world)
+{
+  return world->inbox;
+}
+
+const struct galena_mailbox *
+galena_world_outbox (const struct galena_world *world)
+{
+  return world->outbox;
+}
+
+static void
+note_pause (struct galena_world *world, struct galena_clock now)
+{
+  int64_t gap_ms = galena_clock_between (world->now, now);
+
+  if (world->now.ms == 0 || gap_ms <= PAUSE_MS)
+    return;
+  galena_world_note (
+      world, (struct galena_audit_row){ .event = GALENA_AUDIT_PAUSED,
+                                        .generation = (uint64_t)gap_ms });
+}
+
+static void
+run_due_systems (struct galena_world *world)
+{
+  for (uint32_t i = 0; i < world->role->system_count; i++)
+    {
+      const struct galena_system *system = &world->role->systems[i];
+
+      if (!galena_clock_reached (world->now, world->due[i]))
+        continue;
+      system->run (world);
+      world->due[i] = galena_clock_after (world->now, system->period_ms);
+    }
+}
+
+void
+galena_world_tick (struct galena_world *world, struct galena_clock now,
+                   const struct galena_config *config)
+{
+  note_pause (world, now);
+  world->now = now;
+  world->config = config;
+  galena_mailbox_clear (world->outbox);
+  galena_world_count (world, GALENA_COUNT_TICKS);
+  run_due_systems (world);
+  galena_mailbox_clear (world->inbox);
+  world->config = NULL;
+}
+
+struct galena_clock
+galena_world_due (const struct galena_world *world)
+{
+  struct galena_clock first = { INT64_MAX };
+
+  for (uint32_t i = 0; i < world->role->system_count; i++)
+    {
+      if (world->role->systems[i].period_ms == 0)
+        continue;
+      if (world->due[i].ms < first.ms)
+        first = world->due[i];
+    }
+  return first;
+}
+
+void
+galena_world_drain (struct galena_world *world)
+{
+  world->draining = true;
+}
+
+const struct galena_counters *
+galena_world_counters (const struct galena_world *world)
+{
+  return &world->counters;
+}
+
+const struct galena_audit *
+galena_world_audit (const struct galena_world *world)
+{
+  return world->audit;
+}
+
+void
+galena_world_usage (const struct galena_world *world,
+                    struct galena_world_usage *usage)
+{
+  *usage = (struct galena_world_usage){ 0 };
+  world->role->usage (world, usage);
+}
+
+bool
+galena_world_idle (const struct galena_world *world)
+{
+  struct galena_world_usage usage;
+
+  galena_world_usage (world, &usage);
+  return usage.requests == 0 && usage.pending_opens == 0;
+}
+
+void
+galena_world_dispatch (
+    struct galena_world *world,
+    galena_handler *const handlers[GALENA_LINK_COUNT][GALENA_MESSAGE_TYPE_END])
+{
+  uint32_t count = galena_mailbox_count (world->inbox);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct galena_message *message
+          = galena_mailbox_get (world->inbox, i);
+      galena_handler *handler = handlers[message->link][message->type];
+
+      galena_world_count (world, GALENA_COUNT_RECEIVED);
+      if (handler == NULL)
+        {
+          galena_world_count (world, GALENA_COUNT_UNEXPECTED);
+          continue;
+        }
+      handler (world, message);
+    }
+}
+
+void
+galena_world_send (struct galena_world *world,
+                   const struct galena_message *message)
+{
+  if (galena_mailbox_push (world->outbox, message) != GALENA_OK)
+    {
+      galena_world_count (world, GALENA_COUNT_UNSENT);
+      return;
+    }
+  galena_world_count (world, GALENA_COUNT_SENT);
+}
+
+void
+galena_world_note (struct galena_world *world, struct galena_audit_row row)
+{
+  row.at = world->now;
+  galena_audit_append (world->audit, &row);
+}
+
+uint64_t
+galena_flow_key (const struct galena_map *map, struct galena_flow_id flow)
+{
+  return galena_map_hash (map, &flow, sizeof flow);
+}
--- /dev/null
+++ b/packages/core/src/world_private.h
@@ -0,0 +1,96 @@
+/* The inside of a world, for the systems of packages/core.  */
+
+#ifndef GALENAFORD_WORLD_PRIVATE_H
+#define GALENAFORD_WORLD_PRIVATE_H
+
+#include <galenaford/random.h>
+#include <galenaford/table.h>
+#include <galenaford/world.h>
+
+struct galena_entry;
+struct galena_agent;
+struct galena_caller;
+
+/* One system: a step that runs over the tables of a world.  */
+struct galena_system
+{
+  const char *name;
+  /* Milliseconds between runs; 0 runs in every tick.  */
+  uint32_t period_ms;
+  void (*run) (struct galena_world *world);
+};
+
+/* What differs between roles.  */
+struct galena_role_operations
+{
+  const char *name;
+  enum galena_result (*create) (struct galena_world *world);
+  void (*destroy) (struct galena_world *world);
+  void (*usage) (const struct galena_world *world,
+                 struct galena_world_usage *usage);
+  const struct galena_system *systems;
+  uint32_t system_count;
+};
+
+enum
+{
+  /* Most systems of one role.  */
+  GALENA_SYSTEMS_MAX = 16
+};
+
+struct galena_world
+{
+  struct galena_world_options options;
+  const struct galena_role_operations *role;
+  struct galena_clock now;
+  /* The records; set during a tick only.  */
+  const struct galena_config *config;
+  struct galena_random random;
+  struct galena_counters counters;
+  struct galena_audit *audit;
+  struct galena_mailbox *inbox;
+  struct galena_mailbox *outbox;
+  /* When each system runs next.  */
+  struct galena_clock due[GALENA_SYSTEMS_MAX];
+  bool draining;
+  /* The tables of the role; the other two are NULL.  */
+  struct galena_entry *entry;
+  struct galena_agent *agent;
+  struct galena_caller *caller;
+};
+
+extern const struct galena_role_operations galena_entry_role;
+extern const struct galena_role_operations galena_agent_role;
+extern const struct galena_role_operations galena_caller_role;
+
+/* Handles one received message.  */
+typedef void galena_handler (struct galena_world *world,
+                             const struct galena_message *message);
+
+/* Calls the handler of each message in the inbox; NULL handlers count the
+   message as unexpected.  */
+void galena_world_dispatch (
+    struct galena_world *world,
+    galena_handler
+        *const handlers[GALENA_LINK_COUNT][GALENA_MESSAGE_TYPE_END]);
+
+/* Puts MESSAGE into the outbox and counts it.  */
+void galena_world_send (struct galena_world *world,
+                        const struct galena_message *message);
+
+static inline void
+galena_world_count (struct galena_world *world, enum galena_counter counter)
+{
+  world->counters.values[counter]++;
+}
+
+/* Appends an event at the present time to the audit trail.  */
+void galena_world_note (struct galena_world *world,
+                        struct galena_audit_row row);
+
+/* Returns the map key of FLOW's id under MAP's seed.  */
+struct galena_map;
+uint64_t galena_flow_key (const struct galena_map *map,
+                          struct galena_flow_id flow);
+
+#endif
