--- /dev/null
+++ b/packages/wire/include/galenaford/wire.h
@@ -0,0 +1,43 @@
+/* Messages as datagrams: one msgpack array a message.  */
+
+#ifndef GALENAFORD_WIRE_H
+#define GALENAFORD_WIRE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <galenaford/message.h>
+
+enum
+{
+  /* Schema version of the datagrams.  */
+  GALENA_WIRE_SCHEMA = 1,
+  /* Most bytes of one datagram.  */
+  GALENA_DATAGRAM_BYTES_MAX = 1280
+};
+
+struct galena_wire_decoder;
+
+/* Creates a decoder in *OUT; the caller owns it.  Decoding allocates nothing
+   further.  Errors: GALENA_ERR_MEMORY.  */
+enum galena_result
+galena_wire_decoder_create (struct galena_wire_decoder **out);
+
+/* Destroys DECODER; accepts NULL.  */
+void galena_wire_decoder_destroy (struct galena_wire_decoder *decoder);
+
+/* Decodes SIZE bytes into *MESSAGE, whose body points into BYTES.  The link
+   and peer are left for the caller to fill in.
+   Errors: GALENA_ERR_TRUNCATED, GALENA_ERR_TOO_LARGE, GALENA_ERR_SCHEMA,
+   GALENA_ERR_TYPE, GALENA_ERR_RANGE.  */
+enum galena_result galena_wire_decode (struct galena_wire_decoder *decoder,
+                                       const uint8_t *bytes, size_t size,
+                                       struct galena_message *message);
+
+/* Encodes MESSAGE into BYTES and stores the length in *SIZE.
+   Errors: GALENA_ERR_TOO_LARGE when CAPACITY does not suffice.  */
+enum galena_result galena_wire_encode (const struct galena_message *message,
+                                       uint8_t *bytes, size_t capacity,
+                                       size_t *size);
+
+#endif
