--- /dev/null
+++ b/packages/platform/include/galenaford/datagrams.h
@@ -0,0 +1,66 @@
+/* Batches of datagrams on one UDP socket.  */
+
+#ifndef GALENAFORD_DATAGRAMS_H
+#define GALENAFORD_DATAGRAMS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <galenaford/message.h>
+
+enum
+{
+  /* Most datagrams moved by one system call.  */
+  GALENA_BATCH_MAX = 64,
+  /* Room for one datagram; a longer one is cut and counted as too large.  */
+  GALENA_DATAGRAM_ROOM = 2048
+};
+
+struct galena_datagrams_options
+{
+  /* Address to bind to; port 0 lets the system choose.  */
+  struct galena_endpoint address;
+  /* Whether several sockets share the address.  */
+  bool shared;
+};
+
+struct galena_datagrams;
+
+/* Opens a non-blocking socket in *OUT; the caller owns it.
+   Errors: GALENA_ERR_IO, GALENA_ERR_MEMORY.  */
+enum galena_result
+galena_datagrams_create (const struct galena_datagrams_options *options,
+                         struct galena_datagrams **out);
+
+/* Closes the socket; accepts NULL.  */
+void galena_datagrams_destroy (struct galena_datagrams *datagrams);
+
+/* Returns the file descriptor to wait on.  */
+int galena_datagrams_fd (const struct galena_datagrams *datagrams);
+
+/* Returns the address that the socket is bound to.  */
+struct galena_endpoint
+galena_datagrams_address (const struct galena_datagrams *datagrams);
+
+/* Receives what has arrived, up to GALENA_BATCH_MAX; returns how many.  */
+uint32_t galena_datagrams_receive (struct galena_datagrams *datagrams);
+
+/* Returns received datagram INDEX with its size and source; valid until the
+   next receive.  */
+const uint8_t *galena_datagrams_get (const struct galena_datagrams *datagrams,
+                                     uint32_t index, size_t *size,
+                                     struct galena_endpoint *source);
+
+/* Returns room for the next datagram to send, GALENA_DATAGRAM_ROOM bytes;
+   sends the batch first when it is full.  */
+uint8_t *galena_datagrams_next (struct galena_datagrams *datagrams);
+
+/* Adds what was written to the room of galena_datagrams_next.  */
+void galena_datagrams_add (struct galena_datagrams *datagrams, size_t size,
+                           struct galena_endpoint destination);
+
+/* Sends the batch.  Returns how many datagrams the system did not take.  */
+uint32_t galena_datagrams_flush (struct galena_datagrams *datagrams);
+
+#endif
--- /dev/null
+++ b/packages/platform/include/galenaford/link.h
@@ -0,0 +1,22 @@
+/* Moves messages between a world's mailboxes and UDP sockets.  */
+
+#ifndef GALENAFORD_LINK_H
+#define GALENAFORD_LINK_H
+
+#include <galenaford/datagrams.h>
+#include <galenaford/wire.h>
+#include <galenaford/world.h>
+
+/* Receives one batch from SOCKET into the inbox of WORLD as messages on LINK.
+   Returns the number of datagrams that did not decode.  */
+uint32_t galena_link_receive (struct galena_datagrams *socket,
+                              struct galena_wire_decoder *decoder,
+                              struct galena_world *world,
+                              enum galena_link link);
+
+/* Sends the outbox of WORLD; SOCKETS has one socket for each link, or NULL
+   where the link has none.  */
+void galena_link_send (struct galena_datagrams *const sockets[],
+                       const struct galena_world *world);
+
+#endif
--- /dev/null
+++ b/packages/platform/include/galenaford/monotonic.h
@@ -0,0 +1,11 @@
+/* The monotonic clock of the machine as a galena_clock.  */
+
+#ifndef GALENAFORD_MONOTONIC_H
+#define GALENAFORD_MONOTONIC_H
+
+#include <galenaford/clock.h>
+
+/* Returns the present instant.  Never fails.  */
+struct galena_clock galena_monotonic_now (void);
+
+#endif
