--- /dev/null
+++ b/packages/daemon/src/agent_loop.c
@@ -0,0 +1,122 @@
+/* The thread of an agent: one world between entries and the upstream.  */
+
+#include <stdlib.h>
+
+#include <urcu.h>
+
+#include <galenaford/link.h>
+#include <galenaford/monotonic.h>
+
+#include "process.h"
+#include "upstream_link.h"
+
+enum
+{
+  TICK_MESSAGES = 8 * GALENA_BATCH_MAX,
+  FLOWS_MAX = 65536
+};
+
+struct agent_loop
+{
+  struct process *process;
+  struct galena_world *world;
+  struct galena_wire_decoder *decoder;
+  struct galena_datagrams *sockets[GALENA_LINK_COUNT];
+  struct upstream_link *upstream;
+};
+
+static enum galena_result
+create_world (struct agent_loop *loop)
+{
+  const struct galena_settings *settings = &loop->process->settings;
+  struct galena_world_options options
+      = { .role = GALENA_ROLE_AGENT,
+          .seed = loop->process->seed,
+          .upstream = settings->agent_upstream,
+          .incarnation = (uint32_t)(loop->process->seed >> 32),
+          .flows = FLOWS_MAX,
+          .requests = settings->agent_requests,
+          .messages = TICK_MESSAGES,
+          .admission = settings->admission };
+
+  return galena_world_create (&options, &loop->world);
+}
+
+static enum galena_result
+create_loop (struct agent_loop *loop, struct process *process)
+{
+  const struct galena_settings *settings = &process->settings;
+  struct galena_datagrams_options peers = { settings->agent_address, false };
+  struct upstream_link_options upstream
+      = { settings->agent_upstream_url, settings->agent_requests, NULL };
+  enum galena_result result;
+
+  loop->process = process;
+  result = galena_datagrams_create (&peers, &loop->sockets[GALENA_LINK_PEER]);
+  if (result != GALENA_OK)
+    return result;
+  result = galena_wire_decoder_create (&loop->decoder);
+  if (result != GALENA_OK)
+    return result;
+  result = create_world (loop);
+  if (result != GALENA_OK)
+    return result;
+  upstream.world = loop->world;
+  return upstream_link_create (&upstream, &loop->upstream);
+}
+
+static void
+destroy_loop (struct agent_loop *loop)
+{
+  upstream_link_destroy (loop->upstream);
+  galena_world_destroy (loop->world);
+  galena_wire_decoder_destroy (loop->decoder);
+  for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
+    galena_datagrams_destroy (loop->sockets[link]);
+}
+
+static void
+wait_for_work (struct agent_loop *loop)
+{
+  struct galena_clock due = galena_world_due (loop->world);
+  int fds[] = { galena_datagrams_fd (loop->sockets[GALENA_LINK_PEER]),
+                loop->process->stop_fd };
+
+  upstream_link_wait (loop->upstream, fds, sizeof fds / sizeof fds[0],
+                      galena_clock_left (galena_monotonic_now (), due));
+}
+
+static void
+run_tick (struct agent_loop *loop)
+{
+  galena_link_receive (loop->sockets[GALENA_LINK_PEER], loop->decoder,
+                       loop->world, GALENA_LINK_PEER);
+  upstream_link_receive (loop->upstream);
+  rcu_read_lock ();
+  galena_world_tick (loop->world, galena_monotonic_now (),
+                     snapshot_read (loop->process->snapshot));
+  rcu_read_unlock ();
+  galena_link_send (loop->sockets, loop->world);
+  upstream_link_send (loop->upstream);
+}
+
+enum galena_result
+agent_loop_run (struct process *process)
+{
+  struct agent_loop loop = { 0 };
+  enum galena_result result = create_loop (&loop, process);
+
+  if (result != GALENA_OK)
+    goto done;
+  rcu_register_thread ();
+  while (!atomic_load (&process->stopping))
+    {
+      wait_for_work (&loop);
+      run_tick (&loop);
+    }
+  rcu_unregister_thread ();
+
+done:
+  destroy_loop (&loop);
+  return result;
+}
