--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Shortcuts over CMake; `make setup demo' and `make test' are all a newcomer
+# needs.
+BUILD ?= build
+DEPLOYMENT ?= coteau
+PACKAGES = build-essential cmake pkg-config clang-format clang-tidy cppcheck \
+	liburcu-dev libmsgpack-dev libglib2.0-dev libinih-dev libjansson-dev \
+	libcurl4-openssl-dev libxxhash-dev libmicrohttpd-dev
+
+.PHONY: all setup packages demo test bench clean
+
+all:
+	cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
+	cmake --build $(BUILD) -j
+
+packages:
+	apt-get update -q
+	apt-get install -y -q --no-install-recommends $(PACKAGES)
+
+setup: packages all
+
+demo: all
+	test/demo.sh $(BUILD) $(DEPLOYMENT)
+
+test: all
+	ctest --test-dir $(BUILD) --output-on-failure
+
+clean:
+	rm -rf $(BUILD)
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -135,17 +135,26 @@
                      struct galena_flow_handle handle)
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
-  struct galena_message close;
 
-  if (flow == NULL)
+  if (flow == NULL || flow->state == GALENA_CALLER_FLOW_CLOSING)
     return GALENA_ERR_STALE;
-  close = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
-  if (flow->state == GALENA_CALLER_FLOW_OPEN)
-    galena_world_send (world, &close);
   for_each_request (world, handle, drop_request, GALENA_OK);
+  flow->state = GALENA_CALLER_FLOW_CLOSING;
+  return GALENA_OK;
+}
+
+void
+galena_caller_finish_close (struct galena_world *world,
+                            struct galena_flow_handle handle)
+{
+  struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+  struct galena_message close
+      = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
+
+  if (flow->tag != 0)
+    galena_world_send (world, &close);
   unindex_flow (world, flow);
   galena_table_remove (world->caller->flows, handle.row);
-  return GALENA_OK;
 }
 
 /* Prepares a request for a flow that was opened again.  */
@@ -174,6 +183,7 @@
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
+  galena_world_count (world, GALENA_COUNT_REOPENED);
   for_each_request (world, handle, start_over, GALENA_UNKNOWN_OUTCOME);
   unindex_flow (world, flow);
   draw_id (world, &flow->id);
@@ -212,7 +222,7 @@
   struct galena_caller_flow *flow = galena_caller_flow (world, options->flow);
   struct galena_caller_request *request;
 
-  if (flow == NULL)
+  if (flow == NULL || flow->state == GALENA_CALLER_FLOW_CLOSING)
     return GALENA_ERR_STALE;
   if (options->body_size > UINT32_MAX / 2)
     return GALENA_ERR_TOO_LARGE;
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -209,6 +209,8 @@
     {
       if (flow->state == GALENA_CALLER_FLOW_OPENING)
         run_opening (world, handle);
+      else if (flow->state == GALENA_CALLER_FLOW_CLOSING)
+        galena_caller_finish_close (world, handle);
       else if (flow->open_requests == 0)
         flow->heard = world->now;
       else if (owner_is_silent (world, flow))
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -12,7 +12,9 @@
 enum galena_caller_flow_state
 {
   GALENA_CALLER_FLOW_OPENING,
-  GALENA_CALLER_FLOW_OPEN
+  GALENA_CALLER_FLOW_OPEN,
+  /* Closed by the application; the owner is told in the next tick.  */
+  GALENA_CALLER_FLOW_CLOSING
 };
 
 struct galena_caller_flow
@@ -102,6 +104,10 @@
                              struct galena_flow_handle handle,
                              enum galena_result result);
 
+/* Tells the owner that a closing flow is over, and removes it.  */
+void galena_caller_finish_close (struct galena_world *world,
+                                 struct galena_flow_handle handle);
+
 /* caller_receive.c */
 void galena_caller_run_receive (struct galena_world *world);
 
--- /dev/null
+++ b/test/standins/fabric.c
@@ -0,0 +1,131 @@
+/* Stand-in for the fabric: sends each datagram of a caller to an entry drawn
+   at random, and the replies back to the caller.
+
+   Usage: standin-fabric ADDRESS:PORT ENTRY:PORT...  */
+
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include <galenaford/datagrams.h>
+#include <galenaford/random.h>
+#include <galenaford/record.h>
+
+enum
+{
+  CALLERS_MAX = 64,
+  ENTRIES_MAX = 64
+};
+
+/* A caller, and the socket that stands for it towards the entries.  */
+struct known_caller
+{
+  struct galena_endpoint address;
+  struct galena_datagrams *socket;
+};
+
+static struct known_caller callers[CALLERS_MAX];
+static uint32_t caller_count;
+static struct galena_endpoint entries[ENTRIES_MAX];
+static uint32_t entry_count;
+static struct galena_datagrams *front;
+static struct galena_random draw;
+
+static struct known_caller *
+find_caller (struct galena_endpoint address)
+{
+  struct galena_datagrams_options options
+      = { { front != NULL ? galena_datagrams_address (front).ip : 0, 0 },
+          false };
+
+  for (uint32_t i = 0; i < caller_count; i++)
+    if (galena_endpoint_equal (callers[i].address, address))
+      return &callers[i];
+  if (caller_count == CALLERS_MAX)
+    return NULL;
+  if (galena_datagrams_create (&options, &callers[caller_count].socket)
+      != GALENA_OK)
+    return NULL;
+  callers[caller_count].address = address;
+  return &callers[caller_count++];
+}
+
+static void
+copy_datagram (struct galena_datagrams *to, const uint8_t *bytes, size_t size,
+               struct galena_endpoint destination)
+{
+  memcpy (galena_datagrams_next (to), bytes, size);
+  galena_datagrams_add (to, size, destination);
+}
+
+static void
+pass_to_entries (void)
+{
+  uint32_t count = galena_datagrams_receive (front);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct galena_endpoint source;
+      size_t size;
+      const uint8_t *bytes = galena_datagrams_get (front, i, &size, &source);
+      struct known_caller *caller = find_caller (source);
+
+      if (caller != NULL)
+        copy_datagram (caller->socket, bytes, size,
+                       entries[galena_random_below (&draw, entry_count)]);
+    }
+}
+
+static void
+pass_to_caller (const struct known_caller *caller)
+{
+  uint32_t count = galena_datagrams_receive (caller->socket);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct galena_endpoint source;
+      size_t size;
+      const uint8_t *bytes
+          = galena_datagrams_get (caller->socket, i, &size, &source);
+
+      copy_datagram (front, bytes, size, caller->address);
+    }
+  galena_datagrams_flush (caller->socket);
+}
+
+static void
+wait_for_work (void)
+{
+  struct pollfd fds[CALLERS_MAX + 1];
+
+  fds[0] = (struct pollfd){ galena_datagrams_fd (front), POLLIN, 0 };
+  for (uint32_t i = 0; i < caller_count; i++)
+    fds[i + 1] = (struct pollfd){ galena_datagrams_fd (callers[i].socket),
+                                  POLLIN, 0 };
+  poll (fds, caller_count + 1, -1);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct galena_datagrams_options options = { .shared = false };
+
+  if (argc < 3
+      || galena_endpoint_parse (argv[1], &options.address) != GALENA_OK)
+    return 2;
+  for (int i = 2; i < argc && entry_count < ENTRIES_MAX; i++)
+    if (galena_endpoint_parse (argv[i], &entries[entry_count++]) != GALENA_OK)
+      return 2;
+  if (galena_datagrams_create (&options, &front) != GALENA_OK
+      || getrandom (&draw.seed, sizeof draw.seed, 0) < 0)
+    return 1;
+  for (;;)
+    {
+      wait_for_work ();
+      pass_to_entries ();
+      for (uint32_t i = 0; i < caller_count; i++)
+        pass_to_caller (&callers[i]);
+      galena_datagrams_flush (front);
+    }
+}
