--- a/packages/core/include/galenaford/stream.h
+++ b/packages/core/include/galenaford/stream.h
@@ -17,11 +17,14 @@
   GALENA_STREAM_PARTS_MAX = 64
 };
 
+/* One part; private to the stream.  */
+struct galena_part_slot;
+
 /* A zeroed stream is empty and ready for use.  */
 struct galena_stream
 {
-  /* Owned; CAPACITY slots of a size and GALENA_PART_BYTES, or NULL.  */
-  uint8_t *slots;
+  /* Owned; CAPACITY slots, or NULL.  */
+  struct galena_part_slot *slots;
   /* Slots allocated, a power of two.  */
   uint32_t capacity;
   /* First part kept; all before it are done with.  */
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -267,11 +267,16 @@
 void
 galena_flow_set_done (struct galena_flow *flow, uint32_t number)
 {
+  uint32_t ahead = number - flow->done_floor - 1;
+
   if (galena_flow_is_done (flow, number))
     return;
-  if (number - flow->done_floor > DONE_BITS)
-    raise_floor (flow, number - flow->done_floor - DONE_BITS);
-  flow->done_bits |= UINT64_C (1) << (number - flow->done_floor - 1);
+  if (ahead >= DONE_BITS)
+    {
+      raise_floor (flow, ahead - DONE_BITS + 1);
+      ahead = DONE_BITS - 1;
+    }
+  flow->done_bits |= UINT64_C (1) << ahead;
   while (flow->done_bits & 1)
     raise_floor (flow, 1);
 }
--- a/packages/core/src/stream.c
+++ b/packages/core/src/stream.c
@@ -11,19 +11,17 @@
   FIRST_CAPACITY = 2
 };
 
-struct part_slot
+struct galena_part_slot
 {
   /* Bytes held plus one; 0 marks an empty slot.  */
   uint32_t size_plus_one;
   uint8_t bytes[GALENA_PART_BYTES];
 };
 
-static struct part_slot *
+static struct galena_part_slot *
 slot_of (const struct galena_stream *stream, uint32_t part)
 {
-  struct part_slot *slots = (struct part_slot *)(void *)stream->slots;
-
-  return &slots[part & (stream->capacity - 1)];
+  return &stream->slots[part & (stream->capacity - 1)];
 }
 
 static enum galena_result
@@ -36,7 +34,7 @@
     larger.capacity *= 2;
   if (larger.capacity == stream->capacity)
     return GALENA_OK;
-  larger.slots = calloc (larger.capacity, sizeof (struct part_slot));
+  larger.slots = calloc (larger.capacity, sizeof (struct galena_part_slot));
   if (larger.slots == NULL)
     return GALENA_ERR_MEMORY;
   for (uint32_t part = stream->base; part != stream->end; part++)
@@ -79,7 +77,7 @@
     return result;
   while (size > 0)
     {
-      struct part_slot *slot = slot_of (stream, stream->end);
+      struct galena_part_slot *slot = slot_of (stream, stream->end);
       size_t take = size < GALENA_PART_BYTES ? size : GALENA_PART_BYTES;
 
       memcpy (slot->bytes, bytes, take);
@@ -123,7 +121,7 @@
                      const uint8_t *bytes, uint32_t size)
 {
   uint32_t ahead = part - stream->base;
-  struct part_slot *slot;
+  struct galena_part_slot *slot;
   enum galena_result result;
 
   if (size > GALENA_PART_BYTES)
@@ -150,7 +148,7 @@
 galena_stream_part (const struct galena_stream *stream, uint32_t part,
                     uint32_t *size)
 {
-  struct part_slot *slot;
+  struct galena_part_slot *slot;
 
   if (stream->capacity == 0)
     return NULL;
--- a/packages/platform/src/datagrams.c
+++ b/packages/platform/src/datagrams.c
@@ -96,7 +96,7 @@
                          struct galena_datagrams **out)
 {
   struct galena_datagrams *datagrams = calloc (1, sizeof *datagrams);
-  struct sockaddr_in address;
+  struct sockaddr_in address = { 0 };
   socklen_t length = sizeof address;
 
   if (datagrams == NULL)
--- /dev/null
+++ b/test/unit/test_wire.c
@@ -0,0 +1,231 @@
+/* The datagram and record codecs, with good, bad and random input.  */
+
+#include <glib.h>
+#include <string.h>
+
+#include <galenaford/random.h>
+#include <galenaford/record.h>
+#include <galenaford/wire.h>
+
+static const struct galena_message FULL = {
+  .type = GALENA_MESSAGE_REQUEST,
+  .service = { 0x7f0a000a, 700 },
+  .caller = { 0x7f000001, 65535 },
+  .entry = { 0x7f000002, 1 },
+  .flow = { UINT64_MAX, 1 },
+  .tag = UINT64_MAX - 1,
+  .generation = 1ull << 40,
+  .request = UINT32_MAX,
+  .kind = 15,
+  .hops = 255,
+  .overload = 7,
+  .part = 9,
+  .total = GALENA_TOTAL_UNKNOWN,
+  .deadline_ms = 1000,
+  .wait_ms = 5,
+  .result = GALENA_UNKNOWN_OUTCOME,
+  .body = (const uint8_t *)"body",
+  .body_size = 4,
+};
+
+static void
+check_round_trip (void)
+{
+  struct galena_wire_decoder *decoder;
+  struct galena_message back;
+  uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
+  size_t size;
+
+  g_assert_cmpint (galena_wire_decoder_create (&decoder), ==, GALENA_OK);
+  g_assert_cmpint (galena_wire_encode (&FULL, bytes, sizeof bytes, &size), ==,
+                   GALENA_OK);
+  g_assert_cmpint (galena_wire_decode (decoder, bytes, size, &back), ==,
+                   GALENA_OK);
+  g_assert_cmpmem (back.body, back.body_size, "body", 4);
+  back.body = FULL.body;
+  g_assert_cmpmem (&back.flow, sizeof back.flow, &FULL.flow, sizeof FULL.flow);
+  g_assert_cmpuint (back.tag, ==, FULL.tag);
+  g_assert_cmpuint (back.generation, ==, FULL.generation);
+  g_assert_cmpuint (back.total, ==, FULL.total);
+  g_assert_cmpuint (back.caller.port, ==, FULL.caller.port);
+  g_assert_cmpint (back.result, ==, FULL.result);
+  g_assert_cmpint (galena_wire_encode (&FULL, bytes, size - 1, &size), ==,
+                   GALENA_ERR_TOO_LARGE);
+  galena_wire_decoder_destroy (decoder);
+}
+
+struct bad_datagram_case
+{
+  const char *name;
+  /* Byte AT of a good datagram becomes VALUE; it is cut to SIZE bytes when
+     SIZE is not 0.  */
+  size_t at;
+  uint8_t value;
+  size_t size;
+  enum galena_result expect;
+};
+
+static const struct bad_datagram_case BAD_DATAGRAM_CASES[] = {
+  { "/wire/bad/truncated", 0, 0xdc, 10, GALENA_ERR_TRUNCATED },
+  { "/wire/bad/schema", 3, 99, 0, GALENA_ERR_SCHEMA },
+  { "/wire/bad/type-none", 4, 0, 0, GALENA_ERR_RANGE },
+  { "/wire/bad/type-private", 4, 20, 0, GALENA_ERR_RANGE },
+  { "/wire/bad/not-an-array", 0, 0x01, 1, GALENA_ERR_TYPE },
+  { "/wire/bad/field-type", 5, 0xc0, 0, GALENA_ERR_TOO_LARGE },
+};
+
+static void
+run_bad_datagram_case (gconstpointer data)
+{
+  const struct bad_datagram_case *test = data;
+  struct galena_wire_decoder *decoder;
+  struct galena_message message;
+  uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
+  size_t size;
+
+  galena_wire_decoder_create (&decoder);
+  galena_wire_encode (&FULL, bytes, sizeof bytes, &size);
+  bytes[test->at] = test->value;
+  if (test->size != 0)
+    size = test->size;
+  g_assert_cmpint (galena_wire_decode (decoder, bytes, size, &message), ==,
+                   test->expect);
+  galena_wire_decoder_destroy (decoder);
+}
+
+struct record_case
+{
+  const char *name;
+  /* In a good record, FIND is replaced by PUT.  */
+  const char *find;
+  const char *put;
+  /* Path of the only fault; NULL when the record is good.  */
+  const char *fault;
+};
+
+static const char RECORD[]
+    = "{\"schema\":2,\"service\":\"desk\",\"number\":1,\"generation\":3,"
+      "\"address\":\"127.0.0.1:700\",\"kinds\":[{\"name\":\"feed\","
+      "\"number\":0,\"urgency\":0,\"idempotent\":true,\"deadline_ms\":1000}],"
+      "\"upstreams\":[{\"number\":7,\"host\":\"h\",\"zone\":\"z\","
+      "\"agent\":\"127.0.0.1:7100\",\"slots\":3,\"connections\":2000}]}";
+
+static const struct record_case RECORD_CASES[] = {
+  { "/record/good", "", "", NULL },
+  { "/record/schema-1", "\"schema\":2", "\"schema\":1", NULL },
+  { "/record/schema-3", "\"schema\":2", "\"schema\":3", "schema" },
+  { "/record/no-generation", "\"generation\":3,", "", "generation" },
+  { "/record/generation-0", "\"generation\":3", "\"generation\":0",
+    "generation" },
+  { "/record/unknown-key", "\"number\":1", "\"number\":1,\"x\":1", "x" },
+  { "/record/bad-address", "127.0.0.1:700\"", "127.0.0.1\"", "address" },
+  { "/record/slots-0", "\"slots\":3", "\"slots\":0", "upstreams[0].slots" },
+  { "/record/slots-text", "\"slots\":3", "\"slots\":\"3\"",
+    "upstreams[0].slots" },
+  { "/record/upstream-number", "\"number\":7", "\"number\":1048576",
+    "upstreams[0].number" },
+  { "/record/weight-in-schema-1", "\"schema\":2,\"service\":\"desk\"",
+    "\"schema\":1,\"service\":\"desk\",\"weight\":1", "weight" },
+  { "/record/not-json", "{\"schema\"", "{schema", "" },
+};
+
+static char *
+replace (const char *text, const char *find, const char *put)
+{
+  char **pieces;
+  char *result;
+
+  if (*find == '\0')
+    return g_strdup (text);
+  pieces = g_strsplit (text, find, 2);
+  result = g_strjoinv (put, pieces);
+  g_strfreev (pieces);
+  return result;
+}
+
+static void
+run_record_case (gconstpointer data)
+{
+  const struct record_case *test = data;
+  struct galena_service_record record;
+  struct galena_faults faults;
+  char *text = replace (RECORD, test->find, test->put);
+  enum galena_result result
+      = galena_record_parse (text, strlen (text), &record, &faults);
+
+  if (test->fault == NULL)
+    {
+      g_assert_cmpint (result, ==, GALENA_OK);
+      g_assert_cmpuint (record.upstreams[0].number, ==, 7);
+      galena_record_release (&record);
+    }
+  else
+    {
+      g_assert_cmpint (result, ==, GALENA_ERR_INVALID);
+      g_assert_cmpuint (faults.count, ==, 1);
+      g_assert_cmpstr (faults.rows[0].path, ==, test->fault);
+    }
+  g_free (text);
+}
+
+enum
+{
+  MUTATIONS = 20000
+};
+
+/* Changes a few bytes and sometimes the length.  */
+static size_t
+mutate (struct galena_random *random, uint8_t *bytes, size_t size)
+{
+  uint32_t changes = 1 + galena_random_below (random, 4);
+
+  for (uint32_t i = 0; i < changes; i++)
+    bytes[galena_random_below (random, (uint32_t)size)]
+        = (uint8_t)galena_random_next (random);
+  if (galena_random_below (random, 4) == 0)
+    size = galena_random_below (random, (uint32_t)size + 1);
+  return size;
+}
+
+static void
+check_mutations (void)
+{
+  struct galena_random random = { 7, 0 };
+  struct galena_wire_decoder *decoder;
+  struct galena_message message;
+  struct galena_service_record record;
+  struct galena_faults faults;
+
+  galena_wire_decoder_create (&decoder);
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
+      size_t size;
+
+      galena_wire_encode (&FULL, bytes, sizeof bytes, &size);
+      size = mutate (&random, bytes, size);
+      if (galena_wire_decode (decoder, bytes, size, &message) == GALENA_OK)
+        g_assert_cmpuint (message.body_size, <=, GALENA_PART_BYTES);
+      memcpy (bytes, RECORD, sizeof RECORD);
+      size = mutate (&random, bytes, sizeof RECORD - 1);
+      if (galena_record_parse ((char *)bytes, size, &record, &faults)
+          == GALENA_OK)
+        galena_record_release (&record);
+    }
+  galena_wire_decoder_destroy (decoder);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/wire/round-trip", check_round_trip);
+  g_test_add_func ("/wire/mutations", check_mutations);
+  for (size_t i = 0; i < G_N_ELEMENTS (BAD_DATAGRAM_CASES); i++)
+    g_test_add_data_func (BAD_DATAGRAM_CASES[i].name, &BAD_DATAGRAM_CASES[i],
+                          run_bad_datagram_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (RECORD_CASES); i++)
+    g_test_add_data_func (RECORD_CASES[i].name, &RECORD_CASES[i],
+                          run_record_case);
+  return g_test_run ();
+}
