--- /dev/null
+++ b/.ci/cppcheck-glib.h
@@ -0,0 +1,5 @@
+/* The assertions of GLib's tests that cppcheck can't expand by itself.  */
+#define g_assert_cmpint(a, op, b) g_assert ((a)op (b))
+#define g_assert_cmpuint(a, op, b) g_assert ((a)op (b))
+#define g_assert_cmpfloat(a, op, b) g_assert ((a)op (b))
+#define g_assert_cmpstr(a, op, b) g_assert (g_strcmp0 (a, b) op 0)
--- a/packages/core/include/galenaford/caller.h
+++ b/packages/core/include/galenaford/caller.h
@@ -56,6 +56,12 @@
 enum galena_result galena_caller_cancel (struct galena_world *world,
                                          struct galena_request_handle request);
 
+/* Has USER stand in every later run message of REQUEST.
+   Errors: GALENA_ERR_STALE.  */
+enum galena_result
+galena_caller_set_user (struct galena_world *world,
+                        struct galena_request_handle request, uint64_t user);
+
 /* Returns the tag of FLOW, or 0 while it has none.  */
 uint64_t galena_caller_tag (const struct galena_world *world,
                             struct galena_flow_handle flow);
--- a/packages/core/include/galenaford/message.h
+++ b/packages/core/include/galenaford/message.h
@@ -109,6 +109,8 @@
   uint32_t wait_ms;
   /* Request row that a run message speaks of, in the sender's world.  */
   struct galena_request_handle run;
+  /* Caller's application link only: see galena_caller_set_user.  */
+  uint64_t user;
   /* What became of the open or request.  */
   enum galena_result result;
   /* Borrowed; valid until the mailbox is cleared.  */
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -58,6 +58,66 @@
   return index_flow (world, *flow);
 }
 
+struct number_key
+{
+  uint64_t flow;
+  uint64_t number;
+};
+
+static uint64_t
+number_key (const struct galena_world *world, struct galena_flow_handle flow,
+            uint32_t number)
+{
+  struct number_key key = { galena_handle_pack (flow.row), number };
+
+  return galena_map_hash (world->caller->requests_by_number, &key, sizeof key);
+}
+
+void
+galena_caller_number (struct galena_world *world,
+                      struct galena_request_handle handle)
+{
+  struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+  struct galena_caller_flow *flow = galena_caller_flow (world, request->flow);
+
+  request->number = ++flow->last_request;
+  galena_map_insert (world->caller->requests_by_number,
+                     number_key (world, request->flow, request->number),
+                     galena_handle_pack (handle.row));
+}
+
+static void
+drop_number (struct galena_world *world, struct galena_caller_request *request)
+{
+  if (request->number == 0)
+    return;
+  galena_map_remove (world->caller->requests_by_number,
+                     number_key (world, request->flow, request->number));
+  request->number = 0;
+}
+
+struct galena_caller_request *
+galena_caller_find (const struct galena_world *world,
+                    const struct galena_message *message,
+                    struct galena_request_handle *handle)
+{
+  struct galena_flow_handle flow_handle;
+  struct galena_caller_flow *flow
+      = galena_caller_flow_of (world, message, &flow_handle);
+  uint64_t packed;
+
+  if (flow == NULL || flow->tag != message->tag)
+    return NULL;
+  flow->heard = world->now;
+  if (!galena_map_find (world->caller->requests_by_number,
+                        number_key (world, flow_handle, message->request),
+                        &packed))
+    return NULL;
+  handle->row = galena_handle_unpack (packed);
+  return galena_caller_request_row (world, *handle);
+}
+
 static void
 remove_request (struct galena_world *world,
                 struct galena_request_handle handle)
@@ -68,6 +128,7 @@
 
   if (flow != NULL)
     flow->open_requests--;
+  drop_number (world, request);
   galena_stream_release (&request->answer);
   free (request->body);
   galena_table_remove (world->caller->requests, handle.row);
@@ -104,6 +165,7 @@
                                 .link = GALENA_LINK_APPLICATION,
                                 .run = handle,
                                 .kind = request->kind,
+                                .user = request->user,
                                 .result = result };
 
   galena_world_send (world, &end);
@@ -170,7 +232,7 @@
       galena_caller_end (world, handle, result);
       return;
     }
-  request->number = 0;
+  drop_number (world, request);
   request->sent = 0;
   request->acknowledged = 0;
   galena_stream_release (&request->answer);
@@ -258,6 +320,19 @@
   return GALENA_OK;
 }
 
+enum galena_result
+galena_caller_set_user (struct galena_world *world,
+                        struct galena_request_handle handle, uint64_t user)
+{
+  struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+
+  if (request == NULL)
+    return GALENA_ERR_STALE;
+  request->user = user;
+  return GALENA_OK;
+}
+
 uint64_t
 galena_caller_tag (const struct galena_world *world,
                    struct galena_flow_handle handle)
@@ -281,6 +356,8 @@
       = { sizeof (struct galena_caller_request), world->options.requests };
   struct galena_map_options by_id
       = { world->options.flows, world->options.seed };
+  struct galena_map_options by_number
+      = { world->options.requests, world->options.seed };
   struct galena_caller *caller = calloc (1, sizeof *caller);
   enum galena_result result;
 
@@ -293,7 +370,10 @@
   result = galena_table_create (&requests, &caller->requests);
   if (result != GALENA_OK)
     return result;
-  return galena_map_create (&by_id, &caller->flows_by_id);
+  result = galena_map_create (&by_id, &caller->flows_by_id);
+  if (result != GALENA_OK)
+    return result;
+  return galena_map_create (&by_number, &caller->requests_by_number);
 }
 
 static void
@@ -316,6 +396,7 @@
   galena_table_destroy (caller->flows);
   galena_table_destroy (caller->requests);
   galena_map_destroy (caller->flows_by_id);
+  galena_map_destroy (caller->requests_by_number);
   free (caller);
 }
 
--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -21,30 +21,6 @@
   return flow;
 }
 
-struct galena_caller_request *
-galena_caller_find (const struct galena_world *world,
-                    const struct galena_message *message,
-                    struct galena_request_handle *handle)
-{
-  struct galena_flow_handle flow_handle;
-  struct galena_caller_flow *flow
-      = galena_caller_flow_of (world, message, &flow_handle);
-  struct galena_caller_request *request;
-  uint32_t cursor = 0;
-
-  if (flow == NULL || flow->tag != message->tag)
-    return NULL;
-  flow->heard = world->now;
-  while ((request
-          = galena_table_next (world->caller->requests, &cursor, &handle->row))
-         != NULL)
-    if (request->number == message->request
-        && galena_handle_pack (request->flow.row)
-               == galena_handle_pack (flow_handle.row))
-      return request;
-  return NULL;
-}
-
 /* Closes a flow that a second agent accepted as well.  */
 static void
 close_surplus (struct galena_world *world, const struct galena_message *accept)
@@ -139,6 +115,7 @@
                                      .link = GALENA_LINK_APPLICATION,
                                      .run = handle,
                                      .kind = request->kind,
+                                     .user = request->user,
                                      .part = answer->base,
                                      .body = part,
                                      .body_size = size };
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -168,7 +168,7 @@
     return;
   if (request->number == 0)
     {
-      request->number = ++flow->last_request;
+      galena_caller_number (world, handle);
       request->resend = galena_clock_after (world->now, PART_RESEND_MS);
     }
   send_window (world, flow, request);
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -43,6 +43,8 @@
   bool idempotent;
   bool endless;
   bool cancelled;
+  /* Number that the application gave.  */
+  uint64_t user;
   /* Owned.  */
   uint8_t *body;
   uint32_t body_size;
@@ -61,6 +63,8 @@
   struct galena_table *flows;
   struct galena_map *flows_by_id;
   struct galena_table *requests;
+  /* Flow and number to request, once the request has a number.  */
+  struct galena_map *requests_by_number;
 };
 
 static inline struct galena_caller_flow *
@@ -77,7 +81,11 @@
   return galena_table_get (world->caller->requests, handle.row);
 }
 
-/* Finds the request NUMBER of the flow with ID, open with TAG.  */
+/* Gives REQUEST the next number of its flow.  */
+void galena_caller_number (struct galena_world *world,
+                           struct galena_request_handle handle);
+
+/* Finds the request that MESSAGE speaks of; its flow must have the tag.  */
 struct galena_caller_request *
 galena_caller_find (const struct galena_world *world,
                     const struct galena_message *message,
--- a/packages/daemon/src/agent_loop.c
+++ b/packages/daemon/src/agent_loop.c
@@ -20,7 +20,6 @@
 {
   struct process *process;
   struct galena_world *world;
-  struct galena_wire_decoder *decoder;
   struct galena_datagrams *sockets[GALENA_LINK_COUNT];
   struct upstream_link *upstream;
 };
@@ -53,9 +52,6 @@
 
   loop->process = process;
   result = galena_datagrams_create (&peers, &loop->sockets[GALENA_LINK_PEER]);
-  if (result != GALENA_OK)
-    return result;
-  result = galena_wire_decoder_create (&loop->decoder);
   if (result != GALENA_OK)
     return result;
   result = create_world (loop);
@@ -70,7 +66,6 @@
 {
   upstream_link_destroy (loop->upstream);
   galena_world_destroy (loop->world);
-  galena_wire_decoder_destroy (loop->decoder);
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
     galena_datagrams_destroy (loop->sockets[link]);
 }
@@ -89,8 +84,8 @@
 static void
 run_tick (struct agent_loop *loop)
 {
-  galena_link_receive (loop->sockets[GALENA_LINK_PEER], loop->decoder,
-                       loop->world, GALENA_LINK_PEER);
+  galena_link_receive (loop->sockets[GALENA_LINK_PEER], loop->world,
+                       GALENA_LINK_PEER);
   upstream_link_receive (loop->upstream);
   rcu_read_lock ();
   galena_world_tick (loop->world, galena_monotonic_now (),
--- a/packages/daemon/src/entry_loop.c
+++ b/packages/daemon/src/entry_loop.c
@@ -23,7 +23,6 @@
   struct process *process;
   pthread_t thread;
   struct galena_world *world;
-  struct galena_wire_decoder *decoder;
   struct galena_datagrams *sockets[GALENA_LINK_COUNT];
 };
 
@@ -60,7 +59,6 @@
 destroy_thread (struct entry_thread *thread)
 {
   galena_world_destroy (thread->world);
-  galena_wire_decoder_destroy (thread->decoder);
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
     galena_datagrams_destroy (thread->sockets[link]);
 }
@@ -73,9 +71,6 @@
 
   thread->process = process;
   result = create_sockets (thread);
-  if (result != GALENA_OK)
-    return result;
-  result = galena_wire_decoder_create (&thread->decoder);
   if (result != GALENA_OK)
     return result;
   return create_world (thread, index);
@@ -98,10 +93,10 @@
 static void
 run_tick (struct entry_thread *thread)
 {
-  galena_link_receive (thread->sockets[GALENA_LINK_CALLER], thread->decoder,
-                       thread->world, GALENA_LINK_CALLER);
-  galena_link_receive (thread->sockets[GALENA_LINK_PEER], thread->decoder,
-                       thread->world, GALENA_LINK_PEER);
+  galena_link_receive (thread->sockets[GALENA_LINK_CALLER], thread->world,
+                       GALENA_LINK_CALLER);
+  galena_link_receive (thread->sockets[GALENA_LINK_PEER], thread->world,
+                       GALENA_LINK_PEER);
   rcu_read_lock ();
   galena_world_tick (thread->world, galena_monotonic_now (),
                      snapshot_read (thread->process->snapshot));
--- a/packages/platform/include/galenaford/link.h
+++ b/packages/platform/include/galenaford/link.h
@@ -10,7 +10,6 @@
 /* Receives one batch from SOCKET into the inbox of WORLD as messages on LINK.
    Returns the number of datagrams that did not decode.  */
 uint32_t galena_link_receive (struct galena_datagrams *socket,
-                              struct galena_wire_decoder *decoder,
                               struct galena_world *world,
                               enum galena_link link);
 
--- a/packages/platform/src/link.c
+++ b/packages/platform/src/link.c
@@ -4,7 +4,6 @@
 
 uint32_t
 galena_link_receive (struct galena_datagrams *socket,
-                     struct galena_wire_decoder *decoder,
                      struct galena_world *world, enum galena_link link)
 {
   uint32_t count = galena_datagrams_receive (socket);
@@ -17,7 +16,7 @@
       size_t size;
       const uint8_t *bytes = galena_datagrams_get (socket, i, &size, &source);
 
-      if (galena_wire_decode (decoder, bytes, size, &message) != GALENA_OK)
+      if (galena_wire_decode (bytes, size, &message) != GALENA_OK)
         {
           malformed++;
           continue;
--- a/packages/wire/include/galenaford/wire.h
+++ b/packages/wire/include/galenaford/wire.h
@@ -16,22 +16,11 @@
   GALENA_DATAGRAM_BYTES_MAX = 1280
 };
 
-struct galena_wire_decoder;
-
-/* Creates a decoder in *OUT; the caller owns it.  Decoding allocates nothing
-   further.  Errors: GALENA_ERR_MEMORY.  */
-enum galena_result
-galena_wire_decoder_create (struct galena_wire_decoder **out);
-
-/* Destroys DECODER; accepts NULL.  */
-void galena_wire_decoder_destroy (struct galena_wire_decoder *decoder);
-
 /* Decodes SIZE bytes into *MESSAGE, whose body points into BYTES.  The link
-   and peer are left for the caller to fill in.
+   and peer are left for the caller to fill in.  Allocates nothing.
    Errors: GALENA_ERR_TRUNCATED, GALENA_ERR_TOO_LARGE, GALENA_ERR_SCHEMA,
    GALENA_ERR_TYPE, GALENA_ERR_RANGE.  */
-enum galena_result galena_wire_decode (struct galena_wire_decoder *decoder,
-                                       const uint8_t *bytes, size_t size,
+enum galena_result galena_wire_decode (const uint8_t *bytes, size_t size,
                                        struct galena_message *message);
 
 /* Encodes MESSAGE into BYTES and stores the length in *SIZE.
--- a/packages/wire/src/wire.c
+++ b/packages/wire/src/wire.c
@@ -1,12 +1,13 @@
 /* One table of fields drives both directions of the datagram codec.  */
 
-#include <stdlib.h>
 #include <string.h>
 
 #include <msgpack.h>
 
 #include <galenaford/wire.h>
 
+#include "unpack.h"
+
 /* One integer field of a message.  */
 struct wire_field
 {
@@ -35,49 +36,17 @@
 {
   FIELD_COUNT = sizeof FIELDS / sizeof FIELDS[0],
   /* Schema version, type, the fields, and the body.  */
-  ARRAY_SIZE = 2 + FIELD_COUNT + 1,
-  /* First chunk of the decoder's memory; holds any valid datagram.  */
-  ZONE_BYTES = 4096
-};
-
-struct galena_wire_decoder
-{
-  msgpack_zone zone;
+  ARRAY_SIZE = 2 + FIELD_COUNT + 1
 };
 
-enum galena_result
-galena_wire_decoder_create (struct galena_wire_decoder **out)
-{
-  struct galena_wire_decoder *decoder = calloc (1, sizeof *decoder);
-
-  if (decoder == NULL)
-    return GALENA_ERR_MEMORY;
-  if (!msgpack_zone_init (&decoder->zone, ZONE_BYTES))
-    {
-      free (decoder);
-      return GALENA_ERR_MEMORY;
-    }
-  *out = decoder;
-  return GALENA_OK;
-}
-
-void
-galena_wire_decoder_destroy (struct galena_wire_decoder *decoder)
-{
-  if (decoder == NULL)
-    return;
-  msgpack_zone_destroy (&decoder->zone);
-  free (decoder);
-}
-
 static enum galena_result
-read_integer (const msgpack_object *object, uint64_t max, uint64_t *value)
+read_integer (const struct unpack_item *item, uint64_t max, uint64_t *value)
 {
-  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+  if (item->type != UNPACK_UNSIGNED)
     return GALENA_ERR_TYPE;
-  if (object->via.u64 > max)
+  if (item->value > max)
     return GALENA_ERR_RANGE;
-  *value = object->via.u64;
+  *value = item->value;
   return GALENA_OK;
 }
 
@@ -138,7 +107,7 @@
 }
 
 static enum galena_result
-read_head (const msgpack_object *items, struct galena_message *message)
+read_head (const struct unpack_item *items, struct galena_message *message)
 {
   uint64_t schema;
   uint64_t type;
@@ -158,66 +127,56 @@
 }
 
 static enum galena_result
-read_body (const msgpack_object *item, struct galena_message *message)
+read_body (const struct unpack_item *item, struct galena_message *message)
 {
-  if (item->type != MSGPACK_OBJECT_BIN)
+  if (item->type != UNPACK_BINARY)
     return GALENA_ERR_TYPE;
-  if (item->via.bin.size > GALENA_PART_BYTES)
+  if (item->size > GALENA_PART_BYTES)
     return GALENA_ERR_TOO_LARGE;
-  message->body = (const uint8_t *)item->via.bin.ptr;
-  message->body_size = item->via.bin.size;
+  message->body = item->data;
+  message->body_size = item->size;
   return GALENA_OK;
 }
 
 static enum galena_result
-read_message (const msgpack_object *object, struct galena_message *message)
+read_message (const struct unpack_items *items, struct galena_message *message)
 {
-  const msgpack_object *items;
   enum galena_result result;
 
-  if (object->type != MSGPACK_OBJECT_ARRAY)
-    return GALENA_ERR_TYPE;
-  if (object->via.array.size < 2)
+  if (items->count < 2)
     return GALENA_ERR_TRUNCATED;
-  items = object->via.array.ptr;
-  result = read_head (items, message);
+  result = read_head (items->rows, message);
   if (result != GALENA_OK)
     return result;
-  if (object->via.array.size != ARRAY_SIZE)
+  if (items->count != ARRAY_SIZE)
     return GALENA_ERR_TRUNCATED;
   for (uint32_t i = 0; i < FIELD_COUNT; i++)
     {
       uint64_t value;
 
-      result = read_integer (&items[2 + i], field_max (&FIELDS[i]), &value);
+      result
+          = read_integer (&items->rows[2 + i], field_max (&FIELDS[i]), &value);
       if (result != GALENA_OK)
         return result;
       store_field (message, &FIELDS[i], value);
     }
-  return read_body (&items[ARRAY_SIZE - 1], message);
+  return read_body (&items->rows[ARRAY_SIZE - 1], message);
 }
 
 enum galena_result
-galena_wire_decode (struct galena_wire_decoder *decoder, const uint8_t *bytes,
-                    size_t size, struct galena_message *message)
+galena_wire_decode (const uint8_t *bytes, size_t size,
+                    struct galena_message *message)
 {
-  msgpack_object object;
-  size_t offset = 0;
-  msgpack_unpack_return unpacked;
+  struct unpack_items items;
+  enum galena_result result;
 
   if (size > GALENA_DATAGRAM_BYTES_MAX)
     return GALENA_ERR_TOO_LARGE;
-  msgpack_zone_clear (&decoder->zone);
-  unpacked = msgpack_unpack ((const char *)bytes, size, &offset,
-                             &decoder->zone, &object);
-  if (unpacked == MSGPACK_UNPACK_CONTINUE)
-    return GALENA_ERR_TRUNCATED;
-  if (unpacked == MSGPACK_UNPACK_EXTRA_BYTES)
-    return GALENA_ERR_TOO_LARGE;
-  if (unpacked != MSGPACK_UNPACK_SUCCESS)
-    return GALENA_ERR_TYPE;
+  result = unpack_array (bytes, size, &items);
+  if (result != GALENA_OK)
+    return result;
   memset (message, 0, sizeof *message);
-  return read_message (&object, message);
+  return read_message (&items, message);
 }
 
 /* A fixed buffer that the packer writes to.  */
--- a/test/standins/caller.c
+++ b/test/standins/caller.c
@@ -266,7 +266,6 @@
 {
   struct galena_datagrams_options options = { .shared = false };
   struct galena_datagrams *sockets[GALENA_LINK_COUNT] = { NULL };
-  struct galena_wire_decoder *decoder;
   struct galena_world_options world_options = { .role = GALENA_ROLE_CALLER,
                                                 .flows = REQUESTS_MAX,
                                                 .requests = REQUESTS_MAX,
@@ -283,7 +282,6 @@
   run_id &= 0xffffff;
   if (galena_datagrams_create (&options, &sockets[GALENA_LINK_CALLER])
           != GALENA_OK
-      || galena_wire_decoder_create (&decoder) != GALENA_OK
       || galena_world_create (&world_options, &world) != GALENA_OK)
     return 1;
   now = before = galena_monotonic_now ();
@@ -298,7 +296,7 @@
           = { galena_datagrams_fd (sockets[GALENA_LINK_CALLER]), POLLIN, 0 };
 
       poll (&fd, 1, TICK_MS);
-      galena_link_receive (sockets[GALENA_LINK_CALLER], decoder, world,
+      galena_link_receive (sockets[GALENA_LINK_CALLER], world,
                            GALENA_LINK_CALLER);
       now = galena_monotonic_now ();
       if (!galena_clock_reached (now, end))
--- a/test/unit/test_table.c
+++ b/test/unit/test_table.c
@@ -28,7 +28,7 @@
 {
   const struct table_case *test = data;
   struct galena_table_options options = { sizeof (int), test->capacity };
-  struct galena_handle handles[16];
+  struct galena_handle handles[16] = { { 0, 0 } };
   struct galena_table *table;
   uint32_t inserted = 0;
   uint32_t removed = 0;
@@ -79,6 +79,7 @@
   struct galena_map_options options = { test->keys, test->seed };
   struct galena_map *map;
 
+  g_assert_cmpuint (test->remove_every, >, 0);
   g_assert_cmpint (galena_map_create (&options, &map), ==, GALENA_OK);
   for (uint32_t key = 0; key < test->keys; key++)
     g_assert_cmpint (galena_map_insert (map, key, key * 3), ==, GALENA_OK);
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -31,16 +31,13 @@
 static void
 check_round_trip (void)
 {
-  struct galena_wire_decoder *decoder;
   struct galena_message back;
   uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
   size_t size;
 
-  g_assert_cmpint (galena_wire_decoder_create (&decoder), ==, GALENA_OK);
   g_assert_cmpint (galena_wire_encode (&FULL, bytes, sizeof bytes, &size), ==,
                    GALENA_OK);
-  g_assert_cmpint (galena_wire_decode (decoder, bytes, size, &back), ==,
-                   GALENA_OK);
+  g_assert_cmpint (galena_wire_decode (bytes, size, &back), ==, GALENA_OK);
   g_assert_cmpmem (back.body, back.body_size, "body", 4);
   back.body = FULL.body;
   g_assert_cmpmem (&back.flow, sizeof back.flow, &FULL.flow, sizeof FULL.flow);
@@ -51,7 +48,6 @@
   g_assert_cmpint (back.result, ==, FULL.result);
   g_assert_cmpint (galena_wire_encode (&FULL, bytes, size - 1, &size), ==,
                    GALENA_ERR_TOO_LARGE);
-  galena_wire_decoder_destroy (decoder);
 }
 
 struct bad_datagram_case
@@ -71,6 +67,9 @@
   { "/wire/bad/type-none", 4, 0, 0, GALENA_ERR_RANGE },
   { "/wire/bad/type-private", 4, 20, 0, GALENA_ERR_RANGE },
   { "/wire/bad/not-an-array", 0, 0x01, 1, GALENA_ERR_TYPE },
+  { "/wire/bad/claims-many-items", 0, 0xdd, 0, GALENA_ERR_TOO_LARGE },
+  { "/wire/bad/nested-array", 4, 0x91, 0, GALENA_ERR_TYPE },
+  { "/wire/bad/nested-map", 4, 0x81, 0, GALENA_ERR_TYPE },
   { "/wire/bad/field-type", 5, 0xc0, 0, GALENA_ERR_TOO_LARGE },
 };
 
@@ -78,19 +77,16 @@
 run_bad_datagram_case (gconstpointer data)
 {
   const struct bad_datagram_case *test = data;
-  struct galena_wire_decoder *decoder;
   struct galena_message message;
   uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
   size_t size;
 
-  galena_wire_decoder_create (&decoder);
   galena_wire_encode (&FULL, bytes, sizeof bytes, &size);
   bytes[test->at] = test->value;
   if (test->size != 0)
     size = test->size;
-  g_assert_cmpint (galena_wire_decode (decoder, bytes, size, &message), ==,
+  g_assert_cmpint (galena_wire_decode (bytes, size, &message), ==,
                    test->expect);
-  galena_wire_decoder_destroy (decoder);
 }
 
 struct record_case
@@ -191,12 +187,10 @@
 check_mutations (void)
 {
   struct galena_random random = { 7, 0 };
-  struct galena_wire_decoder *decoder;
   struct galena_message message;
   struct galena_service_record record;
   struct galena_faults faults;
 
-  galena_wire_decoder_create (&decoder);
   for (int i = 0; i < MUTATIONS; i++)
     {
       uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
@@ -204,7 +198,7 @@
 
       galena_wire_encode (&FULL, bytes, sizeof bytes, &size);
       size = mutate (&random, bytes, size);
-      if (galena_wire_decode (decoder, bytes, size, &message) == GALENA_OK)
+      if (galena_wire_decode (bytes, size, &message) == GALENA_OK)
         g_assert_cmpuint (message.body_size, <=, GALENA_PART_BYTES);
       memcpy (bytes, RECORD, sizeof RECORD);
       size = mutate (&random, bytes, sizeof RECORD - 1);
@@ -212,7 +206,6 @@
           == GALENA_OK)
         galena_record_release (&record);
     }
-  galena_wire_decoder_destroy (decoder);
 }
 
 int
