--- /dev/null
+++ b/test/fake/fleet_network.c
@@ -0,0 +1,102 @@
+/* Packets between nodes: the fabric, delays and losses.  */
+
+#include "fleet_private.h"
+
+void
+fleet_free_packets (GArray *packets)
+{
+  for (guint i = 0; i < packets->len; i++)
+    g_free (g_array_index (packets, struct packet, i).body);
+  g_array_set_size (packets, 0);
+}
+
+static int
+node_at (const struct fleet *fleet, struct galena_endpoint address)
+{
+  uint32_t index = address.ip - FLEET_NODE_IP;
+
+  return index < fleet->node_count ? (int)index : -1;
+}
+
+/* Draws an entry that the fabric knows; -1 when there is none.  */
+static int
+draw_entry (struct fleet *fleet)
+{
+  uint32_t count = 0;
+  uint32_t drawn;
+
+  for (uint32_t i = 0; i < fleet->node_count; i++)
+    count += fleet->nodes[i].kind == FLEET_ENTRY && fleet->nodes[i].listed;
+  drawn = galena_random_below (&fleet->random, count);
+  for (uint32_t i = 0; i < fleet->node_count; i++)
+    if (fleet->nodes[i].kind == FLEET_ENTRY && fleet->nodes[i].listed
+        && drawn-- == 0)
+      return (int)i;
+  return -1;
+}
+
+bool
+fleet_happens (struct fleet *fleet, double share)
+{
+  return share > 0 && galena_random_unit (&fleet->random) < share;
+}
+
+static void
+put_on_wheel (struct fleet *fleet, uint32_t from, uint32_t to,
+              const struct galena_message *message)
+{
+  const struct fleet_network *network = &fleet->options.network;
+  struct packet packet = { .from = from, .to = to, .message = *message };
+  uint32_t delay_ms = network->delay_ms;
+
+  if (network->jitter_ms > 0)
+    delay_ms += galena_random_below (&fleet->random, network->jitter_ms + 1);
+  if (fleet_happens (fleet, network->reorder))
+    delay_ms += network->reorder_ms;
+  if (delay_ms == 0)
+    delay_ms = 1;
+  packet.body = g_memdup2 (message->body, message->body_size);
+  packet.message.peer = fleet->nodes[from].address;
+  g_array_append_val (
+      fleet->wheel[(fleet->now.ms + delay_ms) % FLEET_WHEEL_MS], packet);
+}
+
+void
+fleet_send_packet (struct fleet *fleet, uint32_t from,
+                   const struct galena_message *message)
+{
+  int to = message->peer.ip == FLEET_FABRIC_IP
+               ? draw_entry (fleet)
+               : node_at (fleet, message->peer);
+
+  if (to < 0 || fleet->nodes[from].group != fleet->nodes[to].group)
+    return;
+  if (fleet_happens (fleet, fleet->options.network.drop))
+    return;
+  put_on_wheel (fleet, from, (uint32_t)to, message);
+  if (fleet_happens (fleet, fleet->options.network.duplicate))
+    put_on_wheel (fleet, from, (uint32_t)to, message);
+}
+
+void
+fleet_run_deliver (struct fleet *fleet)
+{
+  GArray *packets = fleet->wheel[fleet->now.ms % FLEET_WHEEL_MS];
+
+  for (guint i = 0; i < packets->len; i++)
+    {
+      struct packet *packet = &g_array_index (packets, struct packet, i);
+      struct fleet_node *node = &fleet->nodes[packet->to];
+      bool from_caller = fleet->nodes[packet->from].kind == FLEET_CALLER;
+
+      if (!fleet_node_is_up (fleet, node)
+          || node->group != fleet->nodes[packet->from].group)
+        continue;
+      packet->message.body = packet->body;
+      packet->message.link = from_caller || node->kind == FLEET_CALLER
+                                 ? GALENA_LINK_CALLER
+                                 : GALENA_LINK_PEER;
+      galena_mailbox_push (galena_world_inbox (node->world), &packet->message);
+    }
+  fleet_free_packets (packets);
+}
