--- a/packages/core/include/galenaford/message.h
+++ b/packages/core/include/galenaford/message.h
@@ -97,12 +97,18 @@
   uint16_t kind;
   /* Agents that have passed this open on.  */
   uint8_t hops;
+  /* Number of the source port to send from; never on the wire.  A front end
+     uses a port of its own for each number.  */
+  uint8_t path;
   /* Overload level of the kind at the agent, 0 to 255.  */
   uint8_t overload;
   /* Part number of the body; in acks, the next part expected.  */
   uint32_t part;
   /* Number of parts of the whole body, or GALENA_TOTAL_UNKNOWN.  */
   uint32_t total;
+  /* Bytes of an endless answer that the caller has had on earlier flows; the
+     upstream goes on from there.  */
+  uint64_t resume;
   /* Milliseconds left for the request.  */
   uint32_t deadline_ms;
   /* Expected wait at the sending agent in milliseconds.  */
--- /dev/null
+++ b/test/fake/fleet_life.c
@@ -0,0 +1,75 @@
+/* Nodes start, stop by plan, and end at once.  */
+
+#include "fleet_private.h"
+
+void
+fleet_kill (struct fleet *fleet, uint32_t index)
+{
+  struct fleet_node *node = &fleet->nodes[index];
+
+  galena_world_destroy (node->world);
+  node->world = NULL;
+  fleet_platform_stop (node);
+  node->upstream.running = 0;
+  node->stop_limit.ms = INT64_MAX;
+  if (node->withdrawn_at.ms > fleet->now.ms)
+    node->withdrawn_at = fleet->now;
+}
+
+void
+fleet_start (struct fleet *fleet, uint32_t index)
+{
+  struct fleet_node *node = &fleet->nodes[index];
+
+  node->lives++;
+  node->withdrawn_at.ms = INT64_MAX;
+  node->stop_limit.ms = INT64_MAX;
+  node->port = FLEET_NODE_PORT;
+  node->options.seed = galena_random_next (&fleet->random);
+  node->options.incarnation = (uint32_t)node->options.seed;
+  node->read_at.ms = -1;
+  g_assert_cmpint (galena_world_create (&node->options, &node->world), ==,
+                   GALENA_OK);
+  fleet_platform_start (node);
+}
+
+void
+fleet_stop (struct fleet *fleet, uint32_t index, uint32_t limit_ms,
+            bool replace)
+{
+  struct fleet_node *node = &fleet->nodes[index];
+
+  if (node->world == NULL)
+    return;
+  galena_world_drain (node->world);
+  node->withdrawn_at = fleet->now;
+  node->stop_limit = galena_clock_after (fleet->now, limit_ms);
+  node->replace = replace;
+}
+
+/* Whether the fabric has noticed that NODE stops.  */
+static bool
+is_withdrawn (const struct fleet *fleet, const struct fleet_node *node)
+{
+  int64_t since_ms = galena_clock_between (node->withdrawn_at, fleet->now);
+
+  return node->kind != FLEET_ENTRY || since_ms > fleet->options.fabric_lag_ms;
+}
+
+void
+fleet_run_stops (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->node_count; i++)
+    {
+      struct fleet_node *node = &fleet->nodes[i];
+
+      if (node->stop_limit.ms == INT64_MAX || !fleet_node_is_up (fleet, node))
+        continue;
+      if (!galena_clock_reached (fleet->now, node->stop_limit)
+          && !(is_withdrawn (fleet, node) && galena_world_idle (node->world)))
+        continue;
+      fleet_kill (fleet, i);
+      if (node->replace)
+        fleet_start (fleet, i);
+    }
+}
--- a/test/fake/fleet_upstream.c
+++ b/test/fake/fleet_upstream.c
@@ -23,6 +23,7 @@
                      .holds_slot = !load->endless,
                      .endless = load->endless };
 
+  run.answer_at = message->resume;
   if (upstream->sheds && run.holds_slot
       && upstream->running >= upstream->slots)
     {
