--- a/test/fake/fleet.c
+++ b/test/fake/fleet.c
@@ -70,7 +70,8 @@
   record->service.address.ip = FLEET_SERVICE_IP + index;
   record->service.address.port = FLEET_SERVICE_PORT;
   record->service.kind_count = count;
-  memcpy (record->service.kinds, kinds, count * sizeof *kinds);
+  for (uint32_t i = 0; i < count; i++)
+    record->service.kinds[i] = kinds[i];
   record->upstreams = g_new0 (struct galena_upstream, FLEET_NODES_MAX);
   return index;
 }
@@ -91,6 +92,7 @@
   node->address.ip = FLEET_NODE_IP + index;
   node->address.port = FLEET_NODE_PORT;
   node->options.messages = FLEET_TICK_MESSAGES;
+  node->leaving_at.ms = INT64_MAX;
   node->options.choice = fleet->options.choice;
   node->options.admission = fleet->options.admission;
   return index;
@@ -162,6 +164,12 @@
   return NULL;
 }
 
+void
+fleet_set_address (struct fleet *fleet, uint32_t service, uint32_t number)
+{
+  fleet->services[service].service.address.ip = FLEET_SERVICE_IP + number - 1;
+}
+
 void
 fleet_publish (struct fleet *fleet, uint32_t service)
 {
@@ -258,7 +266,7 @@
 static void (*const SYSTEMS[]) (struct fleet *)
     = { fleet_run_platform, fleet_run_loads,   fleet_run_thinking,
         fleet_run_feeds,    fleet_run_deliver, fleet_run_upstreams,
-        run_worlds,         fleet_run_stops };
+        run_worlds,         fleet_run_stops,   fleet_run_watch };
 
 void
 fleet_run (struct fleet *fleet, int64_t until_ms)
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -78,6 +78,13 @@
   bool cut_from_platform;
   /* Records published at this instant or before have reached the node.  */
   struct galena_clock read_at;
+  /* When the node last began to run, woke up, or came back from a cut.  */
+  struct galena_clock reachable_at;
+  /* Since when its upstream is published as leaving; INT64_MAX if not.  */
+  struct galena_clock leaving_at;
+  /* Flows accepted and generations in force when last looked at.  */
+  uint64_t accepted_seen;
+  uint64_t generations_seen[FLEET_SERVICES_MAX];
   /* Number of starts.  */
   uint32_t lives;
   /* Highest port in use.  */
@@ -140,7 +147,9 @@
 {
   uint32_t load;
   struct galena_flow_handle flow;
+  /* When it was submitted; after its end, when the next one is due.  */
   struct galena_clock sent_at;
+  struct galena_clock submitted_at;
   uint32_t left_on_flow;
   struct galena_clock heard_at;
   uint32_t executed;
@@ -207,6 +216,12 @@
   GArray *silences;
   /* Numbers of endless jobs that go on.  */
   GArray *feeds;
+  /* Longest time that a reachable node was behind what was published.  */
+  uint32_t force_ms;
+  /* Longest time after which a leaving upstream took a new flow.  */
+  uint32_t new_work_ms;
+  /* Records that a node replaced by an older one.  */
+  uint32_t reverts;
 };
 
 struct fleet *fleet_create (const struct fleet_options *options);
@@ -231,6 +246,11 @@
 struct galena_upstream *fleet_upstream_row (struct fleet *fleet,
                                             uint32_t node);
 
+/* Gives SERVICE address NUMBER, from 1, with its next fleet_publish; service
+   N begins at address N.  */
+void fleet_set_address (struct fleet *fleet, uint32_t service,
+                        uint32_t number);
+
 /* Publishes the record of SERVICE under the next generation.  */
 void fleet_publish (struct fleet *fleet, uint32_t service);
 
@@ -250,6 +270,13 @@
 void fleet_stop (struct fleet *fleet, uint32_t node, uint32_t limit_ms,
                  bool replace);
 
+/* Has a node neither tick nor answer for LENGTH_MS; what arrives waits.  */
+void fleet_freeze (struct fleet *fleet, uint32_t node, uint32_t length_ms);
+
+/* Puts a node into GROUP: packets pass within a group only.  A node in a
+   group other than 0 can't read the platform.  */
+void fleet_cut (struct fleet *fleet, uint32_t node, uint32_t group);
+
 /* Silences the paths in use between FROM and TO, which may be
    FLEET_ANY_ENTRY.  */
 void fleet_silence (struct fleet *fleet, uint32_t from, uint32_t to);
@@ -280,6 +307,11 @@
   double imbalance;
 };
 
+/* Returns what LOAD got answered of the requests sent from FROM on and
+   before UNTIL, from 0 to 1.  */
+double fleet_kept (const struct fleet *fleet, const struct fleet_load *load,
+                   struct galena_clock from, struct galena_clock until);
+
 void fleet_totals (const struct fleet *fleet, struct fleet_totals *totals);
 
 /* Returns the latency below which SHARE of LOAD's answers came.  */
--- a/test/fake/fleet_life.c
+++ b/test/fake/fleet_life.c
@@ -25,6 +25,9 @@
   node->withdrawn_at.ms = INT64_MAX;
   node->stop_limit.ms = INT64_MAX;
   node->port = FLEET_NODE_PORT;
+  node->reachable_at = fleet->now;
+  node->accepted_seen = 0;
+  memset (node->generations_seen, 0, sizeof node->generations_seen);
   node->options.seed = galena_random_next (&fleet->random);
   node->options.incarnation = (uint32_t)node->options.seed;
   node->read_at.ms = -1;
@@ -47,6 +50,25 @@
   node->replace = replace;
 }
 
+void
+fleet_freeze (struct fleet *fleet, uint32_t index, uint32_t length_ms)
+{
+  struct fleet_node *node = &fleet->nodes[index];
+
+  node->frozen_until = galena_clock_after (fleet->now, length_ms);
+  node->reachable_at = node->frozen_until;
+}
+
+void
+fleet_cut (struct fleet *fleet, uint32_t index, uint32_t group)
+{
+  struct fleet_node *node = &fleet->nodes[index];
+
+  node->group = group;
+  node->cut_from_platform = group != 0;
+  node->reachable_at = fleet->now;
+}
+
 /* Whether the fabric has noticed that NODE stops.  */
 static bool
 is_withdrawn (const struct fleet *fleet, const struct fleet_node *node)
--- a/test/fake/fleet_load.c
+++ b/test/fake/fleet_load.c
@@ -57,6 +57,7 @@
                            .flow = flow,
                            .sent_at = fleet->now,
                            .heard_at = fleet->now,
+                           .submitted_at = fleet->now,
                            .left_on_flow = left_on_flow };
   uint32_t number = fleet->jobs->len;
   struct fleet_job *row;
--- a/test/fake/fleet_private.h
+++ b/test/fake/fleet_private.h
@@ -85,6 +85,11 @@
 void fleet_take_end (struct fleet *fleet, struct fleet_node *caller,
                      const struct galena_message *message);
 
+/* fleet_watch.c */
+
+/* System: notes how far nodes are behind the platform.  */
+void fleet_run_watch (struct fleet *fleet);
+
 /* fleet_upstream.c */
 void fleet_start_run (struct fleet *fleet, uint32_t index,
                       const struct galena_message *message);
--- a/test/fake/fleet_report.c
+++ b/test/fake/fleet_report.c
@@ -65,6 +65,27 @@
   add_nodes (fleet, totals);
 }
 
+double
+fleet_kept (const struct fleet *fleet, const struct fleet_load *load,
+            struct galena_clock from, struct galena_clock until)
+{
+  uint64_t sent = 0;
+  uint64_t answered = 0;
+
+  for (guint i = 0; i < fleet->jobs->len; i++)
+    {
+      const struct fleet_job *job = fleet_job_at (fleet, i);
+
+      if (&fleet->loads[job->load] != load
+          || !galena_clock_reached (job->submitted_at, from)
+          || galena_clock_reached (job->submitted_at, until))
+        continue;
+      sent++;
+      answered += job->ended && job->result == GALENA_OK;
+    }
+  return sent == 0 ? 1 : (double)answered / (double)sent;
+}
+
 static gint
 compare (gconstpointer a, gconstpointer b)
 {
--- /dev/null
+++ b/test/fake/fleet_watch.c
@@ -0,0 +1,94 @@
+/* What nodes have in force, against what was published.  */
+
+#include "fleet_private.h"
+
+enum
+{
+  PERIOD_MS = 10
+};
+
+static const struct fleet_version *
+newest_version (const struct fleet *fleet, uint32_t service)
+{
+  const struct fleet_version *newest = NULL;
+
+  for (guint i = 0; i < fleet->versions->len; i++)
+    {
+      const struct fleet_version *version
+          = &g_array_index (fleet->versions, struct fleet_version, i);
+
+      if (version->service == service
+          && (newest == NULL
+              || version->record.service.generation
+                     > newest->record.service.generation))
+        newest = version;
+    }
+  return newest;
+}
+
+static void
+watch_generation (struct fleet *fleet, struct fleet_node *node,
+                  const struct fleet_version *newest)
+{
+  const struct galena_service_record *record
+      = galena_records_find (node->records, newest->record.service.number);
+  uint64_t generation = record == NULL ? 0 : record->service.generation;
+  struct galena_clock since = { MAX (newest->at.ms, node->reachable_at.ms) };
+  uint64_t *seen = &node->generations_seen[newest->service];
+
+  fleet->reverts += generation < *seen;
+  *seen = generation;
+  if (generation >= newest->record.service.generation || node->group != 0)
+    return;
+  fleet->force_ms = MAX (fleet->force_ms,
+                         (uint32_t)galena_clock_between (since, fleet->now));
+}
+
+static bool
+is_leaving (const struct fleet_version *version, uint32_t upstream)
+{
+  for (uint32_t i = 0; i < version->record.service.upstream_count; i++)
+    if (version->record.upstreams[i].number == upstream)
+      return version->record.upstreams[i].state != GALENA_UPSTREAM_ACTIVE;
+  return true;
+}
+
+static void
+watch_leaving (struct fleet *fleet, struct fleet_node *node,
+               const struct fleet_version *newest)
+{
+  uint64_t accepted
+      = galena_world_counters (node->world)->values[GALENA_COUNT_ACCEPTED];
+
+  if (!is_leaving (newest, node->options.upstream))
+    node->leaving_at.ms = INT64_MAX;
+  else if (node->leaving_at.ms == INT64_MAX)
+    node->leaving_at = newest->at;
+  if (accepted > node->accepted_seen && node->leaving_at.ms < fleet->now.ms)
+    fleet->new_work_ms
+        = MAX (fleet->new_work_ms,
+               (uint32_t)galena_clock_between (node->leaving_at, fleet->now));
+  node->accepted_seen = accepted;
+}
+
+void
+fleet_run_watch (struct fleet *fleet)
+{
+  if (fleet->now.ms % PERIOD_MS != 0)
+    return;
+  for (uint32_t service = 0; service < fleet->service_count; service++)
+    {
+      const struct fleet_version *newest = newest_version (fleet, service);
+
+      for (uint32_t i = 0; i < fleet->node_count && newest != NULL; i++)
+        {
+          struct fleet_node *node = &fleet->nodes[i];
+
+          if (!fleet_node_is_up (fleet, node) || node->kind == FLEET_CALLER)
+            continue;
+          watch_generation (fleet, node, newest);
+          if (node->kind == FLEET_AGENT && node->service == service)
+            watch_leaving (fleet, node, newest);
+        }
+    }
+}
