Take records of different services in any order

Cause: taking a record failed when its address or an upstream number still stood in another service's record, and nothing tried it again. When a service moves to another's old address, the two records arrive in either order, so half the processes were left without the new service.

Ruled out: keeping the refused record and trying it again after each take. Where two records claim an address for good, the first to arrive would then win, and processes would differ.

Change: each record is taken by its own generation and digest alone.

Audit lines record-clash and record-conflict (two records of one generation) say so.

Before: test_records, address-moves-up: no service at the address in one of the orders.

--- a/packages/core/include/galenaford/audit.h
+++ b/packages/core/include/galenaford/audit.h
@@ -15,6 +15,10 @@
   X (GALENA_AUDIT_RECORD_TAKEN, "record-taken", "A record came into force.")  \
   X (GALENA_AUDIT_RECORD_REFUSED, "record-refused",                           \
      "A record was refused; the last good one stays in force.")               \
+  X (GALENA_AUDIT_RECORD_CONFLICT, "record-conflict",                         \
+     "Two records of one generation: the one with the higher digest stays.")  \
+  X (GALENA_AUDIT_RECORD_CLASH, "record-clash",                               \
+     "Two services claim one address or upstream: the lower number has it.")  \
   X (GALENA_AUDIT_UPSTREAM_ADDED, "upstream-added", "An upstream joined.")    \
   X (GALENA_AUDIT_UPSTREAM_LEAVING, "upstream-leaving",                       \
      "An upstream takes no new flows.")                                       \
--- a/packages/core/include/galenaford/config.h
+++ b/packages/core/include/galenaford/config.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <galenaford/clock.h>
 #include <galenaford/message.h>
 #include <galenaford/result.h>
 
@@ -73,7 +74,8 @@
   /* Number that names the service in every record.  */
   uint32_t number;
   char name[GALENA_NAME_BYTES];
-  /* Address and port that callers use.  */
+  /* Address and port that callers use; none in the snapshot when a service
+     with a lower number has it.  */
   struct galena_endpoint address;
   /* Generation and digest of the record in force.  */
   uint64_t generation;
@@ -118,6 +120,14 @@
 const struct galena_upstream *
 galena_config_upstream (const struct galena_config *config, uint32_t index);
 
+/* Sets, before CONFIG is handed on, when its records were last known to be
+   no older than those that the fleet has accepted.  */
+void galena_config_renew (struct galena_config *config,
+                          struct galena_clock now);
+
+/* Returns what galena_config_renew set; 0 at first.  */
+struct galena_clock galena_config_renewed (const struct galena_config *config);
+
 /* Returns the service at ADDRESS, or NULL.  */
 const struct galena_service *
 galena_config_service_at (const struct galena_config *config,
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -16,6 +16,8 @@
   struct galena_map *by_address;
   /* Upstream number to index of the upstream.  */
   struct galena_map *by_number;
+  /* When the records were last known to be no older than the fleet's.  */
+  struct galena_clock renewed;
 };
 
 static uint64_t
@@ -40,8 +42,11 @@
   for (uint32_t i = 0; i < config->service_count; i++)
     {
       uint64_t key = address_key (config->services[i].address);
-      enum galena_result result
-          = galena_map_insert (config->by_address, key, i);
+      enum galena_result result;
+
+      if (key == 0)
+        continue;
+      result = galena_map_insert (config->by_address, key, i);
       if (result != GALENA_OK)
         return result;
     }
@@ -173,3 +178,15 @@
       return &service->kinds[i];
   return NULL;
 }
+
+void
+galena_config_renew (struct galena_config *config, struct galena_clock now)
+{
+  config->renewed = now;
+}
+
+struct galena_clock
+galena_config_renewed (const struct galena_config *config)
+{
+  return config->renewed;
+}
--- a/packages/core/src/records.c
+++ b/packages/core/src/records.c
@@ -3,12 +3,22 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <galenaford/map.h>
 #include <galenaford/records.h>
 #include <galenaford/table.h>
 
+enum
+{
+  /* Most upstreams that the list of instances calls leaving.  */
+  LEAVING_MAX = 4096
+};
+
 struct galena_records
 {
   struct galena_table *services;
+  uint32_t capacity;
+  /* Numbers of the upstreams that the list of instances calls leaving.  */
+  struct galena_map *leaving;
   struct galena_audit *audit;
 };
 
@@ -18,20 +28,26 @@
 {
   struct galena_table_options table
       = { sizeof (struct galena_service_record), options->services };
+  struct galena_map_options leaving = { LEAVING_MAX, 0 };
   struct galena_records *records = calloc (1, sizeof *records);
   enum galena_result result;
 
   if (records == NULL)
     return GALENA_ERR_MEMORY;
   records->audit = options->audit;
+  records->capacity = options->services;
   result = galena_table_create (&table, &records->services);
   if (result != GALENA_OK)
-    {
-      free (records);
-      return result;
-    }
+    goto fail;
+  result = galena_map_create (&leaving, &records->leaving);
+  if (result != GALENA_OK)
+    goto fail;
   *out = records;
   return GALENA_OK;
+
+fail:
+  galena_records_destroy (records);
+  return result;
 }
 
 void
@@ -43,10 +59,12 @@
 
   if (records == NULL)
     return;
-  while ((record = galena_table_next (records->services, &cursor, &handle))
-         != NULL)
+  while (records->services != NULL
+         && (record = galena_table_next (records->services, &cursor, &handle))
+                != NULL)
     free (record->upstreams);
   galena_table_destroy (records->services);
+  galena_map_destroy (records->leaving);
   free (records);
 }
 
@@ -98,6 +116,16 @@
   return next->digest > present->digest;
 }
 
+static bool
+conflicts (const struct galena_service *present,
+           const struct galena_service *next)
+{
+  return next->generation == present->generation
+         && next->digest != present->digest;
+}
+
+/* Tells whether OTHER has the address of RECORD, or one of its upstreams and
+   has not removed it.  */
 static bool
 clashes (const struct galena_service_record *other,
          const struct galena_service_record *record)
@@ -105,30 +133,14 @@
   if (galena_endpoint_equal (other->service.address, record->service.address))
     return true;
   for (uint32_t i = 0; i < record->service.upstream_count; i++)
-    if (find_upstream (other, record->upstreams[i].number) != NULL)
-      return true;
-  return false;
-}
-
-static enum galena_result
-check_record (const struct galena_records *records,
-              const struct galena_service_record *record)
-{
-  const struct galena_service_record *other;
-  uint32_t cursor = 0;
-
-  while ((other = galena_records_next (records, &cursor)) != NULL)
     {
-      if (other->service.number == record->service.number)
-        {
-          if (!is_newer (&other->service, &record->service))
-            return GALENA_ERR_GENERATION;
-          continue;
-        }
-      if (clashes (other, record))
-        return GALENA_ERR_EXISTS;
+      const struct galena_upstream *known
+          = find_upstream (other, record->upstreams[i].number);
+
+      if (known != NULL && known->state != GALENA_UPSTREAM_REMOVED)
+        return true;
     }
-  return GALENA_OK;
+  return false;
 }
 
 static void
@@ -173,6 +185,21 @@
     }
 }
 
+static void
+note_clashes (const struct galena_records *records,
+              const struct galena_service_record *record,
+              struct galena_clock now)
+{
+  const struct galena_service_record *other;
+  uint32_t cursor = 0;
+
+  while ((other = galena_records_next (records, &cursor)) != NULL)
+    if (other->service.number != record->service.number
+        && clashes (other, record))
+      note (records, GALENA_AUDIT_RECORD_CLASH, &record->service, 0, now,
+            GALENA_ERR_EXISTS);
+}
+
 static uint32_t
 count_removed (const struct galena_service_record *before,
                const struct galena_service_record *record)
@@ -239,14 +266,16 @@
 
   if (result != GALENA_OK)
     return result;
-  note_changes (records, present, &after, now);
-  if (present == NULL)
-    present = galena_table_insert (records->services, &handle);
-  if (present == NULL)
+  if (present == NULL
+      && galena_table_count (records->services) == records->capacity)
     {
       free (after.upstreams);
       return GALENA_ERR_FULL;
     }
+  note_clashes (records, record, now);
+  note_changes (records, present, &after, now);
+  if (present == NULL)
+    present = galena_table_insert (records->services, &handle);
   free (present->upstreams);
   *present = after;
   return GALENA_OK;
@@ -257,9 +286,14 @@
                      const struct galena_service_record *record,
                      struct galena_clock now)
 {
-  enum galena_result result = check_record (records, record);
+  const struct galena_service_record *present
+      = find_record (records, record->service.number);
+  enum galena_result result = GALENA_ERR_GENERATION;
 
-  if (result == GALENA_OK)
+  if (present != NULL && conflicts (&present->service, &record->service))
+    note (records, GALENA_AUDIT_RECORD_CONFLICT, &record->service, 0, now,
+          GALENA_ERR_EXISTS);
+  if (present == NULL || is_newer (&present->service, &record->service))
     result = put_record (records, record, now);
   if (result != GALENA_OK)
     note (records, GALENA_AUDIT_RECORD_REFUSED, &record->service, 0, now,
@@ -267,6 +301,25 @@
   return result;
 }
 
+enum galena_result
+galena_records_mark (struct galena_records *records, uint32_t upstream,
+                     bool leaving, struct galena_clock now)
+{
+  struct galena_service none = { 0 };
+  uint64_t value;
+
+  if (galena_map_find (records->leaving, upstream, &value) == leaving)
+    return GALENA_OK;
+  if (!leaving)
+    galena_map_remove (records->leaving, upstream);
+  else if (galena_map_insert (records->leaving, upstream, 1) != GALENA_OK)
+    return GALENA_ERR_FULL;
+  note (records,
+        leaving ? GALENA_AUDIT_UPSTREAM_LEAVING : GALENA_AUDIT_UPSTREAM_ADDED,
+        &none, upstream, now, GALENA_OK);
+  return GALENA_OK;
+}
+
 static uint32_t
 count_upstreams (const struct galena_records *records)
 {
@@ -279,27 +332,109 @@
   return count;
 }
 
+/* Tells whether a service with a lower number claims the address too.  */
+static bool
+is_outranked (const struct galena_records *records,
+              const struct galena_service *service)
+{
+  const struct galena_service_record *other;
+  uint32_t cursor = 0;
+
+  while ((other = galena_records_next (records, &cursor)) != NULL)
+    if (other->service.number < service->number
+        && galena_endpoint_equal (other->service.address, service->address))
+      return true;
+  return false;
+}
+
+/* Rank of a claim to an upstream number, low is better: services that have
+   removed it come last, then the lower service number wins.  */
+static uint64_t
+claim_rank (const struct galena_service *service,
+            const struct galena_upstream *upstream)
+{
+  uint64_t removed = upstream->state == GALENA_UPSTREAM_REMOVED;
+
+  return (removed << 32) | service->number;
+}
+
+/* Stores the best claim to each upstream number in CLAIMS.  */
 static void
+rank_claims (const struct galena_records *records, struct galena_map *claims)
+{
+  const struct galena_service_record *record;
+  uint32_t cursor = 0;
+
+  while ((record = galena_records_next (records, &cursor)) != NULL)
+    for (uint32_t i = 0; i < record->service.upstream_count; i++)
+      {
+        const struct galena_upstream *upstream = &record->upstreams[i];
+        uint64_t rank = claim_rank (&record->service, upstream);
+        uint64_t best;
+
+        if (galena_map_find (claims, upstream->number, &best))
+          {
+            if (best <= rank)
+              continue;
+            galena_map_remove (claims, upstream->number);
+          }
+        galena_map_insert (claims, upstream->number, rank);
+      }
+}
+
+/* Copies the upstreams of RECORD whose claim is the best; returns how many. */
+static uint32_t
+fill_upstreams (const struct galena_records *records,
+                const struct galena_map *claims,
+                const struct galena_service_record *record,
+                struct galena_upstream *upstreams)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < record->service.upstream_count; i++)
+    {
+      struct galena_upstream *copy = &upstreams[count];
+      uint64_t value = 0;
+
+      *copy = record->upstreams[i];
+      galena_map_find (claims, copy->number, &value);
+      if (value != claim_rank (&record->service, copy))
+        continue;
+      if (copy->state == GALENA_UPSTREAM_ACTIVE
+          && galena_map_find (records->leaving, copy->number, &value))
+        copy->state = GALENA_UPSTREAM_LEAVING;
+      count++;
+    }
+  return count;
+}
+
+/* Returns the number of upstreams filled in.  */
+static uint32_t
 fill_snapshot (const struct galena_records *records,
+               const struct galena_map *claims,
                struct galena_service *services,
                struct galena_upstream *upstreams)
 {
   const struct galena_service_record *record;
   uint32_t cursor = 0;
-  uint32_t service = 0;
+  uint32_t index = 0;
   uint32_t next = 0;
 
   while ((record = galena_records_next (records, &cursor)) != NULL)
     {
-      services[service] = record->service;
-      services[service].first_upstream = next;
-      for (uint32_t i = 0; i < record->service.upstream_count; i++)
-        {
-          upstreams[next] = record->upstreams[i];
-          upstreams[next++].service = service;
-        }
-      service++;
+      struct galena_service *service = &services[index];
+
+      *service = record->service;
+      if (is_outranked (records, &record->service))
+        service->address = (struct galena_endpoint){ 0, 0 };
+      service->first_upstream = next;
+      service->upstream_count
+          = fill_upstreams (records, claims, record, &upstreams[next]);
+      for (uint32_t i = 0; i < service->upstream_count; i++)
+        upstreams[next++].service = index;
+      index++;
     }
+  return next;
 }
 
 enum galena_result
@@ -308,21 +443,27 @@
 {
   uint32_t service_count = galena_table_count (records->services);
   uint32_t upstream_count = count_upstreams (records);
+  struct galena_map_options options = { upstream_count + 1, 0 };
+  struct galena_map *claims = NULL;
   struct galena_service *services
       = calloc (service_count + 1, sizeof *services);
   struct galena_upstream *upstreams
       = calloc (upstream_count + 1, sizeof *upstreams);
-  enum galena_result result = GALENA_ERR_MEMORY;
+  enum galena_result result = galena_map_create (&options, &claims);
 
   if (services == NULL || upstreams == NULL)
+    result = GALENA_ERR_MEMORY;
+  if (result != GALENA_OK)
     goto done;
-  fill_snapshot (records, services, upstreams);
+  rank_claims (records, claims);
+  upstream_count = fill_snapshot (records, claims, services, upstreams);
   result = galena_config_create (
       &(struct galena_config_options){ services, service_count, upstreams,
                                        upstream_count },
       out);
 
 done:
+  galena_map_destroy (claims);
   free (services);
   free (upstreams);
   return result;
