Route packets without a tag by chain and leases

Ruled out: flow tables at entries (an entry that starts has none) and a chain of more candidates (nine joins displace every one of them). Change: buckets, a chain of at most four, leases of displaced owners, and a check in the tag without a route. Entries clear the return path that a datagram claims, so that a caller can't name another one.

--- a/packages/core/include/galenaford/caller.h
+++ b/packages/core/include/galenaford/caller.h
@@ -15,6 +15,8 @@
   uint16_t kind;
   /* Milliseconds until an unanswered open is given up.  */
   uint32_t deadline_ms;
+  /* Whether the flow's packets carry no route in their tag.  */
+  bool unrouted;
 };
 
 struct galena_caller_request_options
--- a/packages/core/include/galenaford/config.h
+++ b/packages/core/include/galenaford/config.h
@@ -19,7 +19,14 @@
   /* Most kinds of work in one service.  */
   GALENA_KINDS_MAX = 16,
   /* Most candidates of one flow.  */
-  GALENA_CANDIDATES_MAX = 3
+  GALENA_CANDIDATES_MAX = 3,
+  /* Candidates that accept flows whose packets carry no route.  */
+  GALENA_UNROUTED_CANDIDATES = 2,
+  /* Most upstreams that a packet without a route visits.  */
+  GALENA_CHAIN_MAX = 2 * GALENA_UNROUTED_CANDIDATES,
+  /* Flows of a service fall into this many buckets; the flows of one bucket
+     have the same candidates.  */
+  GALENA_BUCKETS = 16384
 };
 
 enum galena_upstream_state
@@ -64,6 +71,8 @@
   /* Relative share of new flows, at least 1.  */
   uint32_t weight;
   enum galena_upstream_state state;
+  /* Whether it was active in the record before the one in force.  */
+  bool was_active;
   /* Index of the upstream's service in the snapshot.  */
   uint32_t service;
 };
@@ -140,4 +149,23 @@
                                    struct galena_flow_id flow,
                                    uint32_t chosen[GALENA_CANDIDATES_MAX]);
 
+/* Returns the bucket of FLOW in SERVICE, below GALENA_BUCKETS.  */
+uint32_t galena_service_bucket (const struct galena_service *service,
+                                struct galena_flow_id flow);
+
+/* As galena_config_candidates, for all flows of BUCKET.  */
+uint32_t galena_config_candidates_of (const struct galena_config *config,
+                                      const struct galena_service *service,
+                                      uint32_t bucket,
+                                      uint32_t chosen[GALENA_CANDIDATES_MAX]);
+
+/* Stores in CHAIN the indices of the upstreams that a packet without a route
+   visits in turn until one knows its flow: the candidates of BUCKET that may
+   accept such flows now, then those of the record before.  Returns their
+   number, at most GALENA_CHAIN_MAX.  */
+uint32_t galena_config_chain (const struct galena_config *config,
+                              const struct galena_service *service,
+                              uint32_t bucket,
+                              uint32_t chain[GALENA_CHAIN_MAX]);
+
 #endif
--- a/packages/core/include/galenaford/counters.h
+++ b/packages/core/include/galenaford/counters.h
@@ -24,6 +24,9 @@
   X (GALENA_COUNT_REFUSED, "refused", "Opens and requests refused.")          \
   X (GALENA_COUNT_SHED, "shed", "Opens shed at the entry.")                   \
   X (GALENA_COUNT_HANDED_ON, "handed_on", "Opens handed to another agent.")   \
+  X (GALENA_COUNT_FORWARDED, "forwarded",                                     \
+     "Packets without a route passed to another agent.")                      \
+  X (GALENA_COUNT_LEASES, "leases", "Leases on buckets taken or renewed.")    \
   X (GALENA_COUNT_LOST, "lost", "Packets of flows that are not known.")       \
   X (GALENA_COUNT_EXPIRED_FLOWS, "expired_flows", "Flows ended as silent.")   \
   X (GALENA_COUNT_REQUESTS, "requests", "Requests seen first.")               \
--- a/packages/core/include/galenaford/message.h
+++ b/packages/core/include/galenaford/message.h
@@ -50,6 +50,7 @@
   X (GALENA_MESSAGE_CLOSE, 9, "close")                                        \
   X (GALENA_MESSAGE_LOST, 10, "lost")                                         \
   X (GALENA_MESSAGE_LOAD, 11, "load")                                         \
+  X (GALENA_MESSAGE_LEASE, 12, "lease")                                       \
   X (GALENA_MESSAGE_RUN, 20, "run")                                           \
   X (GALENA_MESSAGE_RUN_CANCEL, 21, "run-cancel")                             \
   X (GALENA_MESSAGE_RUN_DATA, 22, "run-data")                                 \
@@ -84,7 +85,7 @@
   struct galena_endpoint service;
   /* Return path to the caller, filled in by the entry.  */
   struct galena_endpoint caller;
-  /* Entry that handles the open, filled in when agents hand it on.  */
+  /* Entry that sent the message, filled in when agents pass it on.  */
   struct galena_endpoint entry;
   struct galena_flow_id flow;
   /* Given by the accepting agent; 0 in an open.  See tag.h.  */
@@ -95,8 +96,10 @@
   uint32_t request;
   /* Kind of work, as numbered in the service's record.  */
   uint16_t kind;
-  /* Agents that have passed this open on.  */
+  /* Agents that have passed this message on.  */
   uint8_t hops;
+  /* In an open: 1 when the flow's packets carry no route in their tag.  */
+  uint8_t unrouted;
   /* Overload level of the kind at the agent, 0 to 255.  */
   uint8_t overload;
   /* Part number of the body; in acks, the next part expected.  */
--- a/packages/core/include/galenaford/result.h
+++ b/packages/core/include/galenaford/result.h
@@ -45,6 +45,8 @@
   X (GALENA_REFUSED_WRONG_SERVICE, 50, "wrong-service",                       \
      "Not run: the message is meant for another service.")                    \
   X (GALENA_REFUSED_BODY, 51, "body", "Not run: the body exceeds its limit.") \
+  X (GALENA_REFUSED_NOT_CANDIDATE, 52, "not-candidate",                       \
+     "Not run: packets without a route would not find this upstream.")        \
   X (GALENA_UNKNOWN_OUTCOME, 60, "outcome-unknown",                           \
      "The request may have run; its answer is lost.")                         \
   X (GALENA_UNKNOWN_FLOW, 61, "flow-lost",                                    \
--- a/packages/core/include/galenaford/tag.h
+++ b/packages/core/include/galenaford/tag.h
@@ -6,6 +6,7 @@
 #ifndef GALENAFORD_TAG_H
 #define GALENAFORD_TAG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 enum
@@ -35,6 +36,23 @@
   return (uint32_t)(tag >> (64 - GALENA_TAG_UPSTREAM_BITS));
 }
 
+/* Returns TAG as a front end carries it that has no room for a route: the
+   incarnation and nonce stay, as a check, and the upstream is 0.  */
+static inline uint64_t
+galena_tag_without_route (uint64_t tag)
+{
+  return tag & (UINT64_MAX >> GALENA_TAG_UPSTREAM_BITS);
+}
+
+/* Tells whether CARRIED, with or without a route, stands for TAG.  */
+static inline bool
+galena_tag_matches (uint64_t tag, uint64_t carried)
+{
+  if (galena_tag_upstream (carried) == 0)
+    tag = galena_tag_without_route (tag);
+  return tag == carried;
+}
+
 /* Returns the incarnation in TAG.  */
 static inline uint32_t
 galena_tag_incarnation (uint64_t tag)
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -10,7 +10,9 @@
 {
   EXPIRE_REQUESTS_PERIOD_MS = 20,
   EXPIRE_FLOWS_PERIOD_MS = 1000,
-  RESEND_PERIOD_MS = 50
+  RESEND_PERIOD_MS = 50,
+  RENEW_LEASES_PERIOD_MS = 100,
+  EXPIRE_LEASES_PERIOD_MS = 1000
 };
 
 const struct galena_upstream *
@@ -60,6 +62,7 @@
           [GALENA_MESSAGE_ACK_ANSWER] = galena_agent_on_ack_answer,
           [GALENA_MESSAGE_CANCEL] = galena_agent_on_cancel,
           [GALENA_MESSAGE_CLOSE] = galena_agent_on_close,
+          [GALENA_MESSAGE_LEASE] = galena_agent_on_lease,
         },
         [GALENA_LINK_APPLICATION] = {
           [GALENA_MESSAGE_RUN_DATA] = galena_agent_on_run_data,
@@ -78,6 +81,8 @@
   { "expire-requests", EXPIRE_REQUESTS_PERIOD_MS,
     galena_agent_run_expire_requests },
   { "expire-flows", EXPIRE_FLOWS_PERIOD_MS, galena_agent_run_expire_flows },
+  { "renew-leases", RENEW_LEASES_PERIOD_MS, galena_agent_run_renew_leases },
+  { "expire-leases", EXPIRE_LEASES_PERIOD_MS, galena_agent_run_expire_leases },
   { "admit", 0, galena_agent_run_admit },
   { "resend", RESEND_PERIOD_MS, galena_agent_run_resend },
   { "answer", 0, galena_agent_run_answer },
@@ -95,7 +100,10 @@
 
   if (result != GALENA_OK)
     return result;
-  return galena_map_create (&by_id, &agent->flows_by_id);
+  result = galena_map_create (&by_id, &agent->flows_by_id);
+  if (result != GALENA_OK)
+    return result;
+  return galena_agent_create_leases (world);
 }
 
 static enum galena_result
@@ -160,6 +168,7 @@
   if (agent == NULL)
     return;
   release_requests (agent);
+  galena_agent_destroy_leases (agent);
   galena_table_destroy (agent->flows);
   galena_table_destroy (agent->requests);
   galena_map_destroy (agent->flows_by_id);
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -26,6 +26,8 @@
   uint64_t done_bits;
   /* Whether the caller has sent anything with the tag.  */
   bool confirmed;
+  /* Whether the flow's packets carry no route in their tag.  */
+  bool unrouted;
 };
 
 enum galena_request_state
@@ -83,6 +85,17 @@
   double run_ms;
 };
 
+/* Another agent's word that it owns flows of a bucket whose chain it has
+   left; packets of unknown flows of the bucket are copied to it.  */
+struct galena_lease
+{
+  uint32_t bucket;
+  /* Place among the leases on the bucket.  */
+  uint32_t place;
+  struct galena_endpoint owner;
+  struct galena_clock until;
+};
+
 struct galena_agent
 {
   struct galena_table *flows;
@@ -96,6 +109,15 @@
   struct galena_request_handle *ready;
   uint32_t ready_count;
   uint64_t body_bytes;
+  struct galena_table *leases;
+  /* Bucket and place among its owners to lease.  */
+  struct galena_map *leases_by_bucket;
+  /* Buckets listed for other agents, while leases are renewed.  */
+  struct galena_table *lease_batches;
+  struct galena_clock renew_leases;
+  /* Generation of the record last seen, and when it was first seen.  */
+  uint64_t generation;
+  struct galena_clock generation_since;
   const struct galena_admission_policy *admission;
 };
 
@@ -143,6 +165,48 @@
 /* Notes that request NUMBER of FLOW is done with.  */
 void galena_flow_set_done (struct galena_flow *flow, uint32_t number);
 
+/* Tells the caller of MESSAGE that its flow is not known.  */
+void galena_agent_send_lost (struct galena_world *world,
+                             const struct galena_message *message);
+
+/* forward.c */
+
+/* Tells whether flows of BUCKET without a route may be accepted here.  */
+bool galena_agent_is_candidate (const struct galena_world *world,
+                                uint32_t bucket);
+
+/* Passes a packet of an unknown flow to the next agent that may know it; when
+   there is none, tells the caller that the flow is lost.  */
+void galena_agent_pass_on (struct galena_world *world,
+                           const struct galena_message *message);
+
+/* lease.c */
+
+enum
+{
+  /* Most leases held on one bucket.  */
+  GALENA_LEASES_PER_BUCKET = 4
+};
+
+/* Creates and destroys the tables of leases.  Errors: GALENA_ERR_MEMORY.  */
+enum galena_result galena_agent_create_leases (struct galena_world *world);
+void galena_agent_destroy_leases (struct galena_agent *agent);
+
+/* Returns the lease at PLACE among those on BUCKET, or NULL.  */
+const struct galena_lease *
+galena_agent_lease (const struct galena_agent *agent, uint32_t bucket,
+                    uint32_t place);
+
+/* Takes the buckets that another agent lists.  */
+void galena_agent_on_lease (struct galena_world *world,
+                            const struct galena_message *message);
+
+/* Notes record changes, and renews the leases that this agent's flows need. */
+void galena_agent_run_renew_leases (struct galena_world *world);
+
+/* Drops leases that were not renewed.  */
+void galena_agent_run_expire_leases (struct galena_world *world);
+
 /* agent_request.c */
 
 void galena_agent_on_request (struct galena_world *world,
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -70,6 +70,10 @@
     return GALENA_REFUSED_LEAVING;
   if (galena_service_kind (service, open->kind) == NULL)
     return GALENA_REFUSED_KIND;
+  if (open->unrouted
+      && !galena_agent_is_candidate (
+          world, galena_service_bucket (service, open->flow)))
+    return GALENA_REFUSED_NOT_CANDIDATE;
   if (galena_table_count (world->agent->flows) >= self->connections)
     return GALENA_REFUSED_CONNECTIONS;
   if (open->deadline_ms == 0)
@@ -94,6 +98,7 @@
       = galena_tag_make (world->options.upstream, world->options.incarnation,
                          (uint32_t)galena_random_next (&world->random));
   flow->heard = world->now;
+  flow->unrouted = open->unrouted != 0;
   if (galena_map_insert (agent->flows_by_id, key,
                          galena_handle_pack (handle.row))
       == GALENA_OK)
@@ -144,8 +149,9 @@
   accept_open (world, message, flow);
 }
 
-static void
-send_lost (struct galena_world *world, const struct galena_message *message)
+void
+galena_agent_send_lost (struct galena_world *world,
+                        const struct galena_message *message)
 {
   struct galena_message lost
       = galena_agent_reply (world, message, GALENA_MESSAGE_LOST);
@@ -163,13 +169,13 @@
 {
   struct galena_flow *flow = find_flow (world, message->flow, handle);
 
-  if (flow == NULL || flow->tag != message->tag)
+  if (flow == NULL || !galena_tag_matches (flow->tag, message->tag))
     {
-      send_lost (world, message);
+      galena_agent_pass_on (world, message);
       return NULL;
     }
   flow->caller = message->caller;
-  flow->entry = message->peer;
+  flow->entry = message->entry.ip != 0 ? message->entry : message->peer;
   flow->heard = world->now;
   flow->confirmed = true;
   return flow;
@@ -213,9 +219,10 @@
   struct galena_flow_handle handle;
   struct galena_flow *flow = find_flow (world, message->flow, &handle);
 
-  if (flow == NULL || flow->tag != message->tag)
-    return;
-  end_flow (world, handle);
+  if (flow == NULL || !galena_tag_matches (flow->tag, message->tag))
+    galena_agent_pass_on (world, message);
+  else
+    end_flow (world, handle);
 }
 
 static bool
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -51,6 +51,7 @@
   draw_id (world, &row->id);
   row->service = options->service;
   row->kind = options->kind;
+  row->unrouted = options->unrouted;
   row->deadline_ms = options->deadline_ms;
   row->deadline = galena_clock_after (world->now, options->deadline_ms);
   row->resend = world->now;
@@ -107,7 +108,7 @@
       = galena_caller_flow_of (world, message, &flow_handle);
   uint64_t packed;
 
-  if (flow == NULL || flow->tag != message->tag)
+  if (flow == NULL || !galena_tag_matches (message->tag, flow->tag))
     return NULL;
   flow->heard = world->now;
   if (!galena_map_find (world->caller->requests_by_number,
--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -23,10 +23,13 @@
 
 /* Closes a flow that a second agent accepted as well.  */
 static void
-close_surplus (struct galena_world *world, const struct galena_message *accept)
+close_surplus (struct galena_world *world, const struct galena_message *accept,
+               bool unrouted)
 {
   struct galena_message close = *accept;
 
+  if (unrouted)
+    close.tag = galena_tag_without_route (accept->tag);
   close.type = GALENA_MESSAGE_CLOSE;
   close.peer = world->options.fabric;
   close.body_size = 0;
@@ -40,13 +43,15 @@
   struct galena_caller_flow *flow
       = galena_caller_flow_of (world, message, &handle);
 
-  if (flow == NULL || (flow->tag != 0 && flow->tag != message->tag))
+  if (flow == NULL
+      || (flow->tag != 0 && !galena_tag_matches (message->tag, flow->tag)))
     {
-      close_surplus (world, message);
+      close_surplus (world, message, flow != NULL && flow->unrouted);
       return;
     }
   flow->state = GALENA_CALLER_FLOW_OPEN;
-  flow->tag = message->tag;
+  flow->tag = flow->unrouted ? galena_tag_without_route (message->tag)
+                             : message->tag;
   flow->heard = world->now;
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
 }
@@ -56,7 +61,12 @@
              uint32_t part, uint32_t total)
 {
   struct galena_message ack = *message;
+  struct galena_flow_handle handle;
+  const struct galena_caller_flow *flow
+      = galena_caller_flow_of (world, message, &handle);
 
+  if (flow != NULL && flow->unrouted)
+    ack.tag = galena_tag_without_route (message->tag);
   ack.type = GALENA_MESSAGE_ACK_ANSWER;
   ack.peer = world->options.fabric;
   ack.part = part;
@@ -163,7 +173,8 @@
   struct galena_caller_flow *flow
       = galena_caller_flow_of (world, message, &handle);
 
-  if (flow == NULL || flow->tag != message->tag
+  if (flow == NULL || flow->tag == 0
+      || !galena_tag_matches (message->tag, flow->tag)
       || flow->state != GALENA_CALLER_FLOW_OPEN)
     return;
   galena_world_count (world, GALENA_COUNT_LOST);
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -39,6 +39,7 @@
       = galena_caller_message (world, flow, GALENA_MESSAGE_OPEN);
 
   open.deadline_ms = galena_clock_left (world->now, flow->deadline);
+  open.unrouted = flow->unrouted;
   flow->resend = galena_clock_after (world->now, OPEN_RESEND_MS);
   galena_world_send (world, &open);
 }
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -6,6 +6,7 @@
 #include <galenaford/caller.h>
 #include <galenaford/map.h>
 #include <galenaford/stream.h>
+#include <galenaford/tag.h>
 
 #include "world_private.h"
 
@@ -22,7 +23,9 @@
   struct galena_flow_id id;
   struct galena_endpoint service;
   enum galena_caller_flow_state state;
+  /* As the flow's packets carry it; 0 while the flow has none.  */
   uint64_t tag;
+  bool unrouted;
   uint16_t kind;
   /* Number of the last request sent on this flow.  */
   uint32_t last_request;
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -119,6 +119,8 @@
                                              pending->open.flow, all);
   uint32_t count = 0;
 
+  if (pending->open.unrouted && total > GALENA_UNROUTED_CANDIDATES)
+    total = GALENA_UNROUTED_CANDIDATES;
   for (uint32_t i = 0; i < total; i++)
     {
       uint32_t number = galena_config_upstream (world->config, all[i])->number;
@@ -240,6 +242,7 @@
   open.caller = message->peer;
   open.tag = 0;
   open.hops = 0;
+  open.entry = (struct galena_endpoint){ 0, 0 };
   if (find_pending (world, open.flow, &handle) != NULL)
     return;
   galena_world_count (world, GALENA_COUNT_OPENS);
@@ -251,6 +254,60 @@
   start_open (world, &open);
 }
 
+static bool
+is_suspect (const struct galena_world *world, uint32_t upstream)
+{
+  const struct galena_hint *hint = galena_entry_hint (world, upstream);
+
+  return hint != NULL
+         && !galena_clock_reached (world->now, hint->suspect_until);
+}
+
+/* Passes a caller's packet to UPSTREAM with its return path.  */
+static void
+send_onward (struct galena_world *world, const struct galena_message *message,
+             const struct galena_service *service,
+             const struct galena_upstream *upstream)
+{
+  struct galena_message onward = *message;
+
+  onward.link = GALENA_LINK_PEER;
+  onward.peer = upstream->agent;
+  onward.caller = message->peer;
+  onward.entry = (struct galena_endpoint){ 0, 0 };
+  onward.hops = 0;
+  onward.generation = service->generation;
+  galena_world_send (world, &onward);
+}
+
+/* Sends a packet without a route to the first upstream of its chain that is
+   not suspect; the agents there pass it on.  */
+static void
+route_by_chain (struct galena_world *world,
+                const struct galena_message *message)
+{
+  const struct galena_service *service
+      = galena_config_service_at (world->config, message->service);
+  const struct galena_upstream *upstream = NULL;
+  uint32_t chain[GALENA_CHAIN_MAX];
+  uint32_t count = 0;
+
+  if (service != NULL)
+    count = galena_config_chain (
+        world->config, service, galena_service_bucket (service, message->flow),
+        chain);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      upstream = galena_config_upstream (world->config, chain[i]);
+      if (!is_suspect (world, upstream->number))
+        break;
+    }
+  if (upstream == NULL)
+    galena_world_count (world, GALENA_COUNT_NO_ROUTE);
+  else
+    send_onward (world, message, service, upstream);
+}
+
 /* Sends a caller's packet to the agent that its tag names.  */
 static void
 on_caller_data (struct galena_world *world,
@@ -259,8 +316,12 @@
   const struct galena_upstream *upstream = galena_config_upstream_numbered (
       world->config, galena_tag_upstream (message->tag));
   const struct galena_service *service;
-  struct galena_message onward = *message;
 
+  if (galena_tag_upstream (message->tag) == 0)
+    {
+      route_by_chain (world, message);
+      return;
+    }
   if (upstream == NULL)
     {
       galena_world_count (world, GALENA_COUNT_NO_ROUTE);
@@ -272,11 +333,7 @@
       galena_world_count (world, GALENA_COUNT_WRONG_SERVICE);
       return;
     }
-  onward.link = GALENA_LINK_PEER;
-  onward.peer = upstream->agent;
-  onward.caller = message->peer;
-  onward.generation = service->generation;
-  galena_world_send (world, &onward);
+  send_onward (world, message, service, upstream);
 }
 
 static void
--- a/packages/core/src/records.c
+++ b/packages/core/src/records.c
@@ -206,6 +206,24 @@
     }
 }
 
+/* Notes for each upstream of AFTER whether it was active in BEFORE; in a first
+   record, all that are active count as having been so.  */
+static void
+note_activity (const struct galena_service_record *before,
+               struct galena_service_record *after)
+{
+  for (uint32_t i = 0; i < after->service.upstream_count; i++)
+    {
+      struct galena_upstream *upstream = &after->upstreams[i];
+      const struct galena_upstream *known
+          = before == NULL ? upstream
+                           : find_upstream (before, upstream->number);
+
+      upstream->was_active
+          = known != NULL && known->state == GALENA_UPSTREAM_ACTIVE;
+    }
+}
+
 /* Copies RECORD into *AFTER, with what BEFORE has and RECORD lacks.  */
 static enum galena_result
 merge (const struct galena_service_record *before,
@@ -223,6 +241,7 @@
     memcpy (after->upstreams, record->upstreams,
             count * sizeof *after->upstreams);
   append_removed (before, after);
+  note_activity (before, after);
   return GALENA_OK;
 }
 
--- a/packages/core/src/result.c
+++ b/packages/core/src/result.c
@@ -33,5 +33,6 @@
 int
 galena_result_is_refusal (enum galena_result result)
 {
-  return result >= GALENA_REFUSED_NO_SERVICE && result <= GALENA_REFUSED_BODY;
+  return result >= GALENA_REFUSED_NO_SERVICE
+         && result < GALENA_UNKNOWN_OUTCOME;
 }
--- a/packages/wire/src/wire.c
+++ b/packages/wire/src/wire.c
@@ -29,7 +29,7 @@
   WIRE_FIELD (total),      WIRE_FIELD (deadline_ms),  WIRE_FIELD (result),
   WIRE_FIELD (caller.ip),  WIRE_FIELD (caller.port),  WIRE_FIELD (entry.ip),
   WIRE_FIELD (entry.port), WIRE_FIELD (hops),         WIRE_FIELD (overload),
-  WIRE_FIELD (wait_ms),
+  WIRE_FIELD (wait_ms),    WIRE_FIELD (unrouted),
 };
 
 enum
@@ -117,7 +117,7 @@
     return result;
   if (schema != GALENA_WIRE_SCHEMA)
     return GALENA_ERR_SCHEMA;
-  result = read_integer (&items[1], GALENA_MESSAGE_LOAD, &type);
+  result = read_integer (&items[1], GALENA_MESSAGE_LEASE, &type);
   if (result != GALENA_OK)
     return result;
   if (type < GALENA_MESSAGE_OPEN)
--- a/test/fake/fleet.c
+++ b/test/fake/fleet.c
@@ -451,8 +451,10 @@
 {
   struct fleet_load *load = &fleet->loads[load_index];
   struct galena_caller_flow_options options
-      = { fleet->services[load->service].service.address, load->kind,
-          load->deadline_ms };
+      = { .service = fleet->services[load->service].service.address,
+          .kind = load->kind,
+          .deadline_ms = load->deadline_ms,
+          .unrouted = load->unrouted };
   struct galena_flow_handle flow;
 
   if (galena_caller_open (fleet->nodes[load->caller].world, &options, &flow)
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -109,6 +109,8 @@
   uint32_t deadline_ms;
   bool idempotent;
   bool endless;
+  /* Whether its flows' packets carry no route.  */
+  bool unrouted;
   struct galena_clock from;
   struct galena_clock until;
   /* Caller node that sends it.  */
--- a/test/standins/caller.c
+++ b/test/standins/caller.c
@@ -114,7 +114,9 @@
 {
   static char body[BODY_MAX];
   struct galena_caller_flow_options flow
-      = { load->service, load->kind, load->deadline_ms };
+      = { .service = load->service,
+          .kind = load->kind,
+          .deadline_ms = load->deadline_ms };
   struct galena_caller_request_options request
       = { .kind = load->kind,
           .idempotent = load->idempotent,
