Count by kind, upstream and reason; note overload; keep latencies

Operators could see totals only: a rise in refusals named neither the kind nor the reason, and datagrams that did not decode were counted by the link and then forgotten. A world now has rows of statistics by kind and by upstream, refusals and malformed datagrams by result code, and latencies in buckets with four to a doubling. A system of one second notes when a kind enters and leaves overload. galena_world_report copies it all for a thread that is not the world's own.

Touches the entry and the agent where opens and requests begin and end.

--- a/packages/core/include/galenaford/audit.h
+++ b/packages/core/include/galenaford/audit.h
@@ -77,6 +77,9 @@
 const struct galena_audit_row *
 galena_audit_find (const struct galena_audit *audit, uint64_t sequence);
 
+/* Returns the sequence of the last row appended, or 0.  */
+uint64_t galena_audit_newest (const struct galena_audit *audit);
+
 /* Returns the short word of EVENT.  */
 const char *galena_audit_word (enum galena_audit_event event);
 
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -5,6 +5,7 @@
 #include <galenaford/tag.h>
 
 #include "agent.h"
+#include "stats.h"
 
 enum
 {
@@ -30,6 +31,16 @@
   return galena_config_service (world->config, self->service);
 }
 
+uint32_t
+galena_agent_service_number (const struct galena_world *world, uint16_t kind)
+{
+  const struct galena_service *service = galena_agent_service (world);
+
+  if (service == NULL || galena_service_kind (service, kind) == NULL)
+    return 0;
+  return service->number;
+}
+
 struct galena_message
 galena_agent_reply (const struct galena_world *world,
                     const struct galena_message *message,
@@ -81,6 +92,7 @@
   { "admit", 0, galena_agent_run_admit },
   { "resend", RESEND_PERIOD_MS, galena_agent_run_resend },
   { "answer", 0, galena_agent_run_answer },
+  { "stats", GALENA_STATS_PERIOD_MS, galena_stats_run },
 };
 
 static enum galena_result
@@ -182,6 +194,18 @@
   usage->body_bytes = agent->body_bytes;
 }
 
+static void
+report_kind (const struct galena_world *world, struct galena_kind_stats *row)
+{
+  const struct galena_kind_queue *queue;
+
+  if (row->kind >= GALENA_KINDS_MAX)
+    return;
+  queue = &world->agent->queues[row->kind];
+  row->queued = queue->queued;
+  row->running = queue->running;
+}
+
 const uint8_t *
 galena_world_run_body (const struct galena_world *world,
                        struct galena_request_handle run, uint32_t *size)
@@ -211,6 +235,7 @@
   .create = create_agent,
   .destroy = destroy_agent,
   .usage = report_usage,
+  .report_kind = report_kind,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
 };
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -55,6 +55,8 @@
   /* Valid when ENDED: GALENA_OK, a refusal, or the unknown outcome.  */
   enum galena_result result;
   struct galena_clock deadline;
+  /* When its first part came.  */
+  struct galena_clock arrived;
   struct galena_clock queued;
   struct galena_clock started;
   /* When an ended request is forgotten without an acknowledgement.  */
@@ -115,6 +117,10 @@
 const struct galena_service *
 galena_agent_service (const struct galena_world *world);
 
+/* Returns the number of that service when it has KIND, or 0.  */
+uint32_t galena_agent_service_number (const struct galena_world *world,
+                                      uint16_t kind);
+
 /* Returns an answer to MESSAGE, addressed along its return path, with the
    present load of KIND.  */
 struct galena_message galena_agent_reply (const struct galena_world *world,
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -3,6 +3,7 @@
 #include <galenaford/tag.h>
 
 #include "agent.h"
+#include "stats.h"
 
 enum
 {
@@ -52,6 +53,8 @@
 
   refusal.result = result;
   galena_world_count (world, GALENA_COUNT_REFUSED);
+  galena_stats_refuse (world, galena_agent_service_number (world, open->kind),
+                       open->kind, result);
   galena_world_send (world, &refusal);
 }
 
@@ -141,6 +144,9 @@
       return;
     }
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
+  galena_stats_count (world,
+                      galena_agent_service_number (world, message->kind),
+                      message->kind, GALENA_KIND_ACCEPTED);
   accept_open (world, message, flow);
 }
 
--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "agent.h"
+#include "stats.h"
 
 enum
 {
@@ -51,6 +52,9 @@
   refusal.tag = message->tag;
   refusal.result = result;
   galena_world_count (world, GALENA_COUNT_REFUSED);
+  galena_stats_refuse (world,
+                       galena_agent_service_number (world, message->kind),
+                       message->kind, result);
   galena_world_send (world, &refusal);
 }
 
@@ -81,6 +85,7 @@
     return NULL;
   request->flow = flow;
   request->number = message->request;
+  request->arrived = world->now;
   request->kind = kind->number;
   request->idempotent = kind->idempotent;
   request->endless = kind->endless;
@@ -232,6 +237,8 @@
       return;
     }
   galena_world_count (world, GALENA_COUNT_REQUESTS);
+  galena_stats_count (world, service->number, kind->number,
+                      GALENA_KIND_REQUESTS);
   receive_part (world, message, request, handle);
 }
 
@@ -306,6 +313,25 @@
     galena_agent_end_request (world, handle, GALENA_REFUSED_CANCELLED);
 }
 
+static void
+count_end (struct galena_world *world, const struct galena_request *request,
+           enum galena_result result)
+{
+  uint32_t service = galena_agent_service_number (world, request->kind);
+
+  if (service == 0)
+    return;
+  if (galena_result_is_refusal (result))
+    galena_stats_refuse (world, service, request->kind, result);
+  else if (result == GALENA_UNKNOWN_OUTCOME)
+    galena_stats_count (world, service, request->kind, GALENA_KIND_UNKNOWN);
+  else if (result == GALENA_OK)
+    galena_stats_count (world, service, request->kind, GALENA_KIND_ANSWERED);
+  if (result == GALENA_OK && !request->endless)
+    galena_stats_time (world, service, request->kind,
+                       galena_clock_between (request->arrived, world->now));
+}
+
 void
 galena_agent_end_request (struct galena_world *world,
                           struct galena_request_handle handle,
@@ -315,6 +341,7 @@
 
   if (request->state == GALENA_REQUEST_QUEUED)
     galena_agent_dequeue (world, handle);
+  count_end (world, request, result);
   request->state = GALENA_REQUEST_ENDED;
   request->result = result;
   request->forget = galena_clock_after (world->now, RETENTION_MS);
--- a/packages/core/src/audit.c
+++ b/packages/core/src/audit.c
@@ -81,6 +81,12 @@
   return &audit->rows[(sequence - 1) % audit->capacity];
 }
 
+uint64_t
+galena_audit_newest (const struct galena_audit *audit)
+{
+  return audit->appended;
+}
+
 const char *
 galena_audit_word (enum galena_audit_event event)
 {
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -6,6 +6,7 @@
 #include <galenaford/tag.h>
 
 #include "entry.h"
+#include "stats.h"
 
 enum
 {
@@ -83,6 +84,19 @@
   galena_table_remove (entry->pending, handle);
 }
 
+/* Counts a refusal of OPEN by its kind and by RESULT.  */
+static void
+count_refusal (struct galena_world *world, const struct galena_message *open,
+               enum galena_result result)
+{
+  const struct galena_service *service
+      = galena_config_service_at (world->config, open->service);
+  bool known
+      = service != NULL && galena_service_kind (service, open->kind) != NULL;
+
+  galena_stats_refuse (world, known ? service->number : 0, open->kind, result);
+}
+
 static void
 refuse_open (struct galena_world *world, const struct galena_message *open,
              enum galena_result result)
@@ -95,6 +109,7 @@
   refusal.result = result;
   refusal.body_size = 0;
   galena_world_count (world, GALENA_COUNT_REFUSED);
+  count_refusal (world, open, result);
   galena_world_send (world, &refusal);
 }
 
@@ -138,6 +153,7 @@
 
   if (hint != NULL)
     hint->unanswered++;
+  galena_stats_upstream (world, upstream->number)->opens++;
   open.link = GALENA_LINK_PEER;
   open.peer = upstream->agent;
   open.generation = service->generation;
@@ -221,6 +237,7 @@
   pending->open = *open;
   pending->open.body = NULL;
   pending->open.body_size = 0;
+  pending->began = world->now;
   pending->deadline = galena_clock_after (world->now, open->deadline_ms);
   galena_map_insert (entry->pending_by_flow, key, galena_handle_pack (handle));
   earn_retry_tokens (entry);
@@ -235,6 +252,7 @@
                 const struct galena_message *message)
 {
   struct galena_message open = *message;
+  const struct galena_service *service;
   struct galena_handle handle;
 
   open.caller = message->peer;
@@ -243,11 +261,14 @@
   if (find_pending (world, open.flow, &handle) != NULL)
     return;
   galena_world_count (world, GALENA_COUNT_OPENS);
-  if (galena_config_service_at (world->config, open.service) == NULL)
+  service = galena_config_service_at (world->config, open.service);
+  if (service == NULL)
     {
       refuse_open (world, &open, GALENA_REFUSED_NO_SERVICE);
       return;
     }
+  if (galena_service_kind (service, open.kind) != NULL)
+    galena_stats_count (world, service->number, open.kind, GALENA_KIND_OPENS);
   start_open (world, &open);
 }
 
@@ -310,15 +331,37 @@
   galena_world_send (world, &onward);
 }
 
+static void
+count_acceptance (struct galena_world *world,
+                  const struct galena_pending_open *pending, uint32_t upstream)
+{
+  const struct galena_message *open = &pending->open;
+  const struct galena_service *service
+      = galena_config_service_at (world->config, open->service);
+
+  galena_stats_upstream (world, upstream)->accepted++;
+  if (service == NULL || galena_service_kind (service, open->kind) == NULL)
+    return;
+  galena_stats_count (world, service->number, open->kind,
+                      GALENA_KIND_ACCEPTED);
+  galena_stats_time (world, service->number, open->kind,
+                     galena_clock_between (pending->began, world->now));
+}
+
 static void
 on_agent_accept (struct galena_world *world,
                  const struct galena_message *message)
 {
   struct galena_handle handle;
+  struct galena_pending_open *pending;
 
   learn_hint (world, message);
-  if (find_pending (world, message->flow, &handle) != NULL)
-    remove_pending (world, handle);
+  pending = find_pending (world, message->flow, &handle);
+  if (pending != NULL)
+    {
+      count_acceptance (world, pending, galena_tag_upstream (message->tag));
+      remove_pending (world, handle);
+    }
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
   send_to_caller (world, message);
 }
@@ -337,6 +380,7 @@
     }
   if (find_pending (world, message->flow, &handle) == NULL)
     return;
+  galena_stats_upstream (world, galena_tag_upstream (message->tag))->refused++;
   retry_or_refuse (world, handle, message->result);
 }
 
@@ -380,6 +424,7 @@
   uint32_t upstream = pending->tried[pending->tried_count - 1];
   struct galena_hint *hint = hint_for (world, upstream);
 
+  galena_stats_upstream (world, upstream)->unanswered++;
   if (hint == NULL || hint->unanswered == 0)
     return;
   if (galena_clock_reached (world->now, hint->suspect_until))
@@ -428,6 +473,7 @@
   { "receive", 0, run_receive },
   { "retry", RETRY_PERIOD_MS, run_retry },
   { "expire-hints", HINT_PERIOD_MS, run_expire_hints },
+  { "stats", GALENA_STATS_PERIOD_MS, galena_stats_run },
 };
 
 static enum galena_result
@@ -489,11 +535,24 @@
   usage->hints = galena_table_count (world->entry->hints);
 }
 
+static void
+report_upstream (const struct galena_world *world,
+                 struct galena_upstream_stats *row)
+{
+  const struct galena_hint *hint = galena_entry_hint (world, row->upstream);
+
+  if (hint == NULL)
+    return;
+  row->wait_ms = hint->wait_ms;
+  row->suspect = !galena_clock_reached (world->now, hint->suspect_until);
+}
+
 const struct galena_role_operations galena_entry_role = {
   .name = "entry",
   .create = create_entry,
   .destroy = destroy_entry,
   .usage = report_usage,
+  .report_upstream = report_upstream,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
 };
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -33,6 +33,7 @@
   /* Upstreams tried so far, in order.  */
   uint32_t tried[GALENA_CANDIDATES_MAX];
   uint32_t tried_count;
+  struct galena_clock began;
   struct galena_clock next_try;
   struct galena_clock deadline;
 };
--- /dev/null
+++ b/packages/core/src/stats.h
@@ -0,0 +1,43 @@
+/* The tables of statistics inside a world.  */
+
+#ifndef GALENAFORD_STATS_PRIVATE_H
+#define GALENAFORD_STATS_PRIVATE_H
+
+#include <galenaford/stats.h>
+
+struct galena_stats;
+
+/* Creates empty tables for WORLD.  Errors: GALENA_ERR_MEMORY.  */
+enum galena_result galena_stats_create (uint64_t seed,
+                                        struct galena_stats **out);
+
+/* Destroys STATS; accepts NULL.  */
+void galena_stats_destroy (struct galena_stats *stats);
+
+/* Counts COUNTER of KIND of the service with number SERVICE.  */
+void galena_stats_count (struct galena_world *world, uint32_t service,
+                         uint16_t kind, enum galena_kind_counter counter);
+
+/* Counts a refusal by its kind and by RESULT; SERVICE 0 is none.  */
+void galena_stats_refuse (struct galena_world *world, uint32_t service,
+                          uint16_t kind, enum galena_result result);
+
+/* Counts a time of KIND.  */
+void galena_stats_time (struct galena_world *world, uint32_t service,
+                        uint16_t kind, int64_t ms);
+
+/* Returns the row of UPSTREAM, made when there is none, or a row that nobody
+   reads when the table is full.  */
+struct galena_upstream_stats *
+galena_stats_upstream (struct galena_world *world, uint32_t upstream);
+
+/* System: notes which kinds enter and leave overload, and drops the rows of
+   upstreams that are in no record.  */
+void galena_stats_run (struct galena_world *world);
+
+enum
+{
+  GALENA_STATS_PERIOD_MS = 1000
+};
+
+#endif
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -4,6 +4,7 @@
 
 #include <galenaford/map.h>
 
+#include "stats.h"
 #include "world_private.h"
 
 enum
@@ -47,6 +48,9 @@
   world->role = ROLES[options->role];
   world->random.seed = options->seed;
   result = galena_audit_create (&audit_options, &world->audit);
+  if (result != GALENA_OK)
+    goto fail;
+  result = galena_stats_create (options->seed, &world->stats);
   if (result != GALENA_OK)
     goto fail;
   result = create_mailboxes (world);
@@ -72,6 +76,7 @@
   galena_mailbox_destroy (world->inbox);
   galena_mailbox_destroy (world->outbox);
   galena_audit_destroy (world->audit);
+  galena_stats_destroy (world->stats);
   free (world);
 }
 
--- a/packages/core/src/world_private.h
+++ b/packages/core/src/world_private.h
@@ -10,6 +10,9 @@
 struct galena_entry;
 struct galena_agent;
 struct galena_caller;
+struct galena_kind_stats;
+struct galena_stats;
+struct galena_upstream_stats;
 
 /* One system: a step that runs over the tables of a world.  */
 struct galena_system
@@ -28,6 +31,12 @@
   void (*destroy) (struct galena_world *world);
   void (*usage) (const struct galena_world *world,
                  struct galena_world_usage *usage);
+  /* Fill in what a row of statistics takes from the role's tables; may be
+     NULL.  */
+  void (*report_kind) (const struct galena_world *world,
+                       struct galena_kind_stats *row);
+  void (*report_upstream) (const struct galena_world *world,
+                           struct galena_upstream_stats *row);
   const struct galena_system *systems;
   uint32_t system_count;
 };
@@ -47,6 +56,7 @@
   const struct galena_config *config;
   struct galena_random random;
   struct galena_counters counters;
+  struct galena_stats *stats;
   struct galena_audit *audit;
   struct galena_mailbox *inbox;
   struct galena_mailbox *outbox;
--- a/packages/platform/src/link.c
+++ b/packages/platform/src/link.c
@@ -1,6 +1,7 @@
 /* Datagrams into messages and back.  */
 
 #include <galenaford/link.h>
+#include <galenaford/stats.h>
 
 uint32_t
 galena_link_receive (struct galena_datagrams *socket,
@@ -16,8 +17,11 @@
       size_t size;
       const uint8_t *bytes = galena_datagrams_get (socket, i, &size, &source);
 
-      if (galena_wire_decode (bytes, size, &message) != GALENA_OK)
+      enum galena_result result = galena_wire_decode (bytes, size, &message);
+
+      if (result != GALENA_OK)
         {
+          galena_world_count_malformed (world, result);
           malformed++;
           continue;
         }
