--- a/packages/core/include/galenaford/audit.h
+++ b/packages/core/include/galenaford/audit.h
@@ -15,6 +15,10 @@
   X (GALENA_AUDIT_RECORD_TAKEN, "record-taken", "A record came into force.")  \
   X (GALENA_AUDIT_RECORD_REFUSED, "record-refused",                           \
      "A record was refused; the last good one stays in force.")               \
+  X (GALENA_AUDIT_RECORD_CONFLICT, "record-conflict",                         \
+     "Two records of one generation: the one with the higher digest stays.")  \
+  X (GALENA_AUDIT_RECORD_CLASH, "record-clash",                               \
+     "Two services claim one address or upstream: the lower number has it.")  \
   X (GALENA_AUDIT_UPSTREAM_ADDED, "upstream-added", "An upstream joined.")    \
   X (GALENA_AUDIT_UPSTREAM_LEAVING, "upstream-leaving",                       \
      "An upstream takes no new flows.")                                       \
@@ -77,6 +81,9 @@
 const struct galena_audit_row *
 galena_audit_find (const struct galena_audit *audit, uint64_t sequence);
 
+/* Returns the sequence of the last row appended, or 0.  */
+uint64_t galena_audit_newest (const struct galena_audit *audit);
+
 /* Returns the short word of EVENT.  */
 const char *galena_audit_word (enum galena_audit_event event);
 
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -5,12 +5,15 @@
 #include <galenaford/tag.h>
 
 #include "agent.h"
+#include "stats.h"
 
 enum
 {
   EXPIRE_REQUESTS_PERIOD_MS = 20,
   EXPIRE_FLOWS_PERIOD_MS = 1000,
-  RESEND_PERIOD_MS = 50
+  RESEND_PERIOD_MS = 50,
+  RENEW_LEASES_PERIOD_MS = 100,
+  EXPIRE_LEASES_PERIOD_MS = 1000
 };
 
 const struct galena_upstream *
@@ -30,6 +33,16 @@
   return galena_config_service (world->config, self->service);
 }
 
+uint32_t
+galena_agent_service_number (const struct galena_world *world, uint16_t kind)
+{
+  const struct galena_service *service = galena_agent_service (world);
+
+  if (service == NULL || galena_service_kind (service, kind) == NULL)
+    return 0;
+  return service->number;
+}
+
 struct galena_message
 galena_agent_reply (const struct galena_world *world,
                     const struct galena_message *message,
@@ -60,6 +73,7 @@
           [GALENA_MESSAGE_ACK_ANSWER] = galena_agent_on_ack_answer,
           [GALENA_MESSAGE_CANCEL] = galena_agent_on_cancel,
           [GALENA_MESSAGE_CLOSE] = galena_agent_on_close,
+          [GALENA_MESSAGE_LEASE] = galena_agent_on_lease,
         },
         [GALENA_LINK_APPLICATION] = {
           [GALENA_MESSAGE_RUN_DATA] = galena_agent_on_run_data,
@@ -78,9 +92,12 @@
   { "expire-requests", EXPIRE_REQUESTS_PERIOD_MS,
     galena_agent_run_expire_requests },
   { "expire-flows", EXPIRE_FLOWS_PERIOD_MS, galena_agent_run_expire_flows },
+  { "renew-leases", RENEW_LEASES_PERIOD_MS, galena_agent_run_renew_leases },
+  { "expire-leases", EXPIRE_LEASES_PERIOD_MS, galena_agent_run_expire_leases },
   { "admit", 0, galena_agent_run_admit },
   { "resend", RESEND_PERIOD_MS, galena_agent_run_resend },
   { "answer", 0, galena_agent_run_answer },
+  { "stats", GALENA_STATS_PERIOD_MS, galena_stats_run },
 };
 
 static enum galena_result
@@ -95,7 +112,10 @@
 
   if (result != GALENA_OK)
     return result;
-  return galena_map_create (&by_id, &agent->flows_by_id);
+  result = galena_map_create (&by_id, &agent->flows_by_id);
+  if (result != GALENA_OK)
+    return result;
+  return galena_agent_create_leases (world);
 }
 
 static enum galena_result
@@ -160,6 +180,7 @@
   if (agent == NULL)
     return;
   release_requests (agent);
+  galena_agent_destroy_leases (agent);
   galena_table_destroy (agent->flows);
   galena_table_destroy (agent->requests);
   galena_map_destroy (agent->flows_by_id);
@@ -182,6 +203,18 @@
   usage->body_bytes = agent->body_bytes;
 }
 
+static void
+report_kind (const struct galena_world *world, struct galena_kind_stats *row)
+{
+  const struct galena_kind_queue *queue;
+
+  if (row->kind >= GALENA_KINDS_MAX)
+    return;
+  queue = &world->agent->queues[row->kind];
+  row->queued = queue->queued;
+  row->running = queue->running;
+}
+
 const uint8_t *
 galena_world_run_body (const struct galena_world *world,
                        struct galena_request_handle run, uint32_t *size)
@@ -211,6 +244,7 @@
   .create = create_agent,
   .destroy = destroy_agent,
   .usage = report_usage,
+  .report_kind = report_kind,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
 };
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -124,6 +124,8 @@
   uint32_t deadline_ms;
   bool idempotent;
   bool endless;
+  /* Whether its flows' packets carry no route.  */
+  bool unrouted;
   /* An endless request is over after this long.  */
   uint32_t lasts_ms;
   struct galena_clock from;
--- a/test/fake/fleet_load.c
+++ b/test/fake/fleet_load.c
@@ -41,8 +41,10 @@
            struct galena_flow_handle *flow)
 {
   struct galena_caller_flow_options options
-      = { fleet->services[load->service].service.address, load->kind,
-          load->deadline_ms };
+      = { .service = fleet->services[load->service].service.address,
+          .kind = load->kind,
+          .deadline_ms = load->deadline_ms,
+          .unrouted = load->unrouted };
 
   return galena_caller_open (fleet->nodes[load->caller].world, &options, flow);
 }
