Keep "not run" true, and close flows until the agent confirms it

Ruled out: the upstreams' log; it counts starts only. Change: such a number is done with; the caller remembers the exposure and then reports the unknown outcome. A partly sent request can't have run and starts over. An idempotent request with the unknown outcome starts over.

A late ACCEPT also took a closing flow back to open. Change: closes are sent until the agent says that it holds the flow no more, keyed by id and tag; idle flows send a heartbeat each 30 s. Work that is not idempotent runs to its end when its flow closes. Also: numbers in progress are looked up before the numbers done with, so that raising the floor can't hide a request that runs.

--- a/packages/core/include/galenaford/world.h
+++ b/packages/core/include/galenaford/world.h
@@ -105,6 +105,7 @@
   uint32_t running;
   uint32_t queued;
   uint32_t pending_opens;
+  uint32_t pending_closes;
   uint32_t hints;
   /* Bytes of bodies and kept answers.  */
   uint64_t body_bytes;
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -187,8 +187,16 @@
   return flow;
 }
 
-/* Forgets the requests of FLOW; those that run are cancelled first and go
-   when the upstream has told their end.  */
+/* Whether a request that runs is to be stopped when its flow ends.  Work that
+   must not be doubled is let run to its end, so that it is not lost.  */
+static bool
+is_cancelled_with_flow (const struct galena_request *request)
+{
+  return request->idempotent || request->endless;
+}
+
+/* Forgets the requests of FLOW; those that run go when the upstream has told
+   their end.  */
 static void
 drop_requests_of (struct galena_world *world, struct galena_flow_handle flow)
 {
@@ -203,10 +211,10 @@
       if (galena_handle_pack (request->flow.row)
           != galena_handle_pack (flow.row))
         continue;
-      if (request->state == GALENA_REQUEST_RUNNING)
-        galena_agent_cancel_run (world, handle);
-      else
+      if (request->state != GALENA_REQUEST_RUNNING)
         galena_agent_forget_request (world, handle);
+      else if (is_cancelled_with_flow (request))
+        galena_agent_cancel_run (world, handle);
     }
 }
 
@@ -226,9 +234,12 @@
   struct galena_flow *flow = find_flow (world, message->flow, &handle);
 
   if (flow == NULL || !galena_tag_matches (flow->tag, message->tag))
-    galena_agent_pass_on (world, message);
-  else
-    end_flow (world, handle);
+    {
+      galena_agent_pass_on (world, message);
+      return;
+    }
+  end_flow (world, handle);
+  galena_agent_send_lost (world, message);
 }
 
 static bool
--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -213,6 +213,17 @@
   galena_agent_set_ready (world, handle);
 }
 
+/* Refuses a request that gets no row.  Its number is done with, so that a
+   copy that comes later never runs what was refused.  */
+static void
+refuse_number (struct galena_world *world,
+               const struct galena_message *message,
+               struct galena_flow_handle flow, enum galena_result result)
+{
+  galena_flow_set_done (galena_agent_flow (world, flow), message->request);
+  send_result (world, message, result);
+}
+
 static void
 start_request (struct galena_world *world,
                const struct galena_message *message,
@@ -227,13 +238,13 @@
     kind = galena_service_kind (service, message->kind);
   if (kind == NULL)
     {
-      send_result (world, message, GALENA_REFUSED_KIND);
+      refuse_number (world, message, flow, GALENA_REFUSED_KIND);
       return;
     }
   request = insert_request (world, message, flow, kind, &handle);
   if (request == NULL)
     {
-      send_result (world, message, GALENA_REFUSED_OVERLOAD);
+      refuse_number (world, message, flow, GALENA_REFUSED_OVERLOAD);
       return;
     }
   galena_world_count (world, GALENA_COUNT_REQUESTS);
@@ -254,13 +265,10 @@
 
   if (flow == NULL)
     return;
-  if (galena_flow_is_done (flow, message->request))
-    {
-      send_result (world, message, GALENA_UNKNOWN_OUTCOME);
-      return;
-    }
   request = find_request (world, flow_handle, message->request, &handle);
-  if (request == NULL)
+  if (request == NULL && galena_flow_is_done (flow, message->request))
+    send_result (world, message, GALENA_UNKNOWN_OUTCOME);
+  else if (request == NULL)
     start_request (world, message, flow_handle);
   else if (request->state == GALENA_REQUEST_RECEIVING)
     receive_part (world, message, request, handle);
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  SEND_PERIOD_MS = 5
+  SEND_PERIOD_MS = 5,
+  CLOSE_PERIOD_MS = 50
 };
 
 static void
@@ -169,6 +170,8 @@
                                 .user = request->user,
                                 .result = result };
 
+  if (request->exposed && galena_result_is_refusal (result))
+    end.result = GALENA_UNKNOWN_OUTCOME;
   galena_world_send (world, &end);
   remove_request (world, handle);
 }
@@ -211,28 +214,27 @@
                             struct galena_flow_handle handle)
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
-  struct galena_message close
-      = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
 
-  if (flow->tag != 0)
-    galena_world_send (world, &close);
+  galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
   unindex_flow (world, flow);
   galena_table_remove (world->caller->flows, handle.row);
 }
 
-/* Prepares a request for a flow that was opened again.  */
-static void
-start_over (struct galena_world *world, struct galena_request_handle handle,
-            enum galena_result result)
+/* Whether the owner may have all parts of REQUEST, and may have run it.  */
+static bool
+may_have_run (const struct galena_caller_request *request)
+{
+  return request->sent == request->total;
+}
+
+void
+galena_caller_start_over (struct galena_world *world,
+                          struct galena_request_handle handle)
 {
   struct galena_caller_request *request
       = galena_caller_request_row (world, handle);
 
-  if (request->sent > 0 && !request->idempotent)
-    {
-      galena_caller_end (world, handle, result);
-      return;
-    }
+  request->exposed |= may_have_run (request);
   drop_number (world, request);
   request->sent = 0;
   request->acknowledged = 0;
@@ -240,6 +242,21 @@
   request->answer = (struct galena_stream){ 0 };
 }
 
+/* Prepares a request for a flow that was opened again.  */
+static void
+start_over_or_end (struct galena_world *world,
+                   struct galena_request_handle handle,
+                   enum galena_result result)
+{
+  const struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+
+  if (may_have_run (request) && !request->idempotent)
+    galena_caller_end (world, handle, result);
+  else
+    galena_caller_start_over (world, handle);
+}
+
 void
 galena_caller_reopen (struct galena_world *world,
                       struct galena_flow_handle handle)
@@ -247,7 +264,8 @@
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
   galena_world_count (world, GALENA_COUNT_REOPENED);
-  for_each_request (world, handle, start_over, GALENA_UNKNOWN_OUTCOME);
+  for_each_request (world, handle, start_over_or_end, GALENA_UNKNOWN_OUTCOME);
+  galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
   unindex_flow (world, flow);
   draw_id (world, &flow->id);
   flow->state = GALENA_CALLER_FLOW_OPENING;
@@ -346,6 +364,7 @@
 static const struct galena_system SYSTEMS[] = {
   { "receive", 0, galena_caller_run_receive },
   { "send", SEND_PERIOD_MS, galena_caller_run_send },
+  { "close", CLOSE_PERIOD_MS, galena_caller_run_closings },
 };
 
 static enum galena_result
@@ -372,6 +391,9 @@
   if (result != GALENA_OK)
     return result;
   result = galena_map_create (&by_id, &caller->flows_by_id);
+  if (result != GALENA_OK)
+    return result;
+  result = galena_caller_create_closings (world);
   if (result != GALENA_OK)
     return result;
   return galena_map_create (&by_number, &caller->requests_by_number);
@@ -397,6 +419,8 @@
   galena_table_destroy (caller->flows);
   galena_table_destroy (caller->requests);
   galena_map_destroy (caller->flows_by_id);
+  galena_table_destroy (caller->closings);
+  galena_map_destroy (caller->closings_by_id);
   galena_map_destroy (caller->requests_by_number);
   free (caller);
 }
@@ -407,6 +431,7 @@
 {
   usage->flows = galena_table_count (world->caller->flows);
   usage->requests = galena_table_count (world->caller->requests);
+  usage->pending_closes = galena_table_count (world->caller->closings);
 }
 
 const struct galena_role_operations galena_caller_role = {
--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -24,16 +24,13 @@
 /* Closes a flow that a second agent accepted as well.  */
 static void
 close_surplus (struct galena_world *world, const struct galena_message *accept,
-               bool unrouted)
+               const struct galena_caller_flow *flow)
 {
-  struct galena_message close = *accept;
-
-  if (unrouted)
-    close.tag = galena_tag_without_route (accept->tag);
-  close.type = GALENA_MESSAGE_CLOSE;
-  close.peer = world->options.fabric;
-  close.body_size = 0;
-  galena_world_send (world, &close);
+  uint64_t tag = accept->tag;
+
+  if (flow != NULL && flow->unrouted)
+    tag = galena_tag_without_route (tag);
+  galena_caller_tell_close (world, accept->flow, accept->service, tag);
 }
 
 static void
@@ -46,10 +43,11 @@
   if (flow == NULL
       || (flow->tag != 0 && !galena_tag_matches (message->tag, flow->tag)))
     {
-      close_surplus (world, message, flow != NULL && flow->unrouted);
+      close_surplus (world, message, flow);
       return;
     }
-  flow->state = GALENA_CALLER_FLOW_OPEN;
+  if (flow->state == GALENA_CALLER_FLOW_OPENING)
+    flow->state = GALENA_CALLER_FLOW_OPEN;
   flow->tag = flow->unrouted ? galena_tag_without_route (message->tag)
                              : message->tag;
   flow->heard = world->now;
@@ -82,6 +80,7 @@
   struct galena_request_handle handle;
   struct galena_caller_flow *flow
       = galena_caller_flow_of (world, message, &flow_handle);
+  struct galena_caller_request *request;
 
   if (flow == NULL)
     return;
@@ -92,7 +91,13 @@
       return;
     }
   acknowledge (world, message, message->total, message->total);
-  if (galena_caller_find (world, message, &handle) != NULL)
+  request = galena_caller_find (world, message, &handle);
+  if (request == NULL)
+    return;
+  if (message->result == GALENA_UNKNOWN_OUTCOME && request->idempotent
+      && !request->cancelled)
+    galena_caller_start_over (world, handle);
+  else
     galena_caller_end (world, handle, message->result);
 }
 
@@ -173,6 +178,7 @@
   struct galena_caller_flow *flow
       = galena_caller_flow_of (world, message, &handle);
 
+  galena_caller_on_closed (world, message);
   if (flow == NULL || flow->tag == 0
       || !galena_tag_matches (message->tag, flow->tag)
       || flow->state != GALENA_CALLER_FLOW_OPEN)
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -12,7 +12,9 @@
   SEND_WINDOW_PARTS = 32,
   /* A flow whose owner gave no sign for so long, while it was asked, is
      opened again elsewhere.  */
-  OWNER_SILENT_MS = 3000
+  OWNER_SILENT_MS = 3000,
+  /* An idle flow tells its owner this often that it goes on.  */
+  HEARTBEAT_MS = 30000
 };
 
 struct galena_message
@@ -149,8 +151,8 @@
       = galena_caller_request_row (world, handle);
 
   galena_caller_end (world, handle,
-                     request->sent == 0 ? GALENA_REFUSED_DEADLINE
-                                        : GALENA_UNKNOWN_OUTCOME);
+                     request->sent < request->total ? GALENA_REFUSED_DEADLINE
+                                                    : GALENA_UNKNOWN_OUTCOME);
 }
 
 static void
@@ -197,6 +199,21 @@
   return flow->open_requests > 0 && silent_ms >= OWNER_SILENT_MS;
 }
 
+/* Keeps an idle flow from being ended as silent; an owner that does not know
+   the flow replies that it is lost.  */
+static void
+run_idle (struct galena_world *world, struct galena_caller_flow *flow)
+{
+  struct galena_message heartbeat
+      = galena_caller_message (world, flow, GALENA_MESSAGE_ACK_ANSWER);
+
+  flow->heard = world->now;
+  if (!galena_clock_reached (world->now, flow->heartbeat))
+    return;
+  flow->heartbeat = galena_clock_after (world->now, HEARTBEAT_MS);
+  galena_world_send (world, &heartbeat);
+}
+
 void
 galena_caller_run_send (struct galena_world *world)
 {
@@ -213,7 +230,7 @@
       else if (flow->state == GALENA_CALLER_FLOW_CLOSING)
         galena_caller_finish_close (world, handle);
       else if (flow->open_requests == 0)
-        flow->heard = world->now;
+        run_idle (world, flow);
       else if (owner_is_silent (world, flow))
         galena_caller_reopen (world, handle);
     }
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -35,6 +35,18 @@
   struct galena_clock resend;
   /* When the owner last gave a sign of life.  */
   struct galena_clock heard;
+  /* When an idle flow next tells its owner that it goes on.  */
+  struct galena_clock heartbeat;
+};
+
+/* A flow that is over for the caller and may still be held by its agent.  */
+struct galena_caller_closing
+{
+  struct galena_flow_id id;
+  struct galena_endpoint service;
+  uint64_t tag;
+  uint32_t tries;
+  struct galena_clock resend;
 };
 
 struct galena_caller_request
@@ -46,6 +58,8 @@
   bool idempotent;
   bool endless;
   bool cancelled;
+  /* Whether a copy on an earlier flow or number may have run.  */
+  bool exposed;
   /* Number that the application gave.  */
   uint64_t user;
   /* Owned.  */
@@ -65,6 +79,8 @@
 {
   struct galena_table *flows;
   struct galena_map *flows_by_id;
+  struct galena_table *closings;
+  struct galena_map *closings_by_id;
   struct galena_table *requests;
   /* Flow and number to request, once the request has a number.  */
   struct galena_map *requests_by_number;
@@ -105,8 +121,13 @@
                         struct galena_request_handle handle,
                         enum galena_result result);
 
-/* Opens FLOW again under a new id; its idempotent requests start over, the
-   others end with the unknown outcome if any part of them was sent.  */
+/* Has REQUEST start over with a new number, after a copy of it may have
+   run.  */
+void galena_caller_start_over (struct galena_world *world,
+                               struct galena_request_handle handle);
+
+/* Opens FLOW again under a new id.  Requests that may have run start over if
+   they are idempotent, and end with the unknown outcome if not.  */
 void galena_caller_reopen (struct galena_world *world,
                            struct galena_flow_handle handle);
 
@@ -115,10 +136,28 @@
                              struct galena_flow_handle handle,
                              enum galena_result result);
 
-/* Tells the owner that a closing flow is over, and removes it.  */
+/* Removes a flow that the application has closed, and tells the owner.  */
 void galena_caller_finish_close (struct galena_world *world,
                                  struct galena_flow_handle handle);
 
+/* caller_close.c */
+
+/* Creates the table of closings.  Errors: GALENA_ERR_MEMORY.  */
+enum galena_result galena_caller_create_closings (struct galena_world *world);
+
+/* Tells the agent that gave TAG that flow ID is over, until it replies or
+   the tries are spent.  */
+void galena_caller_tell_close (struct galena_world *world,
+                               struct galena_flow_id id,
+                               struct galena_endpoint service, uint64_t tag);
+
+/* Notes that an agent no longer holds the flow of MESSAGE.  */
+void galena_caller_on_closed (struct galena_world *world,
+                              const struct galena_message *message);
+
+/* System: sends closes that got no reply again.  */
+void galena_caller_run_closings (struct galena_world *world);
+
 /* caller_receive.c */
 void galena_caller_run_receive (struct galena_world *world);
 
--- a/packages/core/src/forward.c
+++ b/packages/core/src/forward.c
@@ -123,6 +123,6 @@
     return;
   if (!routed && service != NULL)
     pass_along_chain (world, message, service);
-  else if (message->type != GALENA_MESSAGE_CLOSE)
+  else
     galena_agent_send_lost (world, message);
 }
--- a/test/scenario/measure.c
+++ b/test/scenario/measure.c
@@ -150,6 +150,24 @@
   return true;
 }
 
+/* Prints a line for NODE when rows of its tables are in use.  */
+static void
+print_rows (const struct fleet_node *node)
+{
+  struct galena_world_usage usage;
+
+  if (node->world == NULL)
+    return;
+  galena_world_usage (node->world, &usage);
+  if (usage.flows + usage.requests + usage.pending_opens + usage.pending_closes
+      == 0)
+    return;
+  printf ("node=%s flows=%u requests=%u running=%u queued=%u "
+          "pending_opens=%u pending_closes=%u\n",
+          node->name, usage.flows, usage.requests, usage.running, usage.queued,
+          usage.pending_opens, usage.pending_closes);
+}
+
 void
 scenario_print (struct scenario *scenario)
 {
@@ -166,6 +184,8 @@
                   MEASURES[m].of_load (scenario, load));
       printf ("\n");
     }
+  for (uint32_t i = 0; i < scenario->fleet->node_count; i++)
+    print_rows (&scenario->fleet->nodes[i]);
   fleet_totals (scenario->fleet, &totals);
   printf ("run seed=%lu", scenario->seed);
   for (size_t m = 0; m < G_N_ELEMENTS (MEASURES); m++)
