Report every fault of a settings file at once

The reader stopped at the first line that was not INI, took the last of two equal keys, took any text for a policy or a URL, and split a line of more than 200 bytes in two, so that later faults named wrong lines. It now checks the form of each line before the parser sees it, notes the line of each key, and says what is allowed; the names of policies come from the tables of core. Adds [operator] address and connections.

--- a/packages/core/src/admission.c
+++ b/packages/core/src/admission.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <galenaford/policies.h>
+
 #include "agent.h"
 
 static const struct galena_request *
@@ -84,3 +86,11 @@
       return &POLICIES[i];
   return NULL;
 }
+
+const char *
+galena_admission_name (uint32_t index)
+{
+  if (index >= sizeof POLICIES / sizeof POLICIES[0])
+    return NULL;
+  return POLICIES[index].name;
+}
--- a/packages/core/src/choice.c
+++ b/packages/core/src/choice.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <galenaford/policies.h>
+
 #include "entry.h"
 #include "policy.h"
 
@@ -75,3 +77,11 @@
       return &POLICIES[i];
   return NULL;
 }
+
+const char *
+galena_choice_name (uint32_t index)
+{
+  if (index >= sizeof POLICIES / sizeof POLICIES[0])
+    return NULL;
+  return POLICIES[index].name;
+}
--- a/packages/platform/include/galenaford/settings.h
+++ b/packages/platform/include/galenaford/settings.h
@@ -36,6 +36,9 @@
   char admission[GALENA_NAME_BYTES];
   /* [shutdown] */
   uint32_t shutdown_limit_ms;
+  /* [operator]; no address, no socket.  */
+  struct galena_endpoint operator_address;
+  uint32_t operator_connections;
 };
 
 /* What one key may hold; the table of these is the reference for the pages. */
@@ -48,13 +51,22 @@
   /* Range, unit or form of the value.  */
   const char *allowed;
   const char *meaning;
+  /* Returns the names that the value may be, one by one, then NULL; NULL for
+     a value that is not a name.  */
+  const char *(*name_at) (uint32_t index);
 };
 
 /* Returns row INDEX of the table of keys, or NULL past its end.  */
 const struct galena_setting *galena_setting_at (uint32_t index);
 
+/* Writes all that SETTING may hold to TEXT of SIZE bytes: its range, unit or
+   form, and the names where it is one of these.  */
+void galena_setting_allowed (const struct galena_setting *setting, char *text,
+                             size_t size);
+
 /* Reads the file at PATH into *SETTINGS and writes each fault as a line
-   "FILE:LINE: [section] key: what is allowed" to FAULTS.
+   "FILE:LINE: [section] key: what is allowed" to FAULTS.  LINE is 0 for a
+   fault of the whole file.
    Errors: GALENA_ERR_IO when the file can't be read, GALENA_ERR_INVALID.  */
 enum galena_result galena_settings_load (const char *path,
                                          struct galena_settings *settings,
--- a/packages/platform/src/settings.c
+++ b/packages/platform/src/settings.c
@@ -7,6 +7,7 @@
 
 #include <ini.h>
 
+#include <galenaford/policies.h>
 #include <galenaford/record.h>
 #include <galenaford/settings.h>
 
@@ -61,6 +62,42 @@
   return galena_endpoint_parse (text, at) == GALENA_OK;
 }
 
+static bool
+read_optional_address (const struct setting_row *row, const char *text,
+                       void *at)
+{
+  struct galena_endpoint *address = at;
+
+  if (strcmp (text, "none") != 0)
+    return read_address (row, text, at);
+  *address = (struct galena_endpoint){ 0, 0 };
+  return true;
+}
+
+static bool
+read_url (const struct setting_row *row, const char *text, void *at)
+{
+  static const char SCHEME[] = "http://";
+  struct galena_endpoint address;
+
+  if (strncmp (text, SCHEME, sizeof SCHEME - 1) != 0
+      || galena_endpoint_parse (text + sizeof SCHEME - 1, &address)
+             != GALENA_OK)
+    return false;
+  return read_text (row, text, at);
+}
+
+static bool
+read_name (const struct setting_row *row, const char *text, void *at)
+{
+  const char *name;
+
+  for (uint32_t i = 0; (name = row->setting.name_at (i)) != NULL; i++)
+    if (strcmp (name, text) == 0)
+      return read_text (row, text, at);
+  return false;
+}
+
 static bool
 read_role (const struct setting_row *row, const char *text, void *at)
 {
@@ -81,107 +118,122 @@
       sizeof (((struct galena_settings *)0)->member)
 
 static const struct setting_row ROWS[] = {
-  { { "process", "name", NULL, "1 to 31 bytes", "Name in logs." },
+  { { "process", "name", NULL, "1 to 31 bytes", "Name in logs.", NULL },
     read_text,
     PLACE (name),
     1,
     0,
     GALENA_ROLE_COUNT },
-  { { "process", "role", NULL, "entry or agent", "What the process does." },
+  { { "process", "role", NULL, "entry or agent", "What the process does.",
+      NULL },
     read_role,
     PLACE (role),
     0,
     0,
     GALENA_ROLE_COUNT },
-  { { "process", "zone", "", "0 to 31 bytes", "Availability zone." },
+  { { "process", "zone", "", "0 to 31 bytes", "Availability zone.", NULL },
     read_text,
     PLACE (zone),
     0,
     0,
     GALENA_ROLE_COUNT },
   { { "entry", "address", NULL, "A.B.C.D:PORT",
-      "Where datagrams of callers arrive." },
+      "Where datagrams of callers arrive.", NULL },
     read_address,
     PLACE (entry_address),
     0,
     0,
     GALENA_ROLE_ENTRY },
-  { { "entry", "threads", "1", "1 to 64", "Threads that move packets." },
+  { { "entry", "threads", "1", "1 to 64", "Threads that move packets.", NULL },
     read_number,
     PLACE (entry_threads),
     1,
     64,
     GALENA_ROLE_ENTRY },
   { { "entry", "pending_opens", "4096", "16 to 65536",
-      "Most opens without a reply, per thread." },
+      "Most opens without a reply, per thread.", NULL },
     read_number,
     PLACE (entry_pending_opens),
     16,
     65536,
     GALENA_ROLE_ENTRY },
   { { "agent", "address", NULL, "A.B.C.D:PORT",
-      "Where datagrams of entries arrive; as in the service's record." },
+      "Where datagrams of entries arrive; as in the service's record.", NULL },
     read_address,
     PLACE (agent_address),
     0,
     0,
     GALENA_ROLE_AGENT },
   { { "agent", "upstream", NULL, "1 to 1048575",
-      "Number of the upstream beside the agent." },
+      "Number of the upstream beside the agent.", NULL },
     read_number,
     PLACE (agent_upstream),
     1,
     1048575,
     GALENA_ROLE_AGENT },
   { { "agent", "upstream_url", NULL, "http://A.B.C.D:PORT",
-      "Where the upstream takes requests." },
-    read_text,
+      "Where the upstream takes requests.", NULL },
+    read_url,
     PLACE (agent_upstream_url),
     8,
     0,
     GALENA_ROLE_AGENT },
   { { "agent", "requests", "4096", "16 to 65536",
-      "Most requests held at once." },
+      "Most requests held at once.", NULL },
     read_number,
     PLACE (agent_requests),
     16,
     65536,
     GALENA_ROLE_AGENT },
   { { "platform", "url", NULL, "http://A.B.C.D:PORT",
-      "The platform's configuration service." },
-    read_text,
+      "The platform's configuration service.", NULL },
+    read_url,
     PLACE (platform_url),
     8,
     0,
     GALENA_ROLE_COUNT },
   { { "platform", "wait_ms", "20000", "100 to 60000 milliseconds",
-      "Longest wait of one watch." },
+      "Longest wait of one watch.", NULL },
     read_number,
     PLACE (platform_wait_ms),
     100,
     60000,
     GALENA_ROLE_COUNT },
-  { { "policy", "choice", "two-wait", "a policy's name",
-      "How an entry chooses an upstream." },
-    read_text,
+  { { "policy", "choice", "two-wait", "one of",
+      "How an entry chooses an upstream.", galena_choice_name },
+    read_name,
     PLACE (choice),
     1,
     0,
     GALENA_ROLE_COUNT },
-  { { "policy", "admission", "shares", "a policy's name",
-      "How an agent chooses the next request." },
-    read_text,
+  { { "policy", "admission", "shares", "one of",
+      "How an agent chooses the next request.", galena_admission_name },
+    read_name,
     PLACE (admission),
     1,
     0,
     GALENA_ROLE_COUNT },
   { { "shutdown", "limit_ms", "30000", "0 to 600000 milliseconds",
-      "Longest graceful shutdown." },
+      "Longest graceful shutdown.", NULL },
     read_number,
     PLACE (shutdown_limit_ms),
     0,
     600000,
     GALENA_ROLE_COUNT },
+  { { "operator", "address", "none", "A.B.C.D:PORT or none",
+      "Where galenactl reads the state of the process.", NULL },
+    read_optional_address,
+    PLACE (operator_address),
+    0,
+    0,
+    GALENA_ROLE_COUNT },
+  { { "operator", "connections", "8", "1 to 64",
+      "Most connections of operators at once.", NULL },
+    read_number,
+    PLACE (operator_connections),
+    1,
+    64,
+    GALENA_ROLE_COUNT },
 };
 
 enum
@@ -199,7 +251,8 @@
   /* Line being read, from 1.  */
   int line;
   uint32_t fault_count;
-  bool seen[ROW_COUNT];
+  /* Line of each key, or 0 while it was not read.  */
+  int lines[ROW_COUNT];
 };
 
 const struct galena_setting *
@@ -208,6 +261,21 @@
   return index < ROW_COUNT ? &ROWS[index].setting : NULL;
 }
 
+void
+galena_setting_allowed (const struct galena_setting *setting, char *text,
+                        size_t size)
+{
+  size_t used = (size_t)snprintf (text, size, "%s", setting->allowed);
+  const char *name;
+
+  if (setting->name_at == NULL)
+    return;
+  for (uint32_t i = 0;
+       (name = setting->name_at (i)) != NULL && used < size - 1; i++)
+    used += (size_t)snprintf (text + used, size - used, "%s %s",
+                              i == 0 ? ":" : ",", name);
+}
+
 static void
 report (struct load *load, int line, const char *section, const char *key,
         const char *text)
@@ -217,6 +285,19 @@
            key, text);
 }
 
+/* Reports that ROW is at fault: REASON, and what is allowed.  */
+static void
+report_row (struct load *load, int line, const struct setting_row *row,
+            const char *reason)
+{
+  char allowed[GALENA_SETTING_BYTES];
+  char text[GALENA_SETTING_BYTES + 64];
+
+  galena_setting_allowed (&row->setting, allowed, sizeof allowed);
+  snprintf (text, sizeof text, "%s; allowed: %s", reason, allowed);
+  report (load, line, row->setting.section, row->setting.key, text);
+}
+
 static const struct setting_row *
 find_row (const char *section, const char *key)
 {
@@ -245,22 +326,87 @@
       report (load, load->line, section, key, "no setting of this name");
       return 1;
     }
-  load->seen[row - ROWS] = true;
-  if (row->read (row, value, place_of (load->settings, row)))
-    return 1;
-  snprintf (text, sizeof text, "allowed: %s", row->setting.allowed);
-  report (load, load->line, section, key, text);
+  if (load->lines[row - ROWS] != 0)
+    {
+      snprintf (text, sizeof text, "stands twice; first in line %d",
+                load->lines[row - ROWS]);
+      report (load, load->line, section, key, text);
+      return 1;
+    }
+  load->lines[row - ROWS] = load->line;
+  if (!row->read (row, value, place_of (load->settings, row)))
+    report_row (load, load->line, row, "not allowed");
   return 1;
 }
 
-/* Gives the parser one line and counts it.  */
+/* Reads past the rest of a line that was too long.  */
+static void
+skip_line (FILE *file)
+{
+  int next;
+
+  do
+    next = getc (file);
+  while (next != EOF && next != '\n');
+}
+
+static bool
+is_section (const char *name, size_t length)
+{
+  for (uint32_t i = 0; i < ROW_COUNT; i++)
+    {
+      const char *section = ROWS[i].setting.section;
+
+      if (strlen (section) == length && memcmp (section, name, length) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Returns what is wrong with the form of LINE, or NULL.  */
+static const char *
+fault_of_line (const char *line)
+{
+  const char *start = line + strspn (line, " \t\r\n");
+  const char *end;
+
+  if (*start == '\0' || *start == ';' || *start == '#')
+    return NULL;
+  if (*start != '[')
+    return strpbrk (start, "=:") == NULL ? "not a line of an INI file" : NULL;
+  end = strchr (start, ']');
+  if (end == NULL)
+    return "not a line of an INI file";
+  if (!is_section (start + 1, (size_t)(end - start - 1)))
+    return "no section of this name";
+  return NULL;
+}
+
+/* Gives the parser one line and counts it; a line of a wrong form is reported
+   and given as an empty one.  */
 static char *
 read_line (char *text, int size, void *data)
 {
   struct load *load = data;
+  const char *fault;
+  size_t length;
 
+  if (fgets (text, size, load->file) == NULL)
+    return NULL;
   load->line++;
-  return fgets (text, size, load->file);
+  length = strlen (text);
+  if ((length == 0 || text[length - 1] != '\n') && !feof (load->file))
+    {
+      skip_line (load->file);
+      fault = "the line is too long or holds a NUL byte";
+    }
+  else
+    fault = fault_of_line (text);
+  if (fault == NULL)
+    return text;
+  report (load, load->line, "-", "-", fault);
+  strcpy (text, "\n");
+  return text;
 }
 
 static void
@@ -273,22 +419,21 @@
                     place_of (settings, &ROWS[i]));
 }
 
+/* Tells whether ROW is needed; a role that is not known needs no key.  */
+static bool
+is_needed (const struct load *load, const struct setting_row *row)
+{
+  if (row->setting.standard != NULL)
+    return false;
+  return row->role == GALENA_ROLE_COUNT || row->role == load->settings->role;
+}
+
 static void
 report_missing (struct load *load)
 {
   for (uint32_t i = 0; i < ROW_COUNT; i++)
-    {
-      const struct setting_row *row = &ROWS[i];
-      bool needed = row->role == GALENA_ROLE_COUNT
-                    || row->role == load->settings->role;
-      char text[GALENA_SETTING_BYTES];
-
-      if (load->seen[i] || row->setting.standard != NULL || !needed)
-        continue;
-      snprintf (text, sizeof text, "missing; allowed: %s",
-                row->setting.allowed);
-      report (load, 0, row->setting.section, row->setting.key, text);
-    }
+    if (load->lines[i] == 0 && is_needed (load, &ROWS[i]))
+      report_row (load, 0, &ROWS[i], "missing");
 }
 
 enum galena_result
@@ -299,6 +444,7 @@
   int line;
 
   set_standards (settings);
+  settings->role = GALENA_ROLE_COUNT;
   load.file = fopen (path, "r");
   if (load.file == NULL)
     {
@@ -307,8 +453,8 @@
     }
   line = ini_parse_stream (read_line, &load, take_pair, &load);
   fclose (load.file);
-  if (line > 0)
-    report (&load, line, "-", "-", "not a line of an INI file");
+  if (line != 0)
+    report (&load, line > 0 ? line : 0, "-", "-", "not a line of an INI file");
   report_missing (&load);
   return load.fault_count == 0 ? GALENA_OK : GALENA_ERR_INVALID;
 }
