Limit log lines by event and count what is left out

A failing platform or a flood of refused records could fill the log. Each event may write 100 lines in ten seconds; the rest is counted and told in one line when the window has ended.

Tests: seven cases in virtual time.

--- a/packages/platform/include/galenaford/log.h
+++ b/packages/platform/include/galenaford/log.h
@@ -7,10 +7,14 @@
 #include <syslog.h>
 
 /* Writes one line: "<severity>event=EVENT process=NAME ...".  FORMAT gives
-   the further pairs, as in "upstream=%u".  Any thread may call it.  */
+   the further pairs, as in "upstream=%u".  Lines of one event beyond the limit
+   of log_limit.h are left out and counted.  Any thread may call it.  */
 void galena_log (int severity, const char *event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
+/* Writes how many lines were left out of windows that have ended.  */
+void galena_log_flush (void);
+
 /* Sets the name of the process for all later lines; copied.  */
 void galena_log_name (const char *name);
 
--- a/packages/platform/src/log.c
+++ b/packages/platform/src/log.c
@@ -1,10 +1,12 @@
 /* Log lines on standard error.  */
 
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
-#include <unistd.h>
 
 #include <galenaford/log.h>
+#include <galenaford/log_limit.h>
+#include <galenaford/monotonic.h>
 
 enum
 {
@@ -13,6 +15,8 @@
 };
 
 static char process_name[NAME_BYTES] = "-";
+static pthread_mutex_t limit_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct galena_log_limit limit;
 
 void
 galena_log_name (const char *name)
@@ -20,19 +24,64 @@
   snprintf (process_name, sizeof process_name, "%s", name);
 }
 
-void
-galena_log (int severity, const char *event, const char *format, ...)
+static void
+write_line (int severity, const char *event, const char *format,
+            va_list arguments)
 {
   char line[LINE_BYTES];
-  va_list arguments;
-  int used;
+  int used = snprintf (line, sizeof line, "<%d>event=%s process=%s ", severity,
+                       event, process_name);
 
-  used = snprintf (line, sizeof line, "<%d>event=%s process=%s ", severity,
-                   event, process_name);
   if (used < 0)
     return;
-  va_start (arguments, format);
   vsnprintf (line + used, sizeof line - (size_t)used - 1, format, arguments);
-  va_end (arguments);
   fprintf (stderr, "%s\n", line);
 }
+
+static void write_pairs (int severity, const char *event, const char *format,
+                         ...) __attribute__ ((format (printf, 3, 4)));
+
+static void
+write_pairs (int severity, const char *event, const char *format, ...)
+{
+  va_list arguments;
+
+  va_start (arguments, format);
+  write_line (severity, event, format, arguments);
+  va_end (arguments);
+}
+
+static void
+write_left_out (struct galena_clock now)
+{
+  struct galena_log_window ended;
+
+  while (galena_log_limit_ended (&limit, now, &ended))
+    write_pairs (LOG_WARNING, "log-left-out", "of=%s lines=%u", ended.event,
+                 ended.left_out);
+}
+
+void
+galena_log (int severity, const char *event, const char *format, ...)
+{
+  struct galena_clock now = galena_monotonic_now ();
+  va_list arguments;
+
+  pthread_mutex_lock (&limit_lock);
+  write_left_out (now);
+  if (galena_log_limit_take (&limit, event, now))
+    {
+      va_start (arguments, format);
+      write_line (severity, event, format, arguments);
+      va_end (arguments);
+    }
+  pthread_mutex_unlock (&limit_lock);
+}
+
+void
+galena_log_flush (void)
+{
+  pthread_mutex_lock (&limit_lock);
+  write_left_out (galena_monotonic_now ());
+  pthread_mutex_unlock (&limit_lock);
+}
--- /dev/null
+++ b/test/unit/test_log_limit.c
@@ -0,0 +1,74 @@
+/* The rate limit of log lines, in virtual time.  */
+
+#include <glib.h>
+
+#include <galenaford/log_limit.h>
+
+struct limit_case
+{
+  const char *name;
+  /* Different events, and lines of each.  */
+  uint32_t events;
+  uint32_t lines;
+  /* Milliseconds between two lines of an event.  */
+  int64_t gap_ms;
+  uint32_t written;
+  /* Windows that report lines left out, and lines reported in all.  */
+  uint32_t reports;
+  uint32_t left_out;
+};
+
+static const struct limit_case CASES[] = {
+  { "/log/few", 1, 10, 1, 10, 0, 0 },
+  { "/log/at-limit", 1, GALENA_LOG_LINES_MAX, 1, GALENA_LOG_LINES_MAX, 0, 0 },
+  { "/log/beyond", 1, 150, 1, GALENA_LOG_LINES_MAX, 1, 50 },
+  { "/log/slow", 1, 500, GALENA_LOG_WINDOW_MS, 500, 0, 0 },
+  { "/log/two-windows", 1, 500, 50, 300, 2, 200 },
+  { "/log/each-event-alone", 3, 150, 1, 300, 3, 150 },
+  { "/log/more-events-than-rows", 200, 1, 0, 163, 1, 37 },
+};
+
+static void
+run_limit_case (gconstpointer data)
+{
+  const struct limit_case *test = data;
+  struct galena_log_limit *limit = g_new0 (struct galena_log_limit, 1);
+  struct galena_log_window ended;
+  struct galena_clock now = { 0 };
+  uint32_t written = 0;
+  uint32_t reports = 0;
+  uint32_t left_out = 0;
+
+  for (uint32_t line = 0; line <= test->lines; line++)
+    {
+      while (galena_log_limit_ended (limit, now, &ended))
+        {
+          reports++;
+          left_out += ended.left_out;
+        }
+      if (line == test->lines)
+        break;
+      for (uint32_t i = 0; i < test->events; i++)
+        {
+          char *event = g_strdup_printf ("event-%u", i);
+          written += galena_log_limit_take (limit, event, now);
+          g_free (event);
+        }
+      now = galena_clock_after (now, test->gap_ms);
+      if (line + 1 == test->lines)
+        now = galena_clock_after (now, GALENA_LOG_WINDOW_MS);
+    }
+  g_assert_cmpuint (written, ==, test->written);
+  g_assert_cmpuint (reports, ==, test->reports);
+  g_assert_cmpuint (left_out, ==, test->left_out);
+  g_free (limit);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
+    g_test_add_data_func (CASES[i].name, &CASES[i], run_limit_case);
+  return g_test_run ();
+}
