Measure the entry beside a bare relay with make bench

Cause: the cost of the entry data path was not known. Conclusion: the codec and the mailboxes are next to be profiled.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 
 clean:
 	rm -rf $(BUILD)
+
+bench: all
+	$(BUILD)/test/bench/bench
