Measure choice, floods, feeds, deaths and flows from stated seeds

Cause: nothing measured the policies yet. The choice `random' drew from the three candidates of a flow only, and there was no choice by queue length.

Random draws from all upstreams of the service. Messages tell the queue beside the expected wait, for the baseline `two-queue'. In the fake, work beyond an upstream's slots slows it, and an agent may tell no wait.

--- a/packages/core/include/galenaford/message.h
+++ b/packages/core/include/galenaford/message.h
@@ -107,6 +107,8 @@
   uint32_t deadline_ms;
   /* Expected wait at the sending agent in milliseconds.  */
   uint32_t wait_ms;
+  /* Requests queued and running at the sending agent.  */
+  uint32_t queue;
   /* Request row that a run message speaks of, in the sender's world.  */
   struct galena_request_handle run;
   /* Caller's application link only: see galena_caller_set_user.  */
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -47,7 +47,7 @@
   reply.kind = message->kind;
   reply.tag = galena_tag_make (world->options.upstream,
                                world->options.incarnation, 0);
-  reply.wait_ms = galena_agent_expected_wait_ms (world, message->kind);
+  galena_agent_tell_load (world, &reply);
   return reply;
 }
 
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -198,6 +198,10 @@
 /* Hands queued requests to the upstream while it has room.  */
 void galena_agent_run_admit (struct galena_world *world);
 
+/* Fills in the load of MESSAGE's kind at this agent.  */
+void galena_agent_tell_load (const struct galena_world *world,
+                             struct galena_message *message);
+
 /* Returns the expected wait of a new request of KIND in milliseconds.  */
 uint32_t galena_agent_expected_wait_ms (const struct galena_world *world,
                                         uint16_t kind);
--- a/packages/core/src/agent_answer.c
+++ b/packages/core/src/agent_answer.c
@@ -42,7 +42,7 @@
   message.request = request->number;
   message.kind = request->kind;
   message.result = request->result;
-  message.wait_ms = galena_agent_expected_wait_ms (world, request->kind);
+  galena_agent_tell_load (world, &message);
   if (service != NULL)
     message.service = service->address;
   return message;
--- a/packages/core/src/agent_run.c
+++ b/packages/core/src/agent_run.c
@@ -40,6 +40,24 @@
   return (uint32_t)(work_ms / self->slots);
 }
 
+static uint32_t
+count_queued (const struct galena_world *world)
+{
+  uint32_t queued = 0;
+
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    queued += world->agent->queues[i].queued;
+  return queued;
+}
+
+void
+galena_agent_tell_load (const struct galena_world *world,
+                        struct galena_message *message)
+{
+  message->wait_ms = galena_agent_expected_wait_ms (world, message->kind);
+  message->queue = count_queued (world) + world->agent->running;
+}
+
 void
 galena_agent_enqueue (struct galena_world *world,
                       struct galena_request_handle handle)
--- a/packages/core/src/choice.c
+++ b/packages/core/src/choice.c
@@ -24,8 +24,23 @@
 }
 
 /* Returns the cost of sending an open to an upstream, lower is better.  */
+typedef uint64_t cost_function (const struct galena_hint *hint);
+
+static uint64_t
+wait_cost (const struct galena_hint *hint)
+{
+  return hint->wait_ms;
+}
+
 static uint64_t
-expected_cost (const struct galena_world *world, uint32_t candidate)
+queue_cost (const struct galena_hint *hint)
+{
+  return hint->queue;
+}
+
+static uint64_t
+cost_of (const struct galena_world *world, uint32_t candidate,
+         cost_function *cost)
 {
   const struct galena_upstream *upstream
       = galena_config_upstream (world->config, candidate);
@@ -35,32 +50,48 @@
     return 0;
   if (!galena_clock_reached (world->now, hint->suspect_until))
     return UINT64_MAX;
-  return hint->wait_ms;
+  return cost (hint);
 }
 
+/* Takes the cheaper of the first two; of all when the first is suspect.  */
 static uint32_t
-choose_two_wait (struct galena_world *world, const uint32_t *candidates,
-                 uint32_t count)
+choose_cheaper (const struct galena_world *world, const uint32_t *candidates,
+                uint32_t count, cost_function *cost)
 {
   uint32_t best = 0;
-  uint64_t best_cost = expected_cost (world, candidates[0]);
+  uint64_t best_cost = cost_of (world, candidates[0], cost);
   uint32_t considered = count < 2 ? count : 2;
 
   if (count > 2 && best_cost == UINT64_MAX)
     considered = count;
   for (uint32_t i = 1; i < considered; i++)
     {
-      uint64_t cost = expected_cost (world, candidates[i]);
-      if (cost >= best_cost)
+      uint64_t next = cost_of (world, candidates[i], cost);
+      if (next >= best_cost)
         continue;
       best = i;
-      best_cost = cost;
+      best_cost = next;
     }
   return best;
 }
 
+static uint32_t
+choose_two_wait (struct galena_world *world, const uint32_t *candidates,
+                 uint32_t count)
+{
+  return choose_cheaper (world, candidates, count, wait_cost);
+}
+
+static uint32_t
+choose_two_queue (struct galena_world *world, const uint32_t *candidates,
+                  uint32_t count)
+{
+  return choose_cheaper (world, candidates, count, queue_cost);
+}
+
 static const struct galena_choice_policy POLICIES[] = {
   { "two-wait", choose_two_wait, false },
+  { "two-queue", choose_two_queue, false },
   { "hash", choose_first, false },
   { "random", choose_random, true },
 };
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -107,18 +107,48 @@
   return false;
 }
 
+/* Draws the candidates of FLOW from all active upstreams of SERVICE.  */
+static uint32_t
+draw_candidates (struct galena_world *world,
+                 const struct galena_service *service,
+                 uint32_t chosen[GALENA_CANDIDATES_MAX])
+{
+  uint32_t end = service->first_upstream + service->upstream_count;
+  uint32_t seen = 0;
+
+  for (uint32_t i = service->first_upstream; i < end; i++)
+    {
+      uint32_t at;
+
+      if (galena_config_upstream (world->config, i)->state
+          != GALENA_UPSTREAM_ACTIVE)
+        continue;
+      seen++;
+      at = galena_random_below (&world->random, seen);
+      if (seen <= GALENA_CANDIDATES_MAX)
+        chosen[seen - 1] = i;
+      else if (at < GALENA_CANDIDATES_MAX)
+        chosen[at] = i;
+    }
+  return seen < GALENA_CANDIDATES_MAX ? seen : GALENA_CANDIDATES_MAX;
+}
+
 /* Stores the candidates of PENDING that were not tried; returns how many. */
 static uint32_t
-untried_candidates (const struct galena_world *world,
+untried_candidates (struct galena_world *world,
                     const struct galena_service *service,
                     const struct galena_pending_open *pending,
                     uint32_t untried[GALENA_CANDIDATES_MAX])
 {
   uint32_t all[GALENA_CANDIDATES_MAX];
-  uint32_t total = galena_config_candidates (world->config, service,
-                                             pending->open.flow, all);
+  uint32_t total;
   uint32_t count = 0;
 
+  if (world->entry->choice->any_upstream)
+    total = draw_candidates (world, service, all);
+  else
+    total = galena_config_candidates (world->config, service,
+                                      pending->open.flow, all);
   for (uint32_t i = 0; i < total; i++)
     {
       uint32_t number = galena_config_upstream (world->config, all[i])->number;
@@ -292,6 +322,7 @@
         world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
                                           .upstream = hint->upstream });
   hint->wait_ms = message->wait_ms;
+  hint->queue = message->queue;
   hint->heard = world->now;
   hint->unanswered = 0;
   hint->suspect_until = world->now;
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -15,6 +15,8 @@
   uint32_t upstream;
   /* Expected wait in milliseconds, as the agent last told.  */
   uint32_t wait_ms;
+  /* Requests queued and running, as the agent last told.  */
+  uint32_t queue;
   /* When the agent was last heard.  */
   struct galena_clock heard;
   /* Avoid the upstream until then: it left an open unanswered.  */
--- a/packages/wire/src/wire.c
+++ b/packages/wire/src/wire.c
@@ -29,7 +29,7 @@
   WIRE_FIELD (total),      WIRE_FIELD (deadline_ms),  WIRE_FIELD (result),
   WIRE_FIELD (caller.ip),  WIRE_FIELD (caller.port),  WIRE_FIELD (entry.ip),
   WIRE_FIELD (entry.port), WIRE_FIELD (hops),         WIRE_FIELD (overload),
-  WIRE_FIELD (wait_ms),
+  WIRE_FIELD (wait_ms),    WIRE_FIELD (queue),
 };
 
 enum
--- a/test/fake/fleet.c
+++ b/test/fake/fleet.c
@@ -360,6 +360,8 @@
     delay_ms = 1;
   packet.body = g_memdup2 (message->body, message->body_size);
   packet.message.peer = fleet->nodes[from].address;
+  if (fleet->nodes[from].tells_no_wait)
+    packet.message.wait_ms = 0;
   g_array_append_val (fleet->wheel[(fleet->now.ms + delay_ms) % WHEEL_MS],
                       packet);
 }
@@ -582,12 +584,14 @@
     }
   if (!galena_clock_reached (fleet->now, upstream->warm_at))
     ms *= upstream->cold_factor;
+  upstream->busy_ms += run.holds_slot ? (uint64_t)ms : 0;
+  if (run.holds_slot && upstream->running >= upstream->slots)
+    ms *= (double)(upstream->running + 1) / upstream->slots;
   run.end = galena_clock_after (fleet->now, (int64_t)ms + 1);
   job->executed++;
   job->misrouted += load->service != node->service;
   upstream->executed++;
   upstream->running += run.holds_slot;
-  upstream->busy_ms += run.holds_slot ? (uint64_t)ms : 0;
   g_array_append_val (fleet->runs, run);
 }
 
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -43,7 +43,8 @@
   /* Runs take COLD_FACTOR as long before this instant.  */
   struct galena_clock warm_at;
   double cold_factor;
-  /* Refuses work beyond its slots, as not run.  */
+  /* Refuses work beyond its slots, as not run; otherwise work beyond them
+     slows each run that starts.  */
   bool sheds;
   /* Takes requests and never answers.  */
   bool silent;
@@ -68,6 +69,8 @@
   uint32_t group;
   /* Whether the fabric sends callers' packets here.  */
   bool listed;
+  /* The agent tells a wait of 0 in all it sends.  */
+  bool tells_no_wait;
   /* Whether the node can't read the platform.  */
   bool cut_from_platform;
   /* Records published at this instant or before have reached the node.  */
--- /dev/null
+++ b/test/measure/balance.c
@@ -0,0 +1,88 @@
+/* Imbalance of upstreams and latency, for each choice of upstream.  */
+
+#include <stdio.h>
+
+#include "measure.h"
+
+enum
+{
+  WARM_UP_MS = 5000,
+  END_MS = 65000
+};
+
+/* What is untrue about one upstream of speed 1.  */
+struct lie
+{
+  const char *name;
+  void (*tell) (struct fleet *fleet);
+};
+
+static void
+tell_truth (struct fleet *fleet)
+{
+  (void)fleet;
+}
+
+/* The agent tells no wait at all, whatever its queue.  */
+static void
+tell_no_wait (struct fleet *fleet)
+{
+  fleet->nodes[fleet_find (fleet, "agent-1")].tells_no_wait = true;
+}
+
+/* The record claims three times the slots that the upstream has.  */
+static void
+claim_slots (struct fleet *fleet)
+{
+  uint32_t node = (uint32_t)fleet_find (fleet, "agent-1");
+
+  fleet_upstream_row (fleet, node)->slots *= 3;
+}
+
+static const struct lie LIES[] = {
+  { "none", tell_truth },
+  { "no wait told", tell_no_wait },
+  { "slots x3", claim_slots },
+};
+
+static const char *const CHOICES[]
+    = { "random", "hash", "two-queue", "two-wait" };
+
+static const double LOADS[] = { 0.30, 0.70, 0.95 };
+
+static void
+run_row (uint64_t seed, const char *choice, const struct lie *lie,
+         double share)
+{
+  struct fleet *fleet = measure_fleet (seed, choice, NULL);
+  struct measure_mark *mark = g_new0 (struct measure_mark, 1);
+  const struct fleet_load *load
+      = measure_add_load (fleet, MEASURE_EVENT, share, 100, END_MS);
+  double kept;
+
+  lie->tell (fleet);
+  fleet_run (fleet, WARM_UP_MS);
+  measure_take_mark (fleet, mark);
+  fleet_run (fleet, END_MS);
+  kept = (double)(load->answered - mark->answered[0])
+         / (double)(load->sent - mark->sent[0]);
+  printf ("| %s | %s | %.0f%% | %.2f | %u | %u | %.1f%% |\n", lie->name,
+          choice, share * 100, measure_imbalance (fleet, mark),
+          measure_latency (fleet, mark, 0, 0.5),
+          measure_latency (fleet, mark, 0, 0.99), kept * 100);
+  g_free (mark);
+  fleet_destroy (fleet);
+}
+
+static void
+run (uint64_t seed)
+{
+  printf ("| untrue | choice | load | imbalance | p50 ms | p99 ms "
+          "| answered |\n|---|---|---|---|---|---|---|\n");
+  for (size_t lie = 0; lie < G_N_ELEMENTS (LIES); lie++)
+    for (size_t load = 0; load < G_N_ELEMENTS (LOADS); load++)
+      for (size_t choice = 0; choice < G_N_ELEMENTS (CHOICES); choice++)
+        run_row (seed, CHOICES[choice], &LIES[lie], LOADS[load]);
+}
+
+const struct measure_experiment measure_balance = { "balance", run };
--- /dev/null
+++ b/test/measure/dead.c
@@ -0,0 +1,91 @@
+/* Retries and recovery while a third of the upstreams are dead.  */
+
+#include <stdio.h>
+
+#include "measure.h"
+
+enum
+{
+  DEATH_MS = 10000,
+  END_MS = 40000,
+  STEP_MS = 100,
+  /* Steps at full answers that count as recovered.  */
+  RECOVERED_STEPS = 5
+};
+
+static const char *const CHOICES[]
+    = { "random", "hash", "two-queue", "two-wait" };
+
+static const double LOADS[] = { 0.20, 0.50 };
+
+/* Kills two of seven upstreams: 5 of the 15 units of speed.  */
+static void
+kill_third (struct fleet *fleet)
+{
+  fleet_kill (fleet, (uint32_t)fleet_find (fleet, "agent-1"));
+  fleet_kill (fleet, (uint32_t)fleet_find (fleet, "agent-6"));
+}
+
+/* Returns the milliseconds after the deaths until no step refused or lost
+   more than one in a hundred of its requests, or -1.  */
+static int64_t
+run_until_recovered (struct fleet *fleet, const struct fleet_load *load)
+{
+  int64_t recovered_ms = -1;
+  uint32_t good = 0;
+
+  for (int64_t at = DEATH_MS + STEP_MS; at <= END_MS; at += STEP_MS)
+    {
+      uint64_t sent = load->sent;
+      uint64_t bad = load->refused;
+
+      fleet_run (fleet, at);
+      sent = load->sent - sent;
+      bad = load->refused - bad;
+      good = bad * 100 <= sent ? good + 1 : 0;
+      if (good == RECOVERED_STEPS && recovered_ms < 0)
+        recovered_ms = at - RECOVERED_STEPS * STEP_MS - DEATH_MS;
+      if (good == 0)
+        recovered_ms = -1;
+    }
+  return recovered_ms;
+}
+
+static void
+run_row (uint64_t seed, const char *choice, double share)
+{
+  struct fleet *fleet = measure_fleet (seed, choice, NULL);
+  const struct fleet_load *load
+      = measure_add_load (fleet, MEASURE_EVENT, share, 100, END_MS);
+  uint64_t retries;
+  uint64_t opens;
+  uint64_t refused;
+  int64_t recovered_ms;
+
+  fleet_run (fleet, DEATH_MS);
+  retries = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_RETRIES);
+  opens = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_OPENS);
+  refused = load->refused;
+  kill_third (fleet);
+  recovered_ms = run_until_recovered (fleet, load);
+  retries = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_RETRIES) - retries;
+  opens = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_OPENS) - opens;
+  printf ("| %s | %.0f%% | %.1f%% | %.2f%% | %ld |\n", choice, share * 100,
+          (double)retries * 100 / (double)opens,
+          (double)(load->refused - refused) * 100 / (double)opens,
+          (long)recovered_ms);
+  fflush (stdout);
+  fleet_destroy (fleet);
+}
+
+static void
+run (uint64_t seed)
+{
+  printf ("| choice | load | retries of first tries | refused "
+          "| recovered after ms |\n|---|---|---|---|---|\n");
+  for (size_t load = 0; load < G_N_ELEMENTS (LOADS); load++)
+    for (size_t i = 0; i < G_N_ELEMENTS (CHOICES); i++)
+      run_row (seed, CHOICES[i], LOADS[load]);
+}
+
+const struct measure_experiment measure_dead = { "dead", run };
--- /dev/null
+++ b/test/measure/flood.c
@@ -0,0 +1,120 @@
+/* What each kind keeps while one kind asks for many times the capacity.  */
+
+#include <stdio.h>
+
+#include "measure.h"
+
+enum
+{
+  FLOOD_FROM_MS = 5000,
+  /* The first seconds of a flood are not counted.  */
+  COUNT_FROM_MS = 8000,
+  END_MS = 18000
+};
+
+/* Shares of the capacity that each kind asks for without a flood.  */
+static const double USUAL[MEASURE_KIND_COUNT] = { 0, 0.25, 0.20, 0.10 };
+
+/* Goodput of each kind, in milliseconds of work a second, and its p99.  */
+struct figures
+{
+  double goodput[MEASURE_KIND_COUNT];
+  uint32_t p99_ms[MEASURE_KIND_COUNT];
+  double whole;
+};
+
+static void
+take_figures (const struct fleet *fleet, const struct measure_mark *mark,
+              struct figures *figures)
+{
+  double seconds = (END_MS - COUNT_FROM_MS) / 1000.0;
+
+  *figures = (struct figures){ 0 };
+  for (uint32_t i = 0; i < fleet->load_count; i++)
+    {
+      const struct fleet_load *load = &fleet->loads[i];
+      double answered = (double)(load->answered - mark->answered[i]);
+      double goodput = answered * load->work_ms / seconds;
+
+      figures->goodput[load->kind] += goodput;
+      figures->whole += goodput;
+      figures->p99_ms[load->kind] = MAX (
+          figures->p99_ms[load->kind], measure_latency (fleet, mark, i, 0.99));
+    }
+}
+
+/* Runs with a flood of KIND of TIMES the capacity.  */
+static void
+run_flood (uint64_t seed, const char *admission, enum measure_kind kind,
+           double times, struct figures *figures)
+{
+  struct fleet *fleet = measure_fleet (seed, NULL, admission);
+  struct measure_mark *mark = g_new0 (struct measure_mark, 1);
+
+  for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
+    measure_add_load (fleet, (enum measure_kind)i, USUAL[i], 100, END_MS);
+  if (times > 0)
+    measure_add_load (fleet, kind, times, FLOOD_FROM_MS, END_MS);
+  fleet_run (fleet, COUNT_FROM_MS);
+  measure_take_mark (fleet, mark);
+  fleet_run (fleet, END_MS);
+  take_figures (fleet, mark, figures);
+  g_free (mark);
+  fleet_destroy (fleet);
+}
+
+static const char *const ADMISSIONS[] = { "first-come", "urgency", "shares" };
+
+static const enum measure_kind FLOODERS[] = { MEASURE_PHOTO, MEASURE_READING };
+
+static const double TIMES[] = { 1, 2, 10, 50 };
+
+static void
+print_row (const char *admission, enum measure_kind kind, double times,
+           const struct figures *figures, const struct figures *usual,
+           double whole_at_one)
+{
+  printf ("| %s | %s x%.0f ", MEASURE_KIND_NAMES[kind], admission, times);
+  for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
+    printf ("| %.1f%% | %u ", figures->goodput[i] / usual->goodput[i] * 100,
+            figures->p99_ms[i]);
+  printf ("| %.1f%% |\n", figures->whole / whole_at_one * 100);
+  fflush (stdout);
+}
+
+static void
+run_admission (uint64_t seed, const char *admission)
+{
+  struct figures usual;
+
+  run_flood (seed, admission, MEASURE_PHOTO, 0, &usual);
+  print_row (admission, MEASURE_PHOTO, 0, &usual, &usual, usual.whole);
+  for (size_t f = 0; f < G_N_ELEMENTS (FLOODERS); f++)
+    {
+      double whole_at_one = 0;
+
+      for (size_t i = 0; i < G_N_ELEMENTS (TIMES); i++)
+        {
+          struct figures figures;
+
+          run_flood (seed, admission, FLOODERS[f], TIMES[i], &figures);
+          if (i == 0)
+            whole_at_one = figures.whole;
+          print_row (admission, FLOODERS[f], TIMES[i], &figures, &usual,
+                     whole_at_one);
+        }
+    }
+}
+
+static void
+run (uint64_t seed)
+{
+  printf ("| flood of | admission ");
+  for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
+    printf ("| %s kept | p99 ms ", MEASURE_KIND_NAMES[i]);
+  printf ("| whole |\n|---|---|---|---|---|---|---|---|---|\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (ADMISSIONS); i++)
+    run_admission (seed, ADMISSIONS[i]);
+}
+
+const struct measure_experiment measure_flood = { "flood", run };
--- /dev/null
+++ b/test/measure/measure.h
@@ -0,0 +1,84 @@
+/* Experiments that print the tables which docs/MEASUREMENTS.md quotes.
+
+   Everything runs in virtual time from a seed, so the same seed prints the
+   same table.  */
+
+#ifndef MEASURE_H
+#define MEASURE_H
+
+#include "fleet.h"
+
+struct measure_experiment
+{
+  const char *name;
+  /* Prints the experiment's table for SEED.  */
+  void (*run) (uint64_t seed);
+};
+
+extern const struct measure_experiment measure_balance;
+extern const struct measure_experiment measure_flood;
+extern const struct measure_experiment measure_feeds;
+extern const struct measure_experiment measure_dead;
+extern const struct measure_experiment measure_flows;
+
+/* Kinds of work of the measured service, by number.  */
+enum measure_kind
+{
+  MEASURE_FEED,
+  MEASURE_READING,
+  MEASURE_EVENT,
+  MEASURE_PHOTO,
+  MEASURE_KIND_COUNT
+};
+
+extern const char *const MEASURE_KIND_NAMES[MEASURE_KIND_COUNT];
+
+/* Run time of each kind at an upstream of speed 1, in milliseconds.  */
+extern const uint32_t MEASURE_WORK_MS[MEASURE_KIND_COUNT];
+
+enum
+{
+  MEASURE_AGENTS = 7,
+  MEASURE_ENTRIES = 3,
+  MEASURE_SLOTS = 3,
+  MEASURE_CONNECTIONS = 2000
+};
+
+/* Creates entries, agents with upstreams of speeds 1, 2 and 4 in turn, one
+   caller and one published service.  Policies may be NULL.  */
+struct fleet *measure_fleet (uint64_t seed, const char *choice,
+                             const char *admission);
+
+/* Returns the milliseconds of work that all upstreams do in a second.  */
+double measure_capacity (const struct fleet *fleet);
+
+/* Adds short flows of KIND that ask for SHARE of the capacity.  */
+struct fleet_load *measure_add_load (struct fleet *fleet,
+                                     enum measure_kind kind, double share,
+                                     int64_t from_ms, int64_t until_ms);
+
+/* What a load and the upstreams had done at an instant.  */
+struct measure_mark
+{
+  uint64_t answered[FLEET_LOADS_MAX];
+  uint64_t sent[FLEET_LOADS_MAX];
+  guint latencies[FLEET_LOADS_MAX];
+  uint64_t busy_ms[FLEET_NODES_MAX];
+};
+
+void measure_take_mark (const struct fleet *fleet, struct measure_mark *mark);
+
+/* Returns the greatest busy share of an upstream over the mean, since MARK. */
+double measure_imbalance (const struct fleet *fleet,
+                          const struct measure_mark *mark);
+
+/* Returns a load's latency at SHARE of its answers since MARK.  */
+uint32_t measure_latency (const struct fleet *fleet,
+                          const struct measure_mark *mark, uint32_t load,
+                          double share);
+
+/* Returns a counter summed over all nodes of KIND.  */
+uint64_t measure_count (const struct fleet *fleet, enum fleet_node_kind kind,
+                        enum galena_counter counter);
+
+#endif
