--- a/test/fake/fleet_network.c
+++ b/test/fake/fleet_network.c
@@ -67,6 +67,8 @@
   packet.message.peer = fleet->nodes[from].address;
   packet.message.peer.port = source;
   packet.message.path = 0;
+  if (fleet->nodes[from].tells_no_wait)
+    packet.message.wait_ms = 0;
   g_array_append_val (
       fleet->wheel[(fleet->now.ms + delay_ms) % FLEET_WHEEL_MS], packet);
 }
