Keep work away from an agent whose upstream is down

Cause: an upstream that is down refuses at once, so its agent has no queue and tells no wait, and the choice prefers it.

--- a/packages/core/include/galenaford/audit.h
+++ b/packages/core/include/galenaford/audit.h
@@ -30,6 +30,9 @@
      "A kind of work is no longer refused.")                                  \
   X (GALENA_AUDIT_OWNER_LOST, "owner-lost", "An agent stopped replying.")     \
   X (GALENA_AUDIT_OWNER_BACK, "owner-back", "An agent replies again.")        \
+  X (GALENA_AUDIT_UPSTREAM_DOWN, "upstream-down",                             \
+     "The upstream refused several requests in a row.")                       \
+  X (GALENA_AUDIT_UPSTREAM_UP, "upstream-up", "The upstream answers again.")  \
   X (GALENA_AUDIT_PAUSED, "paused", "The process woke up late.")
 
 enum galena_audit_event
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -98,6 +98,17 @@
   struct galena_clock until;
 };
 
+/* What the agent has seen of its upstream lately.  */
+struct galena_upstream_health
+{
+  /* Requests that the upstream refused in a row.  */
+  uint32_t refusals;
+  /* While in the future, no flow is accepted.  */
+  struct galena_clock closed_until;
+  /* How long it stays closed after the next refusal, in milliseconds.  */
+  uint32_t closed_ms;
+};
+
 struct galena_agent
 {
   struct galena_table *flows;
@@ -111,6 +122,7 @@
   struct galena_request_handle *ready;
   uint32_t ready_count;
   uint64_t body_bytes;
+  struct galena_upstream_health health;
   struct galena_table *leases;
   /* Bucket and place among its owners to lease.  */
   struct galena_map *leases_by_bucket;
@@ -186,6 +198,24 @@
 void galena_agent_pass_on (struct galena_world *world,
                            const struct galena_message *message);
 
+/* agent_health.c */
+
+enum
+{
+  /* Expected wait that an agent tells while its upstream is closed.  */
+  GALENA_WAIT_CLOSED_MS = 60000
+};
+
+/* Notes that the upstream ended a request with RESULT.  */
+void galena_agent_note_upstream (struct galena_world *world,
+                                 enum galena_result result);
+
+/* Tells whether the upstream can be expected to take a new flow's work.  */
+bool galena_agent_upstream_is_open (const struct galena_world *world);
+
+/* Notes that a flow is accepted while the upstream is on trial.  */
+void galena_agent_note_accept (struct galena_world *world);
+
 /* lease.c */
 
 enum
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -79,6 +79,8 @@
     return GALENA_REFUSED_NOT_CANDIDATE;
   if (galena_table_count (world->agent->flows) >= self->connections)
     return GALENA_REFUSED_CONNECTIONS;
+  if (!galena_agent_upstream_is_open (world))
+    return GALENA_REFUSED_BY_UPSTREAM;
   if (open->deadline_ms == 0)
     return GALENA_REFUSED_DEADLINE;
   if (galena_agent_expected_wait_ms (world, open->kind) > open->deadline_ms)
@@ -149,6 +151,7 @@
       return;
     }
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
+  galena_agent_note_accept (world);
   galena_stats_count (world,
                       galena_agent_service_number (world, message->kind),
                       message->kind, GALENA_KIND_ACCEPTED);
--- a/packages/core/src/agent_run.c
+++ b/packages/core/src/agent_run.c
@@ -55,6 +55,8 @@
                         struct galena_message *message)
 {
   message->wait_ms = galena_agent_expected_wait_ms (world, message->kind);
+  if (!galena_agent_upstream_is_open (world))
+    message->wait_ms = GALENA_WAIT_CLOSED_MS;
   message->queue = count_queued (world) + world->agent->running;
 }
 
@@ -214,6 +216,7 @@
   if (request == NULL || request->state != GALENA_REQUEST_RUNNING)
     return;
   release_slot (world, request);
+  galena_agent_note_upstream (world, message->result);
   if (message->result == GALENA_OK)
     galena_world_count (world, GALENA_COUNT_ANSWERED);
   else if (message->result == GALENA_UNKNOWN_OUTCOME)
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -50,6 +50,8 @@
   bool sheds;
   /* Takes requests and never answers.  */
   bool silent;
+  /* Can't be connected to: refuses everything, as not run.  */
+  bool down;
 };
 
 struct fleet_node
--- a/test/fake/fleet_upstream.c
+++ b/test/fake/fleet_upstream.c
@@ -24,8 +24,9 @@
                      .endless = load->endless };
 
   run.answer_at = message->resume;
-  if (upstream->sheds && run.holds_slot
-      && upstream->running >= upstream->slots)
+  if (upstream->down
+      || (upstream->sheds && run.holds_slot
+          && upstream->running >= upstream->slots))
     {
       struct galena_message end = { .type = GALENA_MESSAGE_RUN_END,
                                     .link = GALENA_LINK_APPLICATION,
