Serve operators, collect the audit trail, stop gracefully

The trails of worlds reached nobody: only the control thread logged its own rows. SIGTERM ended a process at once and cut what it had in progress.

A console thread now reads one report of each thread ten times a second through an exchange of three reports and one atomic index, so that threads that move packets take no lock and wait for nobody. It logs one audit trail of all threads and answers queries on [operator] address. Connections, their buffers and their idle time are bounded; rows are made as a buffer empties.

A first signal lets an agent take no new flows and finish what runs, and an entry finish its opens; [shutdown] limit_ms or a second signal ends it. Exit codes: 0 done, 3 limit reached, 4 second signal.

--- a/packages/core/include/galenaford/world.h
+++ b/packages/core/include/galenaford/world.h
@@ -71,6 +71,9 @@
 void galena_world_tick (struct galena_world *world, struct galena_clock now,
                         const struct galena_config *config);
 
+/* Returns the time of the last tick.  */
+struct galena_clock galena_world_now (const struct galena_world *world);
+
 /* Returns when the next tick is due if no message arrives.  */
 struct galena_clock galena_world_due (const struct galena_world *world);
 
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -147,6 +147,12 @@
   return first;
 }
 
+struct galena_clock
+galena_world_now (const struct galena_world *world)
+{
+  return world->now;
+}
+
 void
 galena_world_drain (struct galena_world *world)
 {
--- a/packages/daemon/src/agent_loop.c
+++ b/packages/daemon/src/agent_loop.c
@@ -19,6 +19,8 @@
 struct agent_loop
 {
   struct process *process;
+  /* Whether a graceful shutdown found nothing in progress.  */
+  bool idle;
   struct galena_world *world;
   struct galena_datagrams *sockets[GALENA_LINK_COUNT];
   struct upstream_link *upstream;
@@ -32,7 +34,7 @@
       = { .role = GALENA_ROLE_AGENT,
           .seed = loop->process->seed,
           .upstream = settings->agent_upstream,
-          .incarnation = (uint32_t)(loop->process->seed >> 32),
+          .incarnation = process_incarnation (loop->process),
           .flows = FLOWS_MAX,
           .requests = settings->agent_requests,
           .messages = TICK_MESSAGES,
@@ -75,7 +77,7 @@
 {
   struct galena_clock due = galena_world_due (loop->world);
   int fds[] = { galena_datagrams_fd (loop->sockets[GALENA_LINK_PEER]),
-                loop->process->stop_fd };
+                process_wake_fd (loop->process) };
 
   upstream_link_wait (loop->upstream, fds, sizeof fds / sizeof fds[0],
                       galena_clock_left (galena_monotonic_now (), due));
@@ -93,6 +95,7 @@
   rcu_read_unlock ();
   galena_link_send (loop->sockets, loop->world);
   upstream_link_send (loop->upstream);
+  process_report (loop->process, 0, loop->world);
 }
 
 enum galena_result
@@ -104,7 +107,7 @@
   if (result != GALENA_OK)
     goto done;
   rcu_register_thread ();
-  while (!atomic_load (&process->stopping))
+  while (process_goes_on (process, loop.world, &loop.idle))
     {
       wait_for_work (&loop);
       run_tick (&loop);
--- /dev/null
+++ b/packages/daemon/src/collector.c
@@ -0,0 +1,150 @@
+/* Reports of all threads, and the audit trail that they make together.  */
+
+#include <stdlib.h>
+
+#include <galenaford/log.h>
+
+#include "collector.h"
+
+enum
+{
+  AUDIT_ROWS = 4096
+};
+
+struct collector
+{
+  struct process *process;
+  struct galena_audit *audit;
+  /* Newest report of each thread.  */
+  const struct galena_report *reports[PROCESS_THREADS_MAX + 1];
+  /* Sequence of the last row taken from each thread's trail.  */
+  uint64_t taken[PROCESS_THREADS_MAX + 1];
+  /* Rows of the common trail that were logged.  */
+  uint64_t logged;
+  bool stopping_noted;
+};
+
+static void
+note_process (struct collector *collector, enum galena_audit_event event,
+              struct galena_clock now)
+{
+  const struct process *process = collector->process;
+  struct galena_audit_row row
+      = { .at = now,
+          .event = event,
+          .upstream = process->settings.agent_upstream,
+          .generation = process_incarnation (process) };
+
+  galena_audit_append (collector->audit, &row);
+}
+
+enum galena_result
+collector_create (struct process *process, struct collector **out)
+{
+  struct galena_audit_options options = { AUDIT_ROWS };
+  struct collector *collector = calloc (1, sizeof *collector);
+  enum galena_result result;
+
+  if (collector == NULL)
+    return GALENA_ERR_MEMORY;
+  collector->process = process;
+  result = galena_audit_create (&options, &collector->audit);
+  if (result != GALENA_OK)
+    {
+      free (collector);
+      return result;
+    }
+  note_process (collector, GALENA_AUDIT_STARTED, process->started);
+  *out = collector;
+  return GALENA_OK;
+}
+
+void
+collector_destroy (struct collector *collector)
+{
+  if (collector == NULL)
+    return;
+  galena_audit_destroy (collector->audit);
+  free (collector);
+}
+
+/* Adds the rows of thread INDEX that were not taken yet.  */
+static void
+take_audit (struct collector *collector, uint32_t index)
+{
+  const struct galena_report *report = collector->reports[index];
+  uint64_t *taken = &collector->taken[index];
+
+  for (uint32_t i = 0; i < report->audit_count; i++)
+    {
+      const struct galena_audit_row *row = &report->audit[i];
+
+      if (row->sequence <= *taken)
+        continue;
+      if (row->sequence > *taken + 1)
+        galena_log (LOG_WARNING, "audit-rows-missed", "thread=%u rows=%llu",
+                    index, (unsigned long long)(row->sequence - *taken - 1));
+      galena_audit_append (collector->audit, row);
+      *taken = row->sequence;
+    }
+}
+
+static void
+log_audit (struct collector *collector)
+{
+  const struct galena_audit_row *row;
+
+  while ((row = galena_audit_find (collector->audit, collector->logged + 1))
+         != NULL)
+    {
+      galena_log (LOG_NOTICE, galena_audit_word (row->event),
+                  "service=%u upstream=%u kind=%u generation=%llu result=%s",
+                  row->service, row->upstream, row->kind,
+                  (unsigned long long)row->generation,
+                  galena_result_word (row->result));
+      collector->logged = row->sequence;
+    }
+}
+
+static bool
+is_stopping (const struct process *process)
+{
+  return atomic_load (&process->draining) || atomic_load (&process->stopping);
+}
+
+void
+collector_refresh (struct collector *collector, struct galena_clock now)
+{
+  struct process *process = collector->process;
+
+  for (uint32_t i = 0; i < process->exchange_count; i++)
+    {
+      collector->reports[i] = exchange_read (process->exchanges[i]);
+      take_audit (collector, i);
+    }
+  if (!collector->stopping_noted && is_stopping (process))
+    {
+      collector->stopping_noted = true;
+      note_process (collector, GALENA_AUDIT_STOPPING, now);
+    }
+  log_audit (collector);
+  galena_log_flush ();
+}
+
+const struct process *
+collector_process (const struct collector *collector)
+{
+  return collector->process;
+}
+
+const struct galena_report *
+collector_report (const struct collector *collector, uint32_t index)
+{
+  return collector->reports[index];
+}
+
+const struct galena_audit *
+collector_audit (const struct collector *collector)
+{
+  return collector->audit;
+}
--- /dev/null
+++ b/packages/daemon/src/console_view.c
@@ -0,0 +1,418 @@
+/* One function a view; each makes one row from the reports and records.  */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "console_view.h"
+
+/* Stores the row at CURSOR and moves past it; false at the end.  */
+typedef bool view_reader (const struct view_source *source,
+                          struct view_cursor *cursor,
+                          struct galena_operator_row *row);
+
+static void
+set_text (char *at, const char *text)
+{
+  snprintf (at, GALENA_NAME_BYTES, "%s", text);
+}
+
+static void
+set_address (char *at, struct galena_endpoint address)
+{
+  snprintf (at, GALENA_NAME_BYTES, "%u.%u.%u.%u:%u", address.ip >> 24,
+            (address.ip >> 16) & 255, (address.ip >> 8) & 255,
+            address.ip & 255, address.port);
+}
+
+static const char *
+state_word (enum galena_upstream_state state)
+{
+  static const char *const WORDS[] = {
+    [GALENA_UPSTREAM_ACTIVE] = "active",
+    [GALENA_UPSTREAM_LEAVING] = "leaving",
+    [GALENA_UPSTREAM_REMOVED] = "removed",
+  };
+
+  return WORDS[state];
+}
+
+static const char *
+role_word (enum galena_role role)
+{
+  return role == GALENA_ROLE_ENTRY ? "entry" : "agent";
+}
+
+static uint32_t
+threads_of (const struct view_source *source)
+{
+  return process_threads (collector_process (source->collector));
+}
+
+static void
+add_usage (struct galena_status_row *status,
+           const struct galena_world_usage *usage)
+{
+  status->flows += usage->flows;
+  status->requests += usage->requests;
+  status->running += usage->running;
+  status->queued += usage->queued;
+  status->pending_opens += usage->pending_opens;
+  status->hints += usage->hints;
+  status->body_bytes += usage->body_bytes;
+}
+
+static void
+add_reports (const struct view_source *source,
+             struct galena_status_row *status)
+{
+  for (uint32_t i = 0; i < threads_of (source); i++)
+    {
+      const struct galena_report *report
+          = collector_report (source->collector, i);
+      int64_t age_ms = galena_clock_between (report->at, source->now);
+
+      add_usage (status, &report->usage);
+      if (age_ms > (int64_t)status->report_age_ms)
+        status->report_age_ms = (uint64_t)age_ms;
+    }
+}
+
+static void
+set_stop (const struct view_source *source, struct galena_status_row *status)
+{
+  const struct process *process = collector_process (source->collector);
+  struct galena_clock end = { atomic_load (&process->drain_end_ms) };
+  bool draining = atomic_load (&process->draining);
+
+  set_text (status->state, draining ? "stopping" : "running");
+  if (draining)
+    status->stop_left_ms = galena_clock_left (source->now, end);
+}
+
+static void
+set_records (const struct view_source *source,
+             struct galena_status_row *status)
+{
+  const struct galena_upstream *self = galena_config_upstream_numbered (
+      source->config, (uint32_t)status->upstream);
+
+  status->services = galena_config_service_count (source->config);
+  status->upstreams = galena_config_upstream_count (source->config);
+  set_text (status->record, self == NULL ? "none" : state_word (self->state));
+}
+
+static bool
+read_status (const struct view_source *source, struct view_cursor *cursor,
+             struct galena_operator_row *row)
+{
+  const struct process *process = collector_process (source->collector);
+  const struct galena_settings *settings = &process->settings;
+  struct galena_status_row *status = &row->as.status;
+  int64_t uptime_ms = galena_clock_between (process->started, source->now);
+
+  if (cursor->at++ > 0)
+    return false;
+  set_text (status->process, settings->name);
+  set_text (status->role, role_word (settings->role));
+  set_text (status->zone, settings->zone);
+  set_text (status->version, GALENA_VERSION);
+  snprintf (status->incarnation, sizeof status->incarnation, "%08x",
+            process_incarnation (process));
+  status->upstream = settings->agent_upstream;
+  status->uptime_ms = (uint64_t)uptime_ms;
+  status->threads = threads_of (source);
+  status->audit_rows
+      = galena_audit_newest (collector_audit (source->collector));
+  set_stop (source, status);
+  set_records (source, status);
+  add_reports (source, status);
+  return true;
+}
+
+/* One group of counters: its length, and one value of a report.  */
+struct counter_group
+{
+  const char *name;
+  uint32_t count;
+  const char *(*word_at) (uint32_t index);
+  uint64_t (*value_at) (const struct galena_report *report, uint32_t index);
+  /* Whether counters of zero are shown.  */
+  bool show_zero;
+};
+
+static const char *
+event_word (uint32_t index)
+{
+  return galena_counter_word ((enum galena_counter)index);
+}
+
+static const char *
+reason_word (uint32_t index)
+{
+  return galena_result_word ((enum galena_result)index);
+}
+
+static uint64_t
+event_value (const struct galena_report *report, uint32_t index)
+{
+  return report->counters.values[index];
+}
+
+static uint64_t
+refused_value (const struct galena_report *report, uint32_t index)
+{
+  return report->refused[index];
+}
+
+static uint64_t
+malformed_value (const struct galena_report *report, uint32_t index)
+{
+  return report->malformed[index];
+}
+
+static const struct counter_group COUNTER_GROUPS[] = {
+  { "event", GALENA_COUNTER_COUNT, event_word, event_value, true },
+  { "refused", GALENA_RESULT_LIMIT, reason_word, refused_value, false },
+  { "malformed", GALENA_RESULT_LIMIT, reason_word, malformed_value, false },
+};
+
+/* Returns the group at position *AT, which becomes the place in it; NULL past
+   the last group.  */
+static const struct counter_group *
+counter_group_at (uint64_t *at)
+{
+  for (size_t i = 0; i < sizeof COUNTER_GROUPS / sizeof COUNTER_GROUPS[0]; i++)
+    {
+      if (*at < COUNTER_GROUPS[i].count)
+        return &COUNTER_GROUPS[i];
+      *at -= COUNTER_GROUPS[i].count;
+    }
+  return NULL;
+}
+
+static bool
+read_counter (const struct view_source *source, struct view_cursor *cursor,
+              struct galena_operator_row *row)
+{
+  struct galena_counter_row *counter = &row->as.counter;
+  const struct counter_group *group;
+  uint64_t at = cursor->at;
+
+  while ((group = counter_group_at (&at)) != NULL)
+    {
+      counter->value = 0;
+      for (uint32_t i = 0; i < threads_of (source); i++)
+        counter->value += group->value_at (
+            collector_report (source->collector, i), (uint32_t)at);
+      cursor->at++;
+      if (counter->value > 0 || group->show_zero)
+        break;
+      at = cursor->at;
+    }
+  if (group == NULL)
+    return false;
+  set_text (counter->group, group->name);
+  set_text (counter->counter, group->word_at ((uint32_t)at));
+  return true;
+}
+
+static bool
+read_generation (const struct view_source *source, struct view_cursor *cursor,
+                 struct galena_operator_row *row)
+{
+  struct galena_generation_row *generation = &row->as.generation;
+  const struct galena_service *service;
+
+  if (cursor->at >= galena_config_service_count (source->config))
+    return false;
+  service = galena_config_service (source->config, (uint32_t)cursor->at++);
+  generation->number = service->number;
+  set_text (generation->service, service->name);
+  generation->generation = service->generation;
+  snprintf (generation->digest, sizeof generation->digest, "%016llx",
+            (unsigned long long)service->digest);
+  generation->schema = service->schema;
+  generation->upstreams = service->upstream_count;
+  for (uint32_t i = 0; i < service->upstream_count; i++)
+    if (galena_config_upstream (source->config, service->first_upstream + i)
+            ->state
+        != GALENA_UPSTREAM_ACTIVE)
+      generation->leaving++;
+  return true;
+}
+
+static const struct galena_upstream_stats *
+find_upstream (const struct galena_report *report, uint32_t upstream)
+{
+  for (uint32_t i = 0; i < report->upstream_count; i++)
+    if (report->upstreams[i].upstream == upstream)
+      return &report->upstreams[i];
+  return NULL;
+}
+
+static void
+add_upstream_stats (const struct view_source *source,
+                    struct galena_upstream_row *row)
+{
+  set_text (row->reach, "unused");
+  for (uint32_t i = 0; i < threads_of (source); i++)
+    {
+      const struct galena_upstream_stats *stats = find_upstream (
+          collector_report (source->collector, i), (uint32_t)row->upstream);
+      if (stats == NULL)
+        continue;
+      if (stats->suspect || strcmp (row->reach, "unused") == 0)
+        set_text (row->reach, stats->suspect ? "suspect" : "ok");
+      if (stats->wait_ms > row->wait_ms)
+        row->wait_ms = stats->wait_ms;
+      row->opens += stats->opens;
+      row->accepted += stats->accepted;
+      row->refused += stats->refused;
+      row->unanswered += stats->unanswered;
+    }
+}
+
+static bool
+read_upstream (const struct view_source *source, struct view_cursor *cursor,
+               struct galena_operator_row *row)
+{
+  struct galena_upstream_row *copy = &row->as.upstream;
+  const struct galena_upstream *upstream;
+
+  if (cursor->at >= galena_config_upstream_count (source->config))
+    return false;
+  upstream = galena_config_upstream (source->config, (uint32_t)cursor->at++);
+  copy->upstream = upstream->number;
+  set_text (copy->service,
+            galena_config_service (source->config, upstream->service)->name);
+  set_text (copy->host, upstream->host);
+  set_text (copy->zone, upstream->zone);
+  set_address (copy->agent, upstream->agent);
+  set_text (copy->state, state_word (upstream->state));
+  copy->weight = upstream->weight;
+  copy->slots = upstream->slots;
+  copy->connections = upstream->connections;
+  add_upstream_stats (source, copy);
+  return true;
+}
+
+static const struct galena_kind_stats *
+find_kind (const struct galena_report *report, uint32_t service, uint16_t kind)
+{
+  for (uint32_t i = 0; i < report->kind_count; i++)
+    if (report->kinds[i].service == service && report->kinds[i].kind == kind)
+      return &report->kinds[i];
+  return NULL;
+}
+
+static void
+add_kind_stats (struct galena_kind_row *row,
+                const struct galena_kind_stats *stats)
+{
+  if (stats->overloaded)
+    set_text (row->overload, "yes");
+  row->opens += stats->values[GALENA_KIND_OPENS];
+  row->accepted += stats->values[GALENA_KIND_ACCEPTED];
+  row->requests += stats->values[GALENA_KIND_REQUESTS];
+  row->queued += stats->queued;
+  row->running += stats->running;
+  row->answered += stats->values[GALENA_KIND_ANSWERED];
+  row->refused += stats->values[GALENA_KIND_REFUSED];
+  row->overloads += stats->values[GALENA_KIND_OVERLOADS];
+  row->unknown += stats->values[GALENA_KIND_UNKNOWN];
+}
+
+/* Fills in ROW from the threads that have seen the kind; false when none
+   has.  */
+static bool
+sum_kind (const struct view_source *source, uint32_t service, uint16_t kind,
+          struct galena_kind_row *row)
+{
+  struct galena_latency latency = { { 0 } };
+  bool seen = false;
+
+  for (uint32_t i = 0; i < threads_of (source); i++)
+    {
+      const struct galena_kind_stats *stats
+          = find_kind (collector_report (source->collector, i), service, kind);
+      if (stats == NULL)
+        continue;
+      add_kind_stats (row, stats);
+      galena_latency_merge (&latency, &stats->latency);
+      seen = true;
+    }
+  row->p50_ms = galena_latency_percentile (&latency, 50);
+  row->p99_ms = galena_latency_percentile (&latency, 99);
+  return seen;
+}
+
+static bool
+read_kind (const struct view_source *source, struct view_cursor *cursor,
+           struct galena_operator_row *row)
+{
+  uint64_t end = (uint64_t)galena_config_service_count (source->config)
+                 * GALENA_KINDS_MAX;
+
+  while (cursor->at < end)
+    {
+      const struct galena_service *service = galena_config_service (
+          source->config, (uint32_t)(cursor->at / GALENA_KINDS_MAX));
+      uint32_t index = (uint32_t)(cursor->at++ % GALENA_KINDS_MAX);
+
+      if (index >= service->kind_count)
+        continue;
+      set_text (row->as.kind.service, service->name);
+      set_text (row->as.kind.kind, service->kinds[index].name);
+      set_text (row->as.kind.overload, "no");
+      if (sum_kind (source, service->number, service->kinds[index].number,
+                    &row->as.kind))
+        return true;
+    }
+  return false;
+}
+
+static bool
+read_audit (const struct view_source *source, struct view_cursor *cursor,
+            struct galena_operator_row *row)
+{
+  const struct galena_audit_row *event = galena_audit_find (
+      collector_audit (source->collector), cursor->at + 1);
+
+  if (event == NULL)
+    return false;
+  cursor->at = event->sequence;
+  row->as.event.sequence = event->sequence;
+  row->as.event.age_ms
+      = (uint64_t)galena_clock_between (event->at, source->now);
+  set_text (row->as.event.event, galena_audit_word (event->event));
+  row->as.event.service = event->service;
+  row->as.event.upstream = event->upstream;
+  row->as.event.kind = event->kind;
+  row->as.event.generation = event->generation;
+  set_text (row->as.event.result, galena_result_word (event->result));
+  return true;
+}
+
+static view_reader *const READERS[GALENA_ROW_TYPE_END] = {
+  [GALENA_ROW_STATUS] = read_status,
+  [GALENA_ROW_COUNTER] = read_counter,
+  [GALENA_ROW_GENERATION] = read_generation,
+  [GALENA_ROW_UPSTREAM] = read_upstream,
+  [GALENA_ROW_KIND] = read_kind,
+  [GALENA_ROW_AUDIT] = read_audit,
+};
+
+bool
+view_exists (uint64_t view)
+{
+  return view < GALENA_ROW_TYPE_END && READERS[view] != NULL;
+}
+
+bool
+view_next (const struct view_source *source, struct view_cursor *cursor,
+           struct galena_operator_row *row)
+{
+  memset (row, 0, sizeof *row);
+  row->type = (enum galena_operator_type)cursor->view;
+  return READERS[cursor->view](source, cursor, row);
+}
--- a/packages/daemon/src/control.c
+++ b/packages/daemon/src/control.c
@@ -41,25 +41,13 @@
   uint64_t index_generation;
   /* Wait after the next failed read.  */
   uint32_t retry_ms;
-  /* Rows of the audit trail that were logged.  */
-  uint64_t logged;
 };
 
+/* Hands the audit trail to the console, which logs it.  */
 static void
-log_audit (struct control *control)
+report_audit (struct control *control)
 {
-  const struct galena_audit_row *row;
-
-  while ((row = galena_audit_find (control->audit, control->logged + 1))
-         != NULL)
-    {
-      galena_log (LOG_NOTICE, galena_audit_word (row->event),
-                  "service=%u upstream=%u generation=%llu result=%s",
-                  row->service, row->upstream,
-                  (unsigned long long)row->generation,
-                  galena_result_word (row->result));
-      control->logged = row->sequence;
-    }
+  process_report_audit (control->process, control->audit);
 }
 
 static void
@@ -95,7 +83,7 @@
     }
   galena_records_take (control->records, &record, galena_monotonic_now ());
   galena_record_release (&record);
-  log_audit (control);
+  report_audit (control);
   return GALENA_OK;
 }
 
--- a/packages/daemon/src/entry_loop.c
+++ b/packages/daemon/src/entry_loop.c
@@ -10,7 +10,6 @@
 
 struct worker
 {
-  struct process *process;
   struct entry_thread *entry;
   pthread_t thread;
 };
@@ -21,7 +20,7 @@
   struct worker *worker = data;
 
   rcu_register_thread ();
-  while (!atomic_load (&worker->process->stopping))
+  while (entry_thread_goes_on (worker->entry))
     entry_thread_step (worker->entry);
   rcu_unregister_thread ();
   return NULL;
@@ -52,7 +51,6 @@
     return GALENA_ERR_MEMORY;
   for (uint32_t i = 0; i < count; i++)
     {
-      workers[i].process = process;
       result = entry_thread_create (process, i, &workers[i].entry);
       if (result != GALENA_OK)
         goto done;
--- a/packages/daemon/src/entry_thread.c
+++ b/packages/daemon/src/entry_thread.c
@@ -18,6 +18,9 @@
 struct entry_thread
 {
   struct process *process;
+  uint32_t index;
+  /* Whether a graceful shutdown found nothing in progress.  */
+  bool idle;
   struct galena_world *world;
   struct galena_datagrams *sockets[GALENA_LINK_COUNT];
 };
@@ -61,6 +64,7 @@
   if (thread == NULL)
     return GALENA_ERR_MEMORY;
   thread->process = process;
+  thread->index = index;
   result = create_sockets (thread);
   if (result != GALENA_OK)
     goto fail;
@@ -94,7 +98,7 @@
   struct pollfd fds[] = {
     { galena_datagrams_fd (thread->sockets[GALENA_LINK_CALLER]), POLLIN, 0 },
     { galena_datagrams_fd (thread->sockets[GALENA_LINK_PEER]), POLLIN, 0 },
-    { thread->process->stop_fd, POLLIN, 0 },
+    { process_wake_fd (thread->process), POLLIN, 0 },
   };
 
   poll (fds, sizeof fds / sizeof fds[0], (int)left_ms);
@@ -112,6 +116,7 @@
                      snapshot_read (thread->process->snapshot));
   rcu_read_unlock ();
   galena_link_send (thread->sockets, thread->world);
+  process_report (thread->process, thread->index, thread->world);
 }
 
 void
@@ -120,3 +125,9 @@
   wait_for_work (thread);
   run_tick (thread);
 }
+
+bool
+entry_thread_goes_on (struct entry_thread *thread)
+{
+  return process_goes_on (thread->process, thread->world, &thread->idle);
+}
--- a/packages/daemon/src/entry_thread.h
+++ b/packages/daemon/src/entry_thread.h
@@ -21,4 +21,7 @@
    runs one tick.  The calling thread is registered with RCU.  */
 void entry_thread_step (struct entry_thread *thread);
 
+/* Tells whether THREAD should run a further step.  */
+bool entry_thread_goes_on (struct entry_thread *thread);
+
 #endif
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -1,24 +1,27 @@
 /* galenaford: an entry or an agent, as its settings say.  */
 
 #include <argp.h>
+#include <errno.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
-#include <sys/eventfd.h>
 #include <sys/random.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <curl/curl.h>
 
 #include <galenaford/log.h>
 
+#include "console.h"
 #include "control.h"
 #include "process.h"
 
 enum
 {
-  EXIT_USAGE = 2,
-  KEY_CHECK = 256
+  KEY_CHECK = 256,
+  MS_PER_S = 1000,
+  NS_PER_MS = 1000000
 };
 
 const char *argp_program_version = "galenaford " GALENA_VERSION;
@@ -71,30 +74,42 @@
         [GALENA_ROLE_AGENT] = agent_loop_run,
       };
 
-static void
-begin_stop (struct process *process)
+/* Waits for a second signal, up to the limit of a graceful shutdown.  */
+static int
+wait_for_second_signal (const struct process *process, const sigset_t *signals)
 {
-  uint64_t one = 1;
+  uint32_t limit_ms = process->settings.shutdown_limit_ms;
+  struct timespec limit
+      = { limit_ms / MS_PER_S, (long)(limit_ms % MS_PER_S) * NS_PER_MS };
+  int number;
 
-  atomic_store (&process->stopping, true);
-  if (write (process->stop_fd, &one, sizeof one) < 0)
-    galena_log (LOG_ERR, "stop-signal-failed", "result=io");
+  do
+    number = sigtimedwait (signals, NULL, &limit);
+  while (number < 0 && errno == EINTR);
+  return number < 0 ? EXIT_LIMIT : EXIT_FORCED;
 }
 
-/* Waits for a signal to stop; runs until the process ends.  */
+/* A first signal begins a graceful shutdown, a second one or its limit ends
+   it.  Runs until the process ends.  */
 static void *
 wait_for_signal (void *data)
 {
   struct process *process = data;
   sigset_t signals;
+  int exit_code;
   int number;
 
   sigemptyset (&signals);
   sigaddset (&signals, SIGTERM);
   sigaddset (&signals, SIGINT);
   sigwait (&signals, &number);
-  galena_log (LOG_NOTICE, "stopping", "signal=%d", number);
-  begin_stop (process);
+  galena_log (LOG_NOTICE, "signal", "number=%d limit_ms=%u", number,
+              process->settings.shutdown_limit_ms);
+  process_begin_drain (process);
+  exit_code = wait_for_second_signal (process, &signals);
+  galena_log (LOG_WARNING, "shutdown-cut-short", "reason=%s",
+              exit_code == EXIT_LIMIT ? "limit" : "signal");
+  process_begin_stop (process, exit_code);
   return NULL;
 }
 
@@ -116,31 +131,42 @@
 }
 
 static enum galena_result
-run_process (struct process *process)
+run_loop (struct process *process)
 {
   struct control *control = NULL;
-  enum galena_result result;
+  enum galena_result result = control_start (process, &control);
 
-  process->stop_fd = eventfd (0, EFD_CLOEXEC);
-  if (process->stop_fd < 0)
-    return GALENA_ERR_IO;
+  if (result != GALENA_OK)
+    return result;
+  result = LOOPS[process->settings.role](process);
+  process_begin_stop (process, EXIT_SUCCESS);
+  control_stop (control);
+  return result;
+}
+
+static enum galena_result
+run_process (struct process *process)
+{
+  struct console *console = NULL;
+  enum galena_result result = process_init (process);
+
+  if (result != GALENA_OK)
+    return result;
   if (getrandom (&process->seed, sizeof process->seed, 0)
       != sizeof process->seed)
-    return GALENA_ERR_IO;
-  result = snapshot_create (&process->snapshot);
+    result = GALENA_ERR_IO;
+  if (result == GALENA_OK)
+    result = snapshot_create (&process->snapshot);
   if (result != GALENA_OK)
-    return result;
+    goto done;
   result = start_signal_thread (process);
   if (result != GALENA_OK)
     goto done;
-  result = control_start (process, &control);
+  result = console_start (process, &console);
   if (result != GALENA_OK)
     goto done;
-  galena_log (LOG_NOTICE, "started", "seed=%016llx",
-              (unsigned long long)process->seed);
-  result = LOOPS[process->settings.role](process);
-  atomic_store (&process->stopping, true);
-  control_stop (control);
+  result = run_loop (process);
+  console_stop (console);
 
 done:
   snapshot_destroy (process->snapshot);
@@ -168,5 +194,7 @@
   if (result != GALENA_OK)
     galena_log (LOG_ERR, "failed", "result=%s", galena_result_word (result));
   curl_global_cleanup ();
-  return result == GALENA_OK ? EXIT_SUCCESS : EXIT_FAILURE;
+  if (result != GALENA_OK)
+    return EXIT_FAILURE;
+  return atomic_load (&process.exit_code);
 }
--- a/packages/wire/include/galenaford/operator.h
+++ b/packages/wire/include/galenaford/operator.h
@@ -33,7 +33,7 @@
      GALENA_GENERATION_FIELDS)                                                \
   X (GALENA_ROW_UPSTREAM, 6, "upstreams", upstream, GALENA_UPSTREAM_FIELDS)   \
   X (GALENA_ROW_KIND, 7, "flows", kind, GALENA_KIND_FIELDS)                   \
-  X (GALENA_ROW_AUDIT, 8, "audit", audit, GALENA_AUDIT_FIELDS)
+  X (GALENA_ROW_AUDIT, 8, "audit", event, GALENA_EVENT_FIELDS)
 
 /* Fields of each row R: T for a text, N for a number; name and meaning.  */
 #define GALENA_QUERY_FIELDS(R, T, N)                                          \
@@ -114,7 +114,7 @@
      "Median time; entry: until acceptance, agent: until the end.")           \
   N (R, p99_ms, "99th percentile of the same time.")
 
-#define GALENA_AUDIT_FIELDS(R, T, N)                                          \
+#define GALENA_EVENT_FIELDS(R, T, N)                                          \
   N (R, sequence, "Position in the trail since the start.")                   \
   N (R, age_ms, "Milliseconds since the event.")                              \
   T (R, event, "Short word of the event.")                                    \
--- a/test/bench/path.c
+++ b/test/bench/path.c
@@ -201,7 +201,7 @@
 
   process->snapshot = snapshot;
   process->seed = index;
-  process->stop_fd = eventfd (0, EFD_CLOEXEC);
+  process_init (process);
   settings->entry_address.ip = bench_ip ();
   settings->entry_address.port = (uint16_t)(ENTRY_PORT + index);
   settings->entry_pending_opens = PENDING_OPENS;
@@ -215,7 +215,7 @@
     thread->operations->destroy (thread->subject);
   galena_datagrams_destroy (thread->caller);
   galena_datagrams_destroy (thread->agent);
-  close (thread->process.stop_fd);
+  process_release (&thread->process);
 }
 
 /* Figures of one run of a case with one subject.  */
