Add the commands that read running processes and plan a record

galenactl had one command. Commands are rows of a table; plan, status, upstreams, flows, counters, audit, drain-progress and generation join check. Those that ask processes take settings files, folders of them or addresses, ask 64 at a time, bound each reply and name on standard error who did not answer. plan takes both records as a process would, so that it refuses what a process refuses, and counts exactly which buckets move.

--- a/packages/ctl/src/main.c
+++ b/packages/ctl/src/main.c
@@ -1,91 +1,34 @@
 /* galenactl: the operator's command line.  It reads; it changes nothing.  */
 
 #include <argp.h>
-#include <errno.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include <galenaford/record.h>
+#include "arguments.h"
 
 enum
 {
-  EXIT_USAGE = 2,
-  ARGUMENTS_MAX = 8
+  KEY_JSON = 256,
+  KEY_FOLLOW
 };
 
 const char *argp_program_version = "galenactl " GALENA_VERSION;
 
-struct arguments
-{
-  const char *words[ARGUMENTS_MAX];
-  int count;
-};
-
-/* One command: its name, its operands, and what it does.  */
-struct command
-{
-  const char *name;
-  int operands;
-  int (*run) (const struct arguments *arguments);
-};
-
-static enum galena_result
-read_file (const char *path, char **text, size_t *size)
-{
-  FILE *file = fopen (path, "r");
-  enum galena_result result = GALENA_OK;
-
-  if (file == NULL)
-    return GALENA_ERR_IO;
-  *text = malloc (GALENA_RECORD_BYTES_MAX + 1);
-  if (*text == NULL)
-    result = GALENA_ERR_MEMORY;
-  else
-    *size = fread (*text, 1, GALENA_RECORD_BYTES_MAX + 1, file);
-  fclose (file);
-  return result;
-}
-
-static void
-print_faults (const char *path, const struct galena_faults *faults)
-{
-  for (uint32_t i = 0; i < faults->count; i++)
-    printf ("%s: %s: %s; allowed: %s\n", path, faults->rows[i].path,
-            galena_result_word (faults->rows[i].result),
-            faults->rows[i].allowed);
-}
-
-static int
-run_check (const struct arguments *arguments)
-{
-  const char *path = arguments->words[1];
-  struct galena_service_record record;
-  struct galena_faults faults;
-  char *text = NULL;
-  size_t size = 0;
-  enum galena_result result = read_file (path, &text, &size);
-
-  if (result != GALENA_OK)
-    {
-      fprintf (stderr, "galenactl: %s: %s\n", path, strerror (errno));
-      return EXIT_FAILURE;
-    }
-  result = galena_record_parse (text, size, &record, &faults);
-  free (text);
-  print_faults (path, &faults);
-  if (result != GALENA_OK)
-    return EXIT_FAILURE;
-  printf ("%s: service=%s generation=%llu schema=%u upstreams=%u kinds=%u\n",
-          path, record.service.name,
-          (unsigned long long)record.service.generation, record.service.schema,
-          record.service.upstream_count, record.service.kind_count);
-  galena_record_release (&record);
-  return EXIT_SUCCESS;
-}
-
 static const struct command COMMANDS[] = {
-  { "check", 1, run_check },
+  { "check", "RECORD", 1, false, run_check,
+    "tells every fault of a service record" },
+  { "plan", "OLD NEW", 2, false, run_plan,
+    "tells what changes between two records, or folders of records" },
+  { "status", "", 0, true, run_view, "state of each process" },
+  { "upstreams", "", 0, true, run_view,
+    "upstreams as each process sees them" },
+  { "flows", "", 0, true, run_view,
+    "work by service and kind, with latencies" },
+  { "counters", "", 0, true, run_view, "counters by group and reason" },
+  { "audit", "", 0, true, run_audit, "changes in force, oldest first" },
+  { "drain-progress", "", 0, true, run_view,
+    "what processes that stop or leave still have in progress" },
+  { "generation", "", 0, true, run_generation,
+    "generations in force, and who lags by how much" },
 };
 
 static const struct command *
@@ -97,42 +40,119 @@
   return NULL;
 }
 
+/* Adds TEXT to a list of at most MAX.  */
+static void
+add_text (struct argp_state *state, const char **list, int *count, int max,
+          const char *text)
+{
+  if (*count == max)
+    argp_error (state, "too many arguments, at most %d of a kind", max);
+  else
+    list[(*count)++] = text;
+}
+
+static void
+check_arguments (struct argp_state *state, const struct arguments *arguments)
+{
+  const struct command *command;
+  int sources = arguments->settings_count + arguments->address_count;
+
+  if (arguments->count == 0)
+    argp_error (state, "a command is needed");
+  command = find_command (arguments->words[0]);
+  if (command == NULL)
+    argp_error (state, "unknown command '%s'", arguments->words[0]);
+  else if (arguments->count - 1 != command->operand_count)
+    argp_error (state, "'%s' takes %d operands", command->name,
+                command->operand_count);
+  else if (command->asks && sources == 0)
+    argp_error (state, "'%s' needs --settings or --address", command->name);
+  else if (arguments->follow && command->run != run_audit)
+    argp_error (state, "'%s' can't follow", command->name);
+  for (int i = 0; i < arguments->filter_count; i++)
+    if (strchr (arguments->filters[i], '=') == NULL)
+      argp_error (state, "'%s' is not of the form FIELD=VALUE",
+                  arguments->filters[i]);
+}
+
 static error_t
 take_argument (int key, char *text, struct argp_state *state)
 {
   struct arguments *arguments = state->input;
-  const struct command *command;
 
   switch (key)
     {
+    case 's':
+      add_text (state, arguments->settings, &arguments->settings_count,
+                SOURCES_MAX, text);
+      return 0;
+    case 'a':
+      add_text (state, arguments->addresses, &arguments->address_count,
+                SOURCES_MAX, text);
+      return 0;
+    case 'w':
+      add_text (state, arguments->filters, &arguments->filter_count,
+                FILTERS_MAX, text);
+      return 0;
+    case KEY_JSON:
+      arguments->json = true;
+      return 0;
+    case KEY_FOLLOW:
+      arguments->follow = true;
+      return 0;
     case ARGP_KEY_ARG:
-      if (arguments->count == ARGUMENTS_MAX)
-        argp_error (state, "too many arguments");
-      else
-        arguments->words[arguments->count++] = text;
+      add_text (state, arguments->words, &arguments->count, WORDS_MAX, text);
       return 0;
     case ARGP_KEY_END:
-      if (arguments->count == 0)
-        argp_error (state, "a command is needed");
-      command = find_command (arguments->words[0]);
-      if (command == NULL)
-        argp_error (state, "unknown command '%s'", arguments->words[0]);
-      else if (arguments->count - 1 != command->operands)
-        argp_error (state, "'%s' takes %d operands", command->name,
-                    command->operands);
+      check_arguments (state, arguments);
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
 }
 
+/* Adds a line for each command to the help.  */
+static char *
+filter_help (int key, const char *text, void *input)
+{
+  char *help = NULL;
+  size_t size;
+  FILE *out;
+
+  (void)input;
+  if (key != ARGP_KEY_HELP_POST_DOC)
+    return (char *)text;
+  out = open_memstream (&help, &size);
+  if (out == NULL)
+    return NULL;
+  fputs ("Commands:\n", out);
+  for (size_t i = 0; i < sizeof COMMANDS / sizeof COMMANDS[0]; i++)
+    fprintf (out, "  %s %s\n      %s\n", COMMANDS[i].name,
+             COMMANDS[i].operands, COMMANDS[i].meaning);
+  fputs ("Exit codes: 0 done, 1 a fault or a process without a reply, "
+         "2 wrong usage.\n",
+         out);
+  fclose (out);
+  return help;
+}
+
+static const struct argp_option OPTIONS[] = {
+  { "settings", 's', "FILE", 0,
+    "Ask the process with these settings, or all of a folder", 0 },
+  { "address", 'a', "A.B.C.D:PORT", 0, "Ask the process at this address", 0 },
+  { "where", 'w', "FIELD=VALUE", 0, "Show only rows with this value", 0 },
+  { "json", KEY_JSON, NULL, 0, "Print JSON for programs", 0 },
+  { "follow", KEY_FOLLOW, NULL, 0, "audit: go on with new rows", 0 },
+  { 0 },
+};
+
 static const struct argp ARGP
-    = { NULL,
+    = { OPTIONS,
         take_argument,
-        "check RECORD",
-        "Checks records and reads the state of running processes.",
-        NULL,
+        "COMMAND [OPERAND...]",
+        "Checks records and reads the state of running processes.\v",
         NULL,
+        filter_help,
         NULL };
 
 int
--- /dev/null
+++ b/packages/ctl/src/record_file.h
@@ -0,0 +1,26 @@
+/* Records read from files.  */
+
+#ifndef GALENAFORD_RECORD_FILE_H
+#define GALENAFORD_RECORD_FILE_H
+
+#include <stdio.h>
+
+#include <galenaford/record.h>
+
+/* Reads the file at PATH into *TEXT, owned by the caller.
+   Errors: GALENA_ERR_IO, GALENA_ERR_MEMORY.  */
+enum galena_result record_file_read (const char *path, char **text,
+                                     size_t *size);
+
+/* Parses the service record at PATH; release it with galena_record_release.
+   Every fault is in FAULTS.
+   Errors: as record_file_read and galena_record_parse.  */
+enum galena_result record_file_load (const char *path,
+                                     struct galena_service_record *record,
+                                     struct galena_faults *faults);
+
+/* Prints FAULTS of the record at PATH to OUT, one a line.  */
+void record_file_print_faults (const char *path,
+                               const struct galena_faults *faults, FILE *out);
+
+#endif
--- /dev/null
+++ b/packages/ctl/src/target.c
@@ -0,0 +1,329 @@
+/* A table of processes, and one query to all of them.  */
+
+#include <errno.h>
+#include <dirent.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <galenaford/framing.h>
+#include <galenaford/monotonic.h>
+#include <galenaford/record.h>
+#include <galenaford/settings.h>
+
+#include "target.h"
+
+enum
+{
+  PATH_BYTES = 4096,
+  SEND_BYTES_MAX = 256,
+  /* Connections open at once.  */
+  BATCH = 64,
+  /* Most rows of one reply.  */
+  ROWS_MAX = 65536
+};
+
+struct link
+{
+  int fd;
+  struct galena_framing *framing;
+  struct galena_clock due;
+  /* Rows read.  */
+  uint32_t rows;
+  struct target *target;
+};
+
+struct targets
+{
+  uint32_t count;
+  struct target rows[TARGETS_MAX];
+};
+
+static enum galena_result
+add_target (struct targets *targets, const char *name,
+            struct galena_endpoint address)
+{
+  struct target *target;
+
+  if (targets->count == TARGETS_MAX)
+    return GALENA_ERR_FULL;
+  target = &targets->rows[targets->count++];
+  snprintf (target->name, sizeof target->name, "%s", name);
+  target->address = address;
+  return GALENA_OK;
+}
+
+static enum galena_result
+add_settings (struct targets *targets, const char *path)
+{
+  struct galena_settings settings;
+  enum galena_result result = galena_settings_load (path, &settings, stderr);
+
+  if (result != GALENA_OK)
+    return result;
+  if (settings.operator_address.ip == 0)
+    {
+      fprintf (stderr, "galenactl: %s: [operator] address is missing\n", path);
+      return GALENA_ERR_INVALID;
+    }
+  return add_target (targets, settings.name, settings.operator_address);
+}
+
+static int
+is_settings_file (const struct dirent *entry)
+{
+  size_t length = strlen (entry->d_name);
+
+  return length > 4 && strcmp (entry->d_name + length - 4, ".ini") == 0;
+}
+
+/* Adds every *.ini file of the folder at PATH in the order of their names.  */
+static enum galena_result
+add_folder (struct targets *targets, const char *path)
+{
+  struct dirent **entries;
+  int count = scandir (path, &entries, is_settings_file, alphasort);
+  enum galena_result result = GALENA_OK;
+
+  for (int i = 0; i < count; i++)
+    {
+      char file[PATH_BYTES];
+
+      snprintf (file, sizeof file, "%s/%s", path, entries[i]->d_name);
+      if (result == GALENA_OK)
+        result = add_settings (targets, file);
+      free (entries[i]);
+    }
+  if (count >= 0)
+    free (entries);
+  return result;
+}
+
+static enum galena_result
+add_source (struct targets *targets, const char *path)
+{
+  DIR *folder = opendir (path);
+
+  if (folder == NULL)
+    return add_settings (targets, path);
+  closedir (folder);
+  return add_folder (targets, path);
+}
+
+static enum galena_result
+add_address (struct targets *targets, const char *text)
+{
+  struct galena_endpoint address;
+
+  if (galena_endpoint_parse (text, &address) == GALENA_OK)
+    return add_target (targets, text, address);
+  fprintf (stderr, "galenactl: '%s' is not an address A.B.C.D:PORT\n", text);
+  return GALENA_ERR_INVALID;
+}
+
+enum galena_result
+targets_create (const struct arguments *arguments, struct targets **out)
+{
+  struct targets *targets = calloc (1, sizeof *targets);
+  enum galena_result result = GALENA_OK;
+
+  if (targets == NULL)
+    return GALENA_ERR_MEMORY;
+  for (int i = 0; i < arguments->settings_count && result == GALENA_OK; i++)
+    result = add_source (targets, arguments->settings[i]);
+  for (int i = 0; i < arguments->address_count && result == GALENA_OK; i++)
+    result = add_address (targets, arguments->addresses[i]);
+  if (result != GALENA_OK)
+    {
+      targets_destroy (targets);
+      return result;
+    }
+  *out = targets;
+  return GALENA_OK;
+}
+
+void
+targets_destroy (struct targets *targets)
+{
+  free (targets);
+}
+
+uint32_t
+targets_count (const struct targets *targets)
+{
+  return targets->count;
+}
+
+const struct target *
+targets_get (const struct targets *targets, uint32_t index)
+{
+  return &targets->rows[index];
+}
+
+static void
+close_link (struct link *link, enum galena_result result)
+{
+  link->target->result = result;
+  galena_framing_destroy (link->framing);
+  if (link->fd >= 0)
+    close (link->fd);
+  *link = (struct link){ .fd = -1 };
+}
+
+static enum galena_result
+add_query (struct link *link, enum galena_operator_type view)
+{
+  struct galena_operator_row query
+      = { .type = GALENA_ROW_QUERY, .as.query.view = view };
+  uint8_t bytes[GALENA_OPERATOR_ROW_BYTES_MAX];
+  size_t size;
+  enum galena_result result;
+
+  query.as.query.after = link->target->after;
+  result = galena_operator_encode (&query, bytes, sizeof bytes, &size);
+  if (result != GALENA_OK)
+    return result;
+  return galena_framing_add (link->framing, bytes, (uint32_t)size);
+}
+
+static void
+open_link (struct link *link, struct target *target,
+           enum galena_operator_type view)
+{
+  struct galena_framing_options options
+      = { GALENA_OPERATOR_ROW_BYTES_MAX, SEND_BYTES_MAX };
+  enum galena_result result;
+
+  *link = (struct link){ .fd = -1, .target = target };
+  link->due = galena_clock_after (galena_monotonic_now (), TARGET_TIMEOUT_MS);
+  result = galena_framing_create (&options, &link->framing);
+  if (result == GALENA_OK)
+    result = galena_tcp_connect (target->address, &link->fd);
+  if (result == GALENA_OK)
+    result = add_query (link, view);
+  if (result != GALENA_OK)
+    close_link (link, result);
+}
+
+/* Passes on the rows that have come; *END tells whether the last has.  */
+static enum galena_result
+read_rows (struct link *link, enum galena_operator_type view,
+           target_reader *read, void *data, bool *end)
+{
+  struct galena_operator_row row;
+  const uint8_t *bytes;
+  uint32_t size;
+
+  while ((bytes = galena_framing_next (link->framing, &size)) != NULL)
+    {
+      enum galena_result result = galena_operator_decode (bytes, size, &row);
+
+      if (result != GALENA_OK)
+        return result;
+      *end = row.type == GALENA_ROW_END;
+      if (*end)
+        return (enum galena_result)row.as.end.result;
+      if (row.type != view)
+        return GALENA_ERR_TYPE;
+      if (link->rows++ == ROWS_MAX)
+        return GALENA_ERR_TOO_LARGE;
+      if (row.type == GALENA_ROW_AUDIT)
+        link->target->after = row.as.event.sequence;
+      read (data, link->target, &row);
+    }
+  return GALENA_OK;
+}
+
+static void
+step_link (struct link *link, enum galena_operator_type view,
+           target_reader *read, void *data)
+{
+  struct galena_clock now = galena_monotonic_now ();
+  enum galena_result result;
+  bool end = false;
+
+  result = galena_framing_send (link->framing, link->fd);
+  if (result == GALENA_OK)
+    result = galena_framing_receive (link->framing, link->fd);
+  if (result == GALENA_OK)
+    result = read_rows (link, view, read, data, &end);
+  if (end || result != GALENA_OK)
+    {
+      close_link (link, result);
+      return;
+    }
+  link->due = galena_clock_after (now, TARGET_TIMEOUT_MS);
+}
+
+/* Waits for the links and moves those that are ready; returns how many are
+   open.  */
+static uint32_t
+step_links (struct link *links, uint32_t count, enum galena_operator_type view,
+            target_reader *read, void *data)
+{
+  struct pollfd fds[BATCH];
+  uint32_t open = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      fds[i] = (struct pollfd){ links[i].fd, POLLIN, 0 };
+      if (links[i].fd < 0)
+        continue;
+      open++;
+      if (galena_framing_waiting (links[i].framing) > 0)
+        fds[i].events |= POLLOUT;
+    }
+  if (open == 0)
+    return 0;
+  poll (fds, count, TARGET_TIMEOUT_MS);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (links[i].fd < 0)
+        continue;
+      if (fds[i].revents != 0)
+        step_link (&links[i], view, read, data);
+      else if (galena_clock_reached (galena_monotonic_now (), links[i].due))
+        close_link (&links[i], GALENA_ERR_IO);
+    }
+  return open;
+}
+
+static void
+ask_batch (struct target *targets, uint32_t count,
+           enum galena_operator_type view, target_reader *read, void *data)
+{
+  struct link links[BATCH];
+
+  for (uint32_t i = 0; i < count; i++)
+    open_link (&links[i], &targets[i], view);
+  while (step_links (links, count, view, read, data) > 0)
+    continue;
+}
+
+uint32_t
+targets_ask (struct targets *targets, enum galena_operator_type view,
+             target_reader *read, void *data)
+{
+  uint32_t failed = 0;
+
+  for (uint32_t i = 0; i < targets->count; i += BATCH)
+    {
+      uint32_t left = targets->count - i;
+      ask_batch (&targets->rows[i], left < BATCH ? left : BATCH, view, read,
+                 data);
+    }
+  for (uint32_t i = 0; i < targets->count; i++)
+    {
+      const struct target *target = &targets->rows[i];
+
+      if (target->result == GALENA_OK)
+        continue;
+      failed++;
+      fprintf (stderr, "galenactl: %s: no whole reply: %s\n", target->name,
+               galena_result_word (target->result));
+    }
+  return failed;
+}
