--- a/packages/core/src/agent_run.c
+++ b/packages/core/src/agent_run.c
@@ -40,6 +40,26 @@
   return (uint32_t)(work_ms / self->slots);
 }
 
+static uint32_t
+count_queued (const struct galena_world *world)
+{
+  uint32_t queued = 0;
+
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    queued += world->agent->queues[i].queued;
+  return queued;
+}
+
+void
+galena_agent_tell_load (const struct galena_world *world,
+                        struct galena_message *message)
+{
+  message->wait_ms = galena_agent_expected_wait_ms (world, message->kind);
+  if (!galena_agent_upstream_is_open (world))
+    message->wait_ms = GALENA_WAIT_CLOSED_MS;
+  message->queue = count_queued (world) + world->agent->running;
+}
+
 void
 galena_agent_enqueue (struct galena_world *world,
                       struct galena_request_handle handle)
@@ -196,6 +216,7 @@
   if (request == NULL || request->state != GALENA_REQUEST_RUNNING)
     return;
   release_slot (world, request);
+  galena_agent_note_upstream (world, message->result);
   if (message->result == GALENA_OK)
     galena_world_count (world, GALENA_COUNT_ANSWERED);
   else if (message->result == GALENA_UNKNOWN_OUTCOME)
