Move flows off a leaving agent without a gap

Weighed: closing the flow and letting the caller come back (a full fleet then refuses an established flow); refusing further requests on it (a request waits for a round trip more, and the last upstream can't be left). Change: a leaving agent asks each routed flow once a second to move; the caller opens it elsewhere first and stays if nobody accepts. Requests that may run end where they are; an endless one tells the bytes it has had, and its parts go on with the next number. An agent is idle when it holds no flow.

--- a/packages/core/include/galenaford/counters.h
+++ b/packages/core/include/galenaford/counters.h
@@ -36,6 +36,7 @@
   X (GALENA_COUNT_UNKNOWN, "unknown", "Requests whose outcome is unknown.")   \
   X (GALENA_COUNT_CANCELLED, "cancelled", "Requests cancelled.")              \
   X (GALENA_COUNT_REOPENED, "reopened", "Flows opened again by a caller.")    \
+  X (GALENA_COUNT_MOVED, "moved", "Flows moved from a leaving upstream.")     \
   X (GALENA_COUNT_RESENT, "resent", "Parts sent again.")
 
 enum galena_counter
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -12,6 +12,7 @@
   EXPIRE_REQUESTS_PERIOD_MS = 20,
   EXPIRE_FLOWS_PERIOD_MS = 1000,
   RESEND_PERIOD_MS = 50,
+  MOVE_PERIOD_MS = 100,
   RENEW_LEASES_PERIOD_MS = 100,
   EXPIRE_LEASES_PERIOD_MS = 1000
 };
@@ -94,6 +95,7 @@
   { "expire-flows", EXPIRE_FLOWS_PERIOD_MS, galena_agent_run_expire_flows },
   { "renew-leases", RENEW_LEASES_PERIOD_MS, galena_agent_run_renew_leases },
   { "expire-leases", EXPIRE_LEASES_PERIOD_MS, galena_agent_run_expire_leases },
+  { "moves", MOVE_PERIOD_MS, galena_agent_run_moves },
   { "admit", 0, galena_agent_run_admit },
   { "resend", RESEND_PERIOD_MS, galena_agent_run_resend },
   { "answer", 0, galena_agent_run_answer },
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -67,6 +67,8 @@
   struct galena_clock resend;
   /* Parts of the body that came out of order.  */
   struct galena_stream received;
+  /* Bytes of an endless answer that the caller has had before.  */
+  uint64_t resume;
   /* Body so far; owned.  */
   uint8_t *body;
   uint32_t body_size;
@@ -133,6 +135,10 @@
   uint64_t generation;
   struct galena_clock generation_since;
   const struct galena_admission_policy *admission;
+  /* Place in the flow table up to which this round of moves has come, and
+     when the next round may begin.  */
+  uint32_t move_cursor;
+  struct galena_clock move_round;
 };
 
 enum
@@ -243,6 +249,14 @@
 /* Drops leases that were not renewed.  */
 void galena_agent_run_expire_leases (struct galena_world *world);
 
+/* agent_move.c */
+
+/* Whether this agent takes no new flows, now or for good.  */
+bool galena_agent_is_leaving (const struct galena_world *world);
+
+/* Asks the callers of a leaving agent to move their flows.  */
+void galena_agent_run_moves (struct galena_world *world);
+
 /* agent_request.c */
 
 void galena_agent_on_request (struct galena_world *world,
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -69,7 +69,7 @@
   if (service == NULL
       || !galena_endpoint_equal (service->address, open->service))
     return GALENA_REFUSED_WRONG_SERVICE;
-  if (world->draining || self->state != GALENA_UPSTREAM_ACTIVE)
+  if (galena_agent_is_leaving (world))
     return GALENA_REFUSED_LEAVING;
   if (galena_service_kind (service, open->kind) == NULL)
     return GALENA_REFUSED_KIND;
--- /dev/null
+++ b/packages/core/src/agent_move.c
@@ -0,0 +1,66 @@
+/* A leaving agent asks for its flows to be opened elsewhere, round by round
+   until they are.  Flows without a route are not asked: their callers can't
+   be.  */
+
+#include "agent.h"
+
+enum
+{
+  /* Least time between two rounds.  */
+  ROUND_MS = 1000,
+  /* Most flows asked in one run.  */
+  FLOWS_PER_RUN = 256
+};
+
+bool
+galena_agent_is_leaving (const struct galena_world *world)
+{
+  const struct galena_upstream *self = galena_agent_self (world);
+
+  return world->draining || self == NULL
+         || self->state != GALENA_UPSTREAM_ACTIVE;
+}
+
+static void
+ask_to_move (struct galena_world *world, const struct galena_flow *flow)
+{
+  struct galena_message move = { .type = GALENA_MESSAGE_LOST,
+                                 .link = GALENA_LINK_PEER,
+                                 .peer = flow->entry,
+                                 .caller = flow->caller,
+                                 .flow = flow->id,
+                                 .tag = flow->tag,
+                                 .result = GALENA_FLOW_MOVE };
+  const struct galena_service *service = galena_agent_service (world);
+
+  if (service != NULL)
+    move.service = service->address;
+  galena_world_send (world, &move);
+}
+
+void
+galena_agent_run_moves (struct galena_world *world)
+{
+  struct galena_agent *agent = world->agent;
+  const struct galena_flow *flow;
+  struct galena_handle handle;
+  uint32_t left = FLOWS_PER_RUN;
+
+  if (!galena_agent_is_leaving (world)
+      || !galena_clock_reached (world->now, agent->move_round))
+    return;
+  while (left > 0)
+    {
+      flow = galena_table_next (agent->flows, &agent->move_cursor, &handle);
+      if (flow == NULL)
+        {
+          agent->move_cursor = 0;
+          agent->move_round = galena_clock_after (world->now, ROUND_MS);
+          return;
+        }
+      if (!flow->confirmed || flow->unrouted)
+        continue;
+      ask_to_move (world, flow);
+      left--;
+    }
+}
--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -85,6 +85,7 @@
     return NULL;
   request->flow = flow;
   request->number = message->request;
+  request->resume = message->resume;
   request->arrived = world->now;
   request->kind = kind->number;
   request->idempotent = kind->idempotent;
--- a/packages/core/src/agent_run.c
+++ b/packages/core/src/agent_run.c
@@ -113,6 +113,7 @@
                                 .link = GALENA_LINK_APPLICATION,
                                 .run = handle,
                                 .kind = request->kind,
+                                .resume = request->resume,
                                 .request = request->number };
   const struct galena_service *service = galena_agent_service (world);
 
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -11,32 +11,31 @@
   CLOSE_PERIOD_MS = 50
 };
 
-static void
-draw_id (struct galena_world *world, struct galena_flow_id *id)
+void
+galena_caller_draw_id (struct galena_world *world, struct galena_flow_id *id)
 {
   id->high = galena_random_next (&world->random);
   id->low = galena_random_next (&world->random);
 }
 
-static enum galena_result
-index_flow (struct galena_world *world, struct galena_flow_handle handle)
+enum galena_result
+galena_caller_index (struct galena_world *world, struct galena_flow_id id,
+                     struct galena_flow_handle handle)
 {
   struct galena_caller *caller = world->caller;
-  struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
   return galena_map_insert (caller->flows_by_id,
-                            galena_flow_key (caller->flows_by_id, flow->id),
+                            galena_flow_key (caller->flows_by_id, id),
                             galena_handle_pack (handle.row));
 }
 
-static void
-unindex_flow (struct galena_world *world,
-              const struct galena_caller_flow *flow)
+void
+galena_caller_unindex (struct galena_world *world, struct galena_flow_id id)
 {
   struct galena_caller *caller = world->caller;
 
   galena_map_remove (caller->flows_by_id,
-                     galena_flow_key (caller->flows_by_id, flow->id));
+                     galena_flow_key (caller->flows_by_id, id));
 }
 
 enum galena_result
@@ -49,7 +48,7 @@
 
   if (row == NULL)
     return GALENA_ERR_FULL;
-  draw_id (world, &row->id);
+  galena_caller_draw_id (world, &row->id);
   row->service = options->service;
   row->kind = options->kind;
   row->unrouted = options->unrouted;
@@ -57,7 +56,7 @@
   row->deadline = galena_clock_after (world->now, options->deadline_ms);
   row->resend = world->now;
   row->heard = world->now;
-  return index_flow (world, *flow);
+  return galena_caller_index (world, row->id, *flow);
 }
 
 struct number_key
@@ -99,6 +98,26 @@
   request->number = 0;
 }
 
+void
+galena_caller_transfer (struct galena_world *world,
+                        struct galena_request_handle handle,
+                        struct galena_flow_handle flow)
+{
+  struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+  uint32_t number = request->number;
+
+  drop_number (world, request);
+  galena_caller_flow (world, request->flow)->open_requests--;
+  galena_caller_flow (world, flow)->open_requests++;
+  request->flow = flow;
+  request->number = number;
+  if (number != 0)
+    galena_map_insert (world->caller->requests_by_number,
+                       number_key (world, flow, number),
+                       galena_handle_pack (handle.row));
+}
+
 struct galena_caller_request *
 galena_caller_find (const struct galena_world *world,
                     const struct galena_message *message,
@@ -136,13 +155,11 @@
   galena_table_remove (world->caller->requests, handle.row);
 }
 
-/* Calls VISIT for each request of FLOW.  */
-static void
-for_each_request (struct galena_world *world, struct galena_flow_handle flow,
-                  void (*visit) (struct galena_world *world,
-                                 struct galena_request_handle handle,
-                                 enum galena_result result),
-                  enum galena_result result)
+void
+galena_caller_for_each_request (struct galena_world *world,
+                                struct galena_flow_handle flow,
+                                galena_caller_visit *visit,
+                                enum galena_result result)
 {
   struct galena_caller_request *request;
   struct galena_request_handle handle;
@@ -183,8 +200,9 @@
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
-  for_each_request (world, handle, galena_caller_end, result);
-  unindex_flow (world, flow);
+  galena_caller_for_each_request (world, handle, galena_caller_end, result);
+  galena_caller_abandon_move (world, handle);
+  galena_caller_unindex (world, flow->id);
   galena_table_remove (world->caller->flows, handle.row);
 }
 
@@ -196,6 +214,21 @@
   remove_request (world, handle);
 }
 
+/* Drops the requests that still run where FLOW was before its moves.  */
+static void
+drop_predecessors (struct galena_world *world, struct galena_flow_handle flow)
+{
+  const struct galena_caller_flow *row;
+  struct galena_flow_handle handle;
+  uint32_t cursor = 0;
+
+  while ((row = galena_table_next (world->caller->flows, &cursor, &handle.row))
+         != NULL)
+    if (galena_handle_pack (row->successor.row)
+        == galena_handle_pack (flow.row))
+      galena_caller_for_each_request (world, handle, drop_request, GALENA_OK);
+}
+
 enum galena_result
 galena_caller_close (struct galena_world *world,
                      struct galena_flow_handle handle)
@@ -204,7 +237,9 @@
 
   if (flow == NULL || flow->state == GALENA_CALLER_FLOW_CLOSING)
     return GALENA_ERR_STALE;
-  for_each_request (world, handle, drop_request, GALENA_OK);
+  galena_caller_for_each_request (world, handle, drop_request, GALENA_OK);
+  if (!galena_handle_is_none (flow->past.row))
+    drop_predecessors (world, handle);
   flow->state = GALENA_CALLER_FLOW_CLOSING;
   return GALENA_OK;
 }
@@ -216,7 +251,8 @@
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
   galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
-  unindex_flow (world, flow);
+  galena_caller_abandon_move (world, handle);
+  galena_caller_unindex (world, flow->id);
   galena_table_remove (world->caller->flows, handle.row);
 }
 
@@ -238,6 +274,10 @@
   drop_number (world, request);
   request->sent = 0;
   request->acknowledged = 0;
+  if (request->endless)
+    request->resume = request->delivered;
+  else
+    request->delivered_parts = 0;
   galena_stream_release (&request->answer);
   request->answer = (struct galena_stream){ 0 };
 }
@@ -257,6 +297,35 @@
     galena_caller_start_over (world, handle);
 }
 
+/* Has a request of a predecessor start over on the flow itself.  */
+static void
+return_or_end (struct galena_world *world, struct galena_request_handle handle,
+               enum galena_result result)
+{
+  const struct galena_caller_request *request
+      = galena_caller_request_row (world, handle);
+  struct galena_flow_handle successor
+      = galena_caller_flow (world, request->flow)->successor;
+
+  if (galena_caller_flow (world, successor) == NULL
+      || (may_have_run (request) && !request->idempotent))
+    {
+      galena_caller_end (world, handle, result);
+      return;
+    }
+  galena_caller_start_over (world, handle);
+  galena_caller_transfer (world, handle, successor);
+}
+
+static void
+give_up_predecessor (struct galena_world *world,
+                     struct galena_flow_handle handle)
+{
+  galena_caller_for_each_request (world, handle, return_or_end,
+                                  GALENA_UNKNOWN_OUTCOME);
+  galena_caller_finish_close (world, handle);
+}
+
 void
 galena_caller_reopen (struct galena_world *world,
                       struct galena_flow_handle handle)
@@ -264,17 +333,24 @@
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
   galena_world_count (world, GALENA_COUNT_REOPENED);
-  for_each_request (world, handle, start_over_or_end, GALENA_UNKNOWN_OUTCOME);
+  if (!galena_handle_is_none (flow->successor.row))
+    {
+      give_up_predecessor (world, handle);
+      return;
+    }
+  galena_caller_abandon_move (world, handle);
+  galena_caller_for_each_request (world, handle, start_over_or_end,
+                                  GALENA_UNKNOWN_OUTCOME);
   galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
-  unindex_flow (world, flow);
-  draw_id (world, &flow->id);
+  galena_caller_unindex (world, flow->id);
+  galena_caller_draw_id (world, &flow->id);
   flow->state = GALENA_CALLER_FLOW_OPENING;
   flow->tag = 0;
   flow->last_request = 0;
   flow->deadline = galena_clock_after (world->now, flow->deadline_ms);
   flow->resend = world->now;
   flow->heard = world->now;
-  index_flow (world, handle);
+  galena_caller_index (world, flow->id, handle);
 }
 
 static enum galena_result
--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -16,9 +16,12 @@
     return NULL;
   handle->row = galena_handle_unpack (packed);
   flow = galena_caller_flow (world, *handle);
-  if (flow == NULL || !galena_flow_id_equal (flow->id, message->flow))
+  if (flow == NULL)
     return NULL;
-  return flow;
+  if (galena_flow_id_equal (flow->id, message->flow)
+      || galena_caller_is_of_move (flow, message))
+    return flow;
+  return NULL;
 }
 
 /* Closes a flow that a second agent accepted as well.  */
@@ -40,6 +43,11 @@
   struct galena_caller_flow *flow
       = galena_caller_flow_of (world, message, &handle);
 
+  if (flow != NULL && galena_caller_is_of_move (flow, message))
+    {
+      galena_caller_finish_move (world, handle, message);
+      return;
+    }
   if (flow == NULL
       || (flow->tag != 0 && !galena_tag_matches (message->tag, flow->tag)))
     {
@@ -84,6 +92,11 @@
 
   if (flow == NULL)
     return;
+  if (galena_caller_is_of_move (flow, message))
+    {
+      galena_caller_abandon_move (world, flow_handle);
+      return;
+    }
   if (message->request == 0)
     {
       if (flow->state == GALENA_CALLER_FLOW_OPENING)
@@ -131,10 +144,12 @@
                                      .run = handle,
                                      .kind = request->kind,
                                      .user = request->user,
-                                     .part = answer->base,
+                                     .part = request->delivered_parts,
                                      .body = part,
                                      .body_size = size };
       galena_world_send (world, &data);
+      request->delivered += size;
+      request->delivered_parts++;
       galena_stream_acknowledge (answer, answer->base + 1);
     }
 }
@@ -171,6 +186,20 @@
     galena_caller_end (world, handle, GALENA_OK);
 }
 
+/* The agent of a flow leaves.  A flow that is not known here is closed.  */
+static void
+on_move (struct galena_world *world, const struct galena_message *message,
+         const struct galena_caller_flow *flow,
+         struct galena_flow_handle handle)
+{
+  if (flow == NULL)
+    galena_caller_tell_close (world, message->flow, message->service,
+                              message->tag);
+  else if (flow->state == GALENA_CALLER_FLOW_OPEN
+           && galena_tag_matches (message->tag, flow->tag))
+    galena_caller_move (world, handle);
+}
+
 static void
 on_lost (struct galena_world *world, const struct galena_message *message)
 {
@@ -178,6 +207,11 @@
   struct galena_caller_flow *flow
       = galena_caller_flow_of (world, message, &handle);
 
+  if (message->result == GALENA_FLOW_MOVE)
+    {
+      on_move (world, message, flow, handle);
+      return;
+    }
   galena_caller_on_closed (world, message);
   if (flow == NULL || flow->tag == 0
       || !galena_tag_matches (message->tag, flow->tag)
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -71,6 +71,7 @@
   message.part = part;
   message.total = request->total;
   message.deadline_ms = galena_clock_left (world->now, request->deadline);
+  message.resume = request->resume;
   message.body = request->body == NULL ? NULL : request->body + at;
   message.body_size = left < GALENA_PART_BYTES ? left : GALENA_PART_BYTES;
   galena_world_send (world, &message);
@@ -135,7 +136,7 @@
 is_out_of_time (const struct galena_world *world,
                 const struct galena_caller_request *request)
 {
-  bool answered = request->answer.base > 0;
+  bool answered = request->delivered > 0;
 
   if (request->endless && answered)
     return false;
@@ -214,6 +215,24 @@
   galena_world_send (world, &heartbeat);
 }
 
+/* Does what FLOW needs by its state; may remove the row.  */
+static void
+run_flow (struct galena_world *world, struct galena_caller_flow *flow,
+          struct galena_flow_handle handle)
+{
+  bool is_past = !galena_handle_is_none (flow->successor.row);
+
+  if (flow->state == GALENA_CALLER_FLOW_OPENING)
+    run_opening (world, handle);
+  else if (flow->state == GALENA_CALLER_FLOW_CLOSING
+           || (is_past && flow->open_requests == 0))
+    galena_caller_finish_close (world, handle);
+  else if (flow->open_requests == 0)
+    run_idle (world, flow);
+  else if (owner_is_silent (world, flow))
+    galena_caller_reopen (world, handle);
+}
+
 void
 galena_caller_run_send (struct galena_world *world)
 {
@@ -225,14 +244,9 @@
       (flow = galena_table_next (world->caller->flows, &cursor, &handle.row))
       != NULL)
     {
-      if (flow->state == GALENA_CALLER_FLOW_OPENING)
-        run_opening (world, handle);
-      else if (flow->state == GALENA_CALLER_FLOW_CLOSING)
-        galena_caller_finish_close (world, handle);
-      else if (flow->open_requests == 0)
-        run_idle (world, flow);
-      else if (owner_is_silent (world, flow))
-        galena_caller_reopen (world, handle);
+      if (flow->moving)
+        galena_caller_run_move (world, handle);
+      run_flow (world, flow, handle);
     }
   run_requests (world);
 }
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -35,6 +35,16 @@
   struct galena_clock resend;
   /* When the owner last gave a sign of life.  */
   struct galena_clock heard;
+  /* While a move is on its way: id of the flow that is opened elsewhere.  */
+  bool moving;
+  struct galena_flow_id next_id;
+  struct galena_clock move_resend;
+  struct galena_clock move_deadline;
+  /* The flow that goes on elsewhere, if this one only lives until its last
+     requests have ended.  */
+  struct galena_flow_handle successor;
+  /* Where the flow was before its last move; none when it never moved.  */
+  struct galena_flow_handle past;
   /* When an idle flow next tells its owner that it goes on.  */
   struct galena_clock heartbeat;
 };
@@ -60,6 +70,12 @@
   bool cancelled;
   /* Whether a copy on an earlier flow or number may have run.  */
   bool exposed;
+  /* Bytes and parts of the answer passed to the application so far; of an
+     endless answer, on all flows.  */
+  uint64_t delivered;
+  uint32_t delivered_parts;
+  /* Bytes of an endless answer passed on before this flow.  */
+  uint64_t resume;
   /* Number that the application gave.  */
   uint64_t user;
   /* Owned.  */
@@ -100,6 +116,31 @@
   return galena_table_get (world->caller->requests, handle.row);
 }
 
+/* Draws an id for a flow.  */
+void galena_caller_draw_id (struct galena_world *world,
+                            struct galena_flow_id *id);
+
+/* Lets HANDLE be found by ID, and no longer.  */
+enum galena_result galena_caller_index (struct galena_world *world,
+                                        struct galena_flow_id id,
+                                        struct galena_flow_handle handle);
+void galena_caller_unindex (struct galena_world *world,
+                            struct galena_flow_id id);
+
+/* Calls VISIT for each request of FLOW.  */
+typedef void galena_caller_visit (struct galena_world *world,
+                                  struct galena_request_handle handle,
+                                  enum galena_result result);
+void galena_caller_for_each_request (struct galena_world *world,
+                                     struct galena_flow_handle flow,
+                                     galena_caller_visit *visit,
+                                     enum galena_result result);
+
+/* Has REQUEST belong to FLOW, under the number that it has.  */
+void galena_caller_transfer (struct galena_world *world,
+                             struct galena_request_handle handle,
+                             struct galena_flow_handle flow);
+
 /* Gives REQUEST the next number of its flow.  */
 void galena_caller_number (struct galena_world *world,
                            struct galena_request_handle handle);
@@ -140,6 +181,30 @@
 void galena_caller_finish_close (struct galena_world *world,
                                  struct galena_flow_handle handle);
 
+/* caller_move.c */
+
+/* Begins to open FLOW elsewhere while it goes on where it is.  */
+void galena_caller_move (struct galena_world *world,
+                         struct galena_flow_handle handle);
+
+/* Goes on where ACCEPT came from.  Requests that may run stay on a flow of
+   their own until they have ended; endless ones go on where they were.  */
+void galena_caller_finish_move (struct galena_world *world,
+                                struct galena_flow_handle handle,
+                                const struct galena_message *accept);
+
+/* Gives up a move, if one is on its way.  */
+void galena_caller_abandon_move (struct galena_world *world,
+                                 struct galena_flow_handle handle);
+
+/* Sends the open of a move again.  */
+void galena_caller_run_move (struct galena_world *world,
+                             struct galena_flow_handle handle);
+
+/* Whether MESSAGE speaks of the flow that FLOW moves to.  */
+bool galena_caller_is_of_move (const struct galena_caller_flow *flow,
+                               const struct galena_message *message);
+
 /* caller_close.c */
 
 /* Creates the table of closings.  Errors: GALENA_ERR_MEMORY.  */
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -185,7 +185,7 @@
   struct galena_world_usage usage;
 
   galena_world_usage (world, &usage);
-  return usage.requests == 0 && usage.pending_opens == 0;
+  return usage.flows == 0 && usage.requests == 0 && usage.pending_opens == 0;
 }
 
 void
--- a/test/fake/fleet_report.c
+++ b/test/fake/fleet_report.c
@@ -43,6 +43,9 @@
       galena_world_usage (node->world, &usage);
       totals->rows += usage.flows + usage.requests + usage.pending_opens
                       + usage.pending_closes;
+      if (node->kind == FLEET_CALLER)
+        totals->moved
+            += galena_world_counters (node->world)->values[GALENA_COUNT_MOVED];
       if (node->kind == FLEET_CALLER)
         totals->broken += galena_world_counters (node->world)
                               ->values[GALENA_COUNT_REOPENED];
