--- a/packages/platform/src/settings.c
+++ b/packages/platform/src/settings.c
@@ -405,7 +405,8 @@
   if (fault == NULL)
     return text;
   report (load, load->line, "-", "-", fault);
-  strcpy (text, "\n");
+  text[0] = '\n';
+  text[1] = '\0';
   return text;
 }
 
