Add the sync of records: reads, peers and what is taken, as tables

Cause: every process watched the platform alone. With the platform down a new process got no records; a process that started against a stale replica acted on less than the fleet had accepted; a fleet's reads were not bounded.

Weighed: everyone watches (3,460 reads at once after each change); a tree or an elected reader (one process whose failure matters); gossip by rounds alone (about 12 rounds at 3,460). Chosen: processes drawn at random watch, links to a few random peers, a record announced on every link as soon as it is taken, heartbeats whose digests repair what got lost.

Change: core sync_*.c holds tables of services wanted, links, known peers, instances and reads, and the systems over them; actions out, events in, no I/O. All reads of a process keep a distance of readers / reads a second. A process settles once a settled peer has announced what it holds, or after a limit; until then, and again after a pause, it says that its records may be old. Codec of the peers' messages in wire. test/fake/syncs.c runs syncs over fake links and a fake platform.

Found by the tests: a refused record put off the next generation by 30 s; two records of one generation went unnoticed when one of them was relayed everywhere first, so about 16 processes now read the platform's record all the same.

--- /dev/null
+++ b/packages/core/src/sync_instances.c
@@ -0,0 +1,177 @@
+/* Which upstreams the list of instances calls leaving.
+
+   Each fact carries the generation of the list that it was read from; the
+   higher generation wins.  Facts go from peer to peer when they change.  */
+
+#include <xxhash.h>
+
+#include "sync_private.h"
+
+enum
+{
+  /* An upstream that is no longer leaving is forgotten after this time.  */
+  LIVE_LIFE_MS = 600000
+};
+
+static struct sync_instance *
+find_instance (const struct galena_sync *sync, uint32_t number)
+{
+  uint64_t packed;
+
+  if (!galena_map_find (sync->instances_by_number, number, &packed))
+    return NULL;
+  return galena_table_get (sync->instances, galena_handle_unpack (packed));
+}
+
+static struct sync_instance *
+add_instance (struct galena_sync *sync, uint32_t number)
+{
+  struct galena_handle handle;
+  struct sync_instance *row = galena_table_insert (sync->instances, &handle);
+
+  if (row == NULL)
+    return NULL;
+  row->number = number;
+  galena_map_insert (sync->instances_by_number, number,
+                     galena_handle_pack (handle));
+  return row;
+}
+
+static void
+send_instance (struct galena_sync *sync, struct galena_handle link,
+               uint32_t number, uint64_t generation, bool leaving)
+{
+  struct galena_sync_message message = { .type = GALENA_SYNC_INSTANCE,
+                                         .number = number,
+                                         .generation = generation,
+                                         .leaving = leaving };
+
+  sync_send (sync, link, &message);
+}
+
+static void
+relay_instance (struct galena_sync *sync, const struct sync_instance *row,
+                struct galena_handle except)
+{
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while (galena_table_next (sync->links, &cursor, &handle) != NULL)
+    if (galena_handle_pack (handle) != galena_handle_pack (except))
+      send_instance (sync, handle, row->number, row->generation, row->leaving);
+}
+
+void
+sync_take_instance (struct galena_sync *sync, uint32_t upstream,
+                    uint64_t generation, bool leaving,
+                    struct galena_handle from)
+{
+  struct sync_instance *row = find_instance (sync, upstream);
+
+  if (row == NULL && !leaving)
+    return;
+  if (row == NULL && generation < sync->list_generation)
+    {
+      send_instance (sync, from, upstream, sync->list_generation, false);
+      return;
+    }
+  if (row == NULL)
+    row = add_instance (sync, upstream);
+  if (row == NULL || generation < row->generation)
+    return;
+  row->generation = generation;
+  row->at = sync->now;
+  if (row->leaving == leaving)
+    return;
+  row->leaving = leaving;
+  sync->changed = true;
+  galena_records_mark (sync->records, upstream, leaving, sync->now);
+  relay_instance (sync, row, from);
+}
+
+static bool
+is_in_list (const struct galena_instance_list *list, uint32_t upstream)
+{
+  for (uint32_t i = 0; i < list->count; i++)
+    if (list->rows[i].upstream == upstream && list->rows[i].leaving)
+      return true;
+  return false;
+}
+
+void
+sync_take_leaving_list (struct galena_sync *sync,
+                        const struct galena_instance_list *list)
+{
+  struct sync_instance *row;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  if (list->generation < sync->list_generation)
+    return;
+  sync->list_generation = list->generation;
+  sync->list_total = list->total;
+  for (uint32_t i = 0; i < list->count; i++)
+    if (list->rows[i].leaving && list->rows[i].upstream != 0)
+      sync_take_instance (sync, list->rows[i].upstream, list->generation, true,
+                          SYNC_NONE);
+  while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
+    if (row->leaving && !is_in_list (list, row->number))
+      sync_take_instance (sync, row->number, list->generation, false,
+                          SYNC_NONE);
+}
+
+uint64_t
+sync_leaving_digest (const struct galena_sync *sync)
+{
+  const struct sync_instance *row;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint64_t digest = 0;
+
+  while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
+    if (row->leaving)
+      digest ^= XXH3_64bits (&row->number, sizeof row->number);
+  return digest;
+}
+
+uint32_t
+sync_count_leaving (const struct galena_sync *sync)
+{
+  const struct sync_instance *row;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+
+  while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
+    count += row->leaving;
+  return count;
+}
+
+void
+sync_send_leaving (struct galena_sync *sync, struct galena_handle link)
+{
+  const struct sync_instance *row;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
+    send_instance (sync, link, row->number, row->generation, row->leaving);
+}
+
+/* System: forgets upstreams that are no longer leaving.  */
+void
+sync_run_instances (struct galena_sync *sync)
+{
+  const struct sync_instance *row;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
+    {
+      if (row->leaving
+          || galena_clock_between (row->at, sync->now) < LIVE_LIFE_MS)
+        continue;
+      galena_map_remove (sync->instances_by_number, row->number);
+      galena_table_remove (sync->instances, handle);
+    }
+}
--- a/packages/wire/include/galenaford/record.h
+++ b/packages/wire/include/galenaford/record.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include <galenaford/records.h>
+#include <galenaford/sync.h>
 
 enum
 {
@@ -49,22 +50,6 @@
 /* Returns the digest of a record's text.  */
 uint64_t galena_record_digest (const char *text, size_t size);
 
-struct galena_index_row
-{
-  char name[GALENA_NAME_BYTES];
-  uint32_t number;
-  uint64_t generation;
-};
-
-struct galena_index_record
-{
-  /* Rises whenever any service's record changes.  */
-  uint64_t generation;
-  uint32_t count;
-  /* Owned; COUNT rows.  */
-  struct galena_index_row *rows;
-};
-
 /* Parses an index record; release it with galena_index_release.
    Errors: GALENA_ERR_INVALID, GALENA_ERR_TOO_LARGE, GALENA_ERR_MEMORY.  */
 enum galena_result galena_index_parse (const char *text, size_t size,
--- /dev/null
+++ b/test/unit/test_sync.c
@@ -0,0 +1,534 @@
+/* How records reach the processes of a fleet, under failures.
+
+   Each case is a list of steps over a fleet of entries and agents.  Every
+   50 ms of virtual time it is checked that no process settles below what the
+   fleet has accepted, and at the end what is in force everywhere.  */
+
+#include "syncs.h"
+
+enum
+{
+  ENTRIES = 6,
+  AGENTS_EACH = 5,
+  SERVICES = 2,
+  PROCESSES = ENTRIES + AGENTS_EACH * SERVICES,
+  STEPS_MAX = 10,
+  CHECK_MS = 50,
+  /* A process may settle without what was accepted this recently.  */
+  FLOOR_AGE_MS = 1000,
+  RECORD_BYTES = 2000
+};
+
+enum step_verb
+{
+  /* Publishes generation A of service 1, with digest B.  */
+  STEP_PUBLISH = 1,
+  /* The same on replica 0 or 1 alone: the one of digest B modulo 2.  */
+  STEP_PUBLISH_APART,
+  STEP_PUBLISH_INVALID,
+  /* Process A ends, and starts again.  */
+  STEP_KILL,
+  STEP_START,
+  /* The platform goes down, and comes back.  */
+  STEP_DOWN,
+  STEP_UP,
+  /* Replica A shows nothing published from now on; it shows all again.  */
+  STEP_STALE,
+  STEP_FRESH,
+  /* Process A sleeps for B ms.  */
+  STEP_FREEZE,
+  /* Processes other than A can't read the platform.  */
+  STEP_CUT,
+  /* Processes below A are parted from the rest; all are together again.  */
+  STEP_PART,
+  STEP_HEAL,
+  /* The list of instances calls the upstream of process A leaving, or not. */
+  STEP_LEAVING,
+  STEP_LIVE,
+  STEP_COUNT
+};
+
+struct step
+{
+  int64_t at_ms;
+  enum step_verb verb;
+  uint32_t a;
+  uint32_t b;
+};
+
+struct sync_case
+{
+  const char *name;
+  struct step steps[STEPS_MAX];
+  int64_t check_ms;
+  /* Record of service 1 in force at every process at CHECK_MS.  */
+  uint64_t generation;
+  uint64_t digest;
+  /* Process whose upstream must not be active at CHECK_MS, or 0.  */
+  uint32_t left;
+  /* Audit event that some process must have noted; 0 for any.  */
+  enum galena_audit_event noted;
+};
+
+static const struct sync_case CASES[] = {
+  { "/sync/publish", { { 10000, STEP_PUBLISH, 2, 5 } }, 15000, 2, 5, 0, 0 },
+  { "/sync/publish-twice",
+    { { 10000, STEP_PUBLISH, 2, 5 }, { 10100, STEP_PUBLISH, 3, 4 } },
+    15100,
+    3,
+    4,
+    0,
+    0 },
+  { "/sync/older-published-late",
+    { { 10000, STEP_PUBLISH, 5, 5 }, { 12000, STEP_PUBLISH, 4, 9 } },
+    17000,
+    5,
+    5,
+    0,
+    0 },
+  { "/sync/two-of-one-generation",
+    { { 10000, STEP_PUBLISH_APART, 2, 5 },
+      { 10000, STEP_PUBLISH_APART, 2, 8 } },
+    15000,
+    2,
+    8,
+    0,
+    GALENA_AUDIT_RECORD_CONFLICT },
+  { "/sync/invalid",
+    { { 10000, STEP_PUBLISH_INVALID, 2, 5 } },
+    15000,
+    1,
+    1,
+    0,
+    GALENA_AUDIT_RECORD_REFUSED },
+  { "/sync/invalid-then-mended",
+    { { 10000, STEP_PUBLISH_INVALID, 2, 5 }, { 12000, STEP_PUBLISH, 3, 6 } },
+    17000,
+    3,
+    6,
+    0,
+    GALENA_AUDIT_RECORD_REFUSED },
+  { "/sync/replaced-without-platform",
+    { { 10000, STEP_PUBLISH, 2, 5 },
+      { 16000, STEP_DOWN, 0, 0 },
+      { 17000, STEP_KILL, 1, 0 },
+      { 17000, STEP_KILL, 7, 0 },
+      { 18000, STEP_START, 1, 0 },
+      { 18000, STEP_START, 7, 0 } },
+    23000,
+    2,
+    5,
+    0,
+    0 },
+  { "/sync/all-entries-replaced-without-platform",
+    { { 10000, STEP_PUBLISH, 2, 5 },
+      { 16000, STEP_DOWN, 0, 0 },
+      { 17000, STEP_KILL, 1, 0 },
+      { 18000, STEP_START, 1, 0 },
+      { 24000, STEP_KILL, 2, 0 },
+      { 25000, STEP_START, 2, 0 },
+      { 31000, STEP_KILL, 0, 0 },
+      { 32000, STEP_START, 0, 0 } },
+    37000,
+    2,
+    5,
+    0,
+    0 },
+  { "/sync/restart-against-stale",
+    { { 9000, STEP_STALE, 0, 0 },
+      { 9000, STEP_STALE, 1, 0 },
+      { 10000, STEP_FRESH, 1, 0 },
+      { 10000, STEP_PUBLISH, 2, 5 },
+      { 16000, STEP_KILL, 2, 0 },
+      { 17000, STEP_START, 2, 0 } },
+    22000,
+    2,
+    5,
+    0,
+    0 },
+  { "/sync/fleet-turns-stale",
+    { { 10000, STEP_PUBLISH, 2, 5 },
+      { 9000, STEP_STALE, 0, 0 },
+      { 9000, STEP_STALE, 1, 0 },
+      { 9500, STEP_FRESH, 0, 0 },
+      { 15500, STEP_STALE, 0, 9000 },
+      { 16000, STEP_KILL, 2, 0 },
+      { 17000, STEP_START, 2, 0 } },
+    22000,
+    2,
+    5,
+    0,
+    0 },
+  { "/sync/platform-returns",
+    { { 9000, STEP_DOWN, 0, 0 },
+      { 10000, STEP_PUBLISH, 2, 5 },
+      { 40000, STEP_UP, 0, 0 } },
+    45000,
+    2,
+    5,
+    0,
+    0 },
+  { "/sync/most-cut-from-platform",
+    { { 9000, STEP_CUT, 2, 0 }, { 10000, STEP_PUBLISH, 2, 5 } },
+    15000,
+    2,
+    5,
+    0,
+    0 },
+  { "/sync/parted-and-healed",
+    { { 5000, STEP_CUT, 2, 0 },
+      { 9000, STEP_PART, 4, 0 },
+      { 10000, STEP_PUBLISH, 2, 5 },
+      { 40000, STEP_HEAL, 0, 0 } },
+    50000,
+    2,
+    5,
+    0,
+    0 },
+  { "/sync/slept",
+    { { 9000, STEP_FREEZE, 2, 60000 }, { 10000, STEP_PUBLISH, 2, 5 } },
+    74000,
+    2,
+    5,
+    0,
+    GALENA_AUDIT_PAUSED },
+  { "/sync/slept-briefly",
+    { { 9900, STEP_FREEZE, 2, 5000 }, { 10000, STEP_PUBLISH, 2, 5 } },
+    19000,
+    2,
+    5,
+    0,
+    GALENA_AUDIT_PAUSED },
+  { "/sync/leaving",
+    { { 10000, STEP_LEAVING, 8, 0 } },
+    13000,
+    1,
+    1,
+    8,
+    GALENA_AUDIT_UPSTREAM_LEAVING },
+  { "/sync/leaving-while-cut",
+    { { 9000, STEP_CUT, PROCESSES - 1, 0 }, { 10000, STEP_LEAVING, 8, 0 } },
+    13000,
+    1,
+    1,
+    8,
+    GALENA_AUDIT_UPSTREAM_LEAVING },
+  { "/sync/leaving-and-back",
+    { { 10000, STEP_LEAVING, 8, 0 }, { 14000, STEP_LIVE, 8, 0 } },
+    17000,
+    1,
+    1,
+    0,
+    GALENA_AUDIT_UPSTREAM_LEAVING },
+};
+
+/* What a case runs on.  */
+struct fleet_state
+{
+  struct syncs *syncs;
+  /* Highest generation of service 1 that a settled process has held, and
+     the same as of each check in the past FLOOR_AGE_MS.  */
+  uint64_t accepted;
+  uint64_t past[FLOOR_AGE_MS / CHECK_MS];
+  uint32_t lives[PROCESSES];
+  bool settled[PROCESSES];
+  bool noted;
+};
+
+static struct galena_endpoint
+address_of (uint32_t process)
+{
+  return (struct galena_endpoint){ 0x7f010000 + process, 7000 };
+}
+
+static uint32_t
+service_of (uint32_t process)
+{
+  return process < ENTRIES ? 0 : 1 + (process - ENTRIES) / AGENTS_EACH;
+}
+
+static struct galena_service_record
+make_record (uint32_t number, uint64_t generation, uint64_t digest,
+             struct galena_upstream *upstreams)
+{
+  struct galena_service_record record
+      = { .service = { .number = number,
+                       .generation = generation,
+                       .digest = digest,
+                       .address = { 0x7f640000 + number, 700 },
+                       .upstream_count = AGENTS_EACH },
+          .upstreams = upstreams };
+
+  g_snprintf (record.service.name, GALENA_NAME_BYTES, "service-%u", number);
+  for (uint32_t i = 0; i < AGENTS_EACH; i++)
+    {
+      uint32_t process = ENTRIES + (number - 1) * AGENTS_EACH + i;
+
+      upstreams[i] = (struct galena_upstream){ .number = process,
+                                               .agent = address_of (process),
+                                               .slots = 1,
+                                               .connections = 1,
+                                               .weight = 1 };
+    }
+  return record;
+}
+
+static struct syncs_version *
+publish (struct syncs *syncs, uint32_t number, const struct step *step)
+{
+  struct galena_upstream upstreams[AGENTS_EACH];
+  struct galena_service_record record
+      = make_record (number, step->a, step->b, upstreams);
+
+  return syncs_publish (syncs, &record, RECORD_BYTES);
+}
+
+static void
+start (struct syncs *syncs, uint32_t process)
+{
+  struct galena_sync_options options
+      = { .self
+          = { address_of (process),
+              process < ENTRIES ? GALENA_ROLE_ENTRY : GALENA_ROLE_AGENT },
+          .service = service_of (process),
+          .seeds = { address_of (0), address_of (3) },
+          .seed_count = 2,
+          .readers = PROCESSES,
+          .reads_per_second = 100,
+          .wait_ms = 20000,
+          .instances = true };
+
+  syncs_start (syncs, process, &options);
+}
+
+static void
+do_publish (struct syncs *syncs, const struct step *step)
+{
+  publish (syncs, 1, step);
+}
+
+static void
+do_publish_apart (struct syncs *syncs, const struct step *step)
+{
+  publish (syncs, 1, step)->replicas = 1U << (step->b % SYNCS_REPLICAS);
+}
+
+static void
+do_publish_invalid (struct syncs *syncs, const struct step *step)
+{
+  publish (syncs, 1, step)->invalid = true;
+}
+
+static void
+do_kill (struct syncs *syncs, const struct step *step)
+{
+  syncs_kill (syncs, step->a);
+}
+
+static void
+do_start (struct syncs *syncs, const struct step *step)
+{
+  start (syncs, step->a);
+}
+
+static void
+do_down (struct syncs *syncs, const struct step *step)
+{
+  syncs->platform_down = step->verb == STEP_DOWN;
+}
+
+static void
+do_stale (struct syncs *syncs, const struct step *step)
+{
+  syncs->stale_at[step->a].ms = step->b != 0 ? step->b : step->at_ms;
+}
+
+static void
+do_fresh (struct syncs *syncs, const struct step *step)
+{
+  syncs->stale_at[step->a].ms = INT64_MAX;
+}
+
+static void
+do_freeze (struct syncs *syncs, const struct step *step)
+{
+  syncs->processes[step->a].frozen_until
+      = galena_clock_after (syncs->now, step->b);
+}
+
+static void
+do_cut (struct syncs *syncs, const struct step *step)
+{
+  for (uint32_t i = 0; i < PROCESSES; i++)
+    syncs->processes[i].cut_from_platform = i != step->a;
+}
+
+static void
+do_part (struct syncs *syncs, const struct step *step)
+{
+  for (uint32_t i = 0; i < PROCESSES; i++)
+    syncs->processes[i].group = i < step->a;
+}
+
+static void
+do_leaving (struct syncs *syncs, const struct step *step)
+{
+  g_array_index (syncs->instances, struct galena_instance, step->a).leaving
+      = step->verb == STEP_LEAVING;
+  syncs->list_generation++;
+}
+
+static void (*const VERBS[STEP_COUNT]) (struct syncs *, const struct step *)
+    = {
+        [STEP_PUBLISH] = do_publish,
+        [STEP_PUBLISH_APART] = do_publish_apart,
+        [STEP_PUBLISH_INVALID] = do_publish_invalid,
+        [STEP_KILL] = do_kill,
+        [STEP_START] = do_start,
+        [STEP_DOWN] = do_down,
+        [STEP_UP] = do_down,
+        [STEP_STALE] = do_stale,
+        [STEP_FRESH] = do_fresh,
+        [STEP_FREEZE] = do_freeze,
+        [STEP_CUT] = do_cut,
+        [STEP_PART] = do_part,
+        [STEP_HEAL] = do_part,
+        [STEP_LEAVING] = do_leaving,
+        [STEP_LIVE] = do_leaving,
+      };
+
+static void
+create_fleet (struct fleet_state *state, uint64_t seed)
+{
+  struct syncs_options options = { seed, 2, 5 };
+  struct step first = { .a = 1, .b = 1 };
+
+  state->syncs = syncs_create (&options, PROCESSES);
+  state->syncs->list_generation = 1;
+  for (uint32_t i = 0; i < PROCESSES; i++)
+    {
+      struct galena_instance instance
+          = { .peer = { address_of (i),
+                        i < ENTRIES ? GALENA_ROLE_ENTRY : GALENA_ROLE_AGENT },
+              .upstream = i < ENTRIES ? 0 : i };
+
+      g_array_append_val (state->syncs->instances, instance);
+      state->syncs->processes[i].replica = i % SYNCS_REPLICAS;
+    }
+  for (uint32_t number = 1; number <= SERVICES; number++)
+    publish (state->syncs, number, &first);
+  for (uint32_t i = 0; i < PROCESSES; i++)
+    start (state->syncs, i);
+}
+
+static void
+check_notes (struct fleet_state *state, const struct syncs_process *process,
+             enum galena_audit_event event)
+{
+  const struct galena_audit_row *row = galena_audit_find (process->audit, 1);
+
+  for (; row != NULL;
+       row = galena_audit_find (process->audit, row->sequence + 1))
+    state->noted |= row->event == event;
+}
+
+/* Returns the generation of service 1 that PROCESS acts on, 0 for none.  */
+static uint64_t
+acting_generation (const struct syncs_process *process)
+{
+  const struct galena_service_record *held
+      = galena_records_find (galena_sync_records (process->sync), 1);
+
+  return held == NULL ? 0 : held->service.generation;
+}
+
+static void
+check_floor (struct fleet_state *state, const struct sync_case *test)
+{
+  uint32_t slot = (uint32_t)(state->syncs->now.ms / CHECK_MS)
+                  % G_N_ELEMENTS (state->past);
+
+  for (uint32_t i = 0; i < PROCESSES; i++)
+    {
+      const struct syncs_process *process = &state->syncs->processes[i];
+      bool frozen = state->syncs->now.ms <= process->frozen_until.ms;
+      bool settled = process->sync != NULL && !frozen
+                     && galena_sync_settled (process->sync);
+      bool before = state->settled[i] && state->lives[i] == process->lives;
+
+      state->settled[i] = settled;
+      state->lives[i] = process->lives;
+      if (process->sync != NULL)
+        check_notes (state, process, test->noted);
+      if (!settled || service_of (i) > 1)
+        continue;
+      if (!before)
+        g_assert_cmpuint (acting_generation (process), >=, state->past[slot]);
+      state->accepted = MAX (state->accepted, acting_generation (process));
+    }
+  state->past[slot] = state->accepted;
+}
+
+static void
+check_left (const struct fleet_state *state, uint32_t left)
+{
+  for (uint32_t i = 0; left != 0 && i < PROCESSES; i++)
+    {
+      const struct syncs_process *process = &state->syncs->processes[i];
+      const struct galena_upstream *upstream;
+      struct galena_config *config = NULL;
+
+      if (process->sync == NULL || service_of (i) > 1)
+        continue;
+      g_assert_cmpint (galena_sync_snapshot (process->sync, &config), ==,
+                       GALENA_OK);
+      upstream = galena_config_upstream_numbered (config, left);
+      g_assert_nonnull (upstream);
+      g_assert_cmpint (upstream->state, ==, GALENA_UPSTREAM_LEAVING);
+      galena_config_destroy (config);
+    }
+}
+
+static void
+run_seed (const struct sync_case *test, uint64_t seed)
+{
+  struct fleet_state state = { 0 };
+  uint32_t done = 0;
+
+  create_fleet (&state, seed);
+  while (state.syncs->now.ms < test->check_ms)
+    {
+      for (uint32_t i = 0; i < STEPS_MAX; i++)
+        if (test->steps[i].verb != 0 && (done & (1U << i)) == 0
+            && test->steps[i].at_ms <= state.syncs->now.ms)
+          {
+            VERBS[test->steps[i].verb](state.syncs, &test->steps[i]);
+            done |= 1U << i;
+          }
+      syncs_run (state.syncs, state.syncs->now.ms + CHECK_MS);
+      check_floor (&state, test);
+    }
+  g_assert_cmpuint (
+      syncs_count_behind (state.syncs, 1, test->generation, test->digest), ==,
+      0);
+  check_left (&state, test->left);
+  if (test->noted != 0)
+    g_assert_true (state.noted);
+  syncs_destroy (state.syncs);
+}
+
+static void
+run_case (gconstpointer data)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    run_seed (data, seed);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
+    g_test_add_data_func (CASES[i].name, &CASES[i], run_case);
+  return g_test_run ();
+}
