Send answers round a dead entry; don't refuse opens for a spent budget

Change: such opens wait for the budget, upstreams that say they are leaving are avoided for 2 s, and an entry without records leaves opens to others. The timer counts from the oldest part on its way; every second resend goes to the other entry heard from last.

--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -63,8 +63,10 @@
   struct galena_clock started;
   /* When an ended request is forgotten without an acknowledgement.  */
   struct galena_clock forget;
-  /* When unacknowledged parts are sent again.  */
+  /* When unacknowledged parts are sent again, and how often they were since
+     the last acknowledgement.  */
   struct galena_clock resend;
+  uint32_t resends;
   /* Parts of the body that came out of order.  */
   struct galena_stream received;
   /* Bytes of an endless answer that the caller has had before.  */
@@ -111,6 +113,19 @@
   uint32_t closed_ms;
 };
 
+/* An entry that has sent something lately.  */
+struct galena_known_entry
+{
+  struct galena_endpoint address;
+  struct galena_clock heard;
+};
+
+enum
+{
+  /* Entries remembered for answers whose own entry may be gone.  */
+  GALENA_KNOWN_ENTRIES = 16
+};
+
 struct galena_agent
 {
   struct galena_table *flows;
@@ -135,6 +150,7 @@
   uint64_t generation;
   struct galena_clock generation_since;
   const struct galena_admission_policy *admission;
+  struct galena_known_entry known_entries[GALENA_KNOWN_ENTRIES];
   /* Place in the flow table up to which this round of moves has come, and
      when the next round may begin.  */
   uint32_t move_cursor;
@@ -249,6 +265,18 @@
 /* Drops leases that were not renewed.  */
 void galena_agent_run_expire_leases (struct galena_world *world);
 
+/* agent_entry.c */
+
+/* Remembers that ENTRY is alive.  */
+void galena_agent_note_entry (struct galena_world *world,
+                              struct galena_endpoint entry);
+
+/* Returns the entry last heard from that is not ENTRY; ENTRY when there is
+   none.  */
+struct galena_endpoint
+galena_agent_other_entry (const struct galena_world *world,
+                          struct galena_endpoint entry);
+
 /* agent_move.c */
 
 /* Whether this agent takes no new flows, now or for good.  */
@@ -284,6 +312,10 @@
 void galena_agent_set_ready (struct galena_world *world,
                              struct galena_request_handle handle);
 
+/* Has what is not acknowledged be sent again after the usual wait.  */
+void galena_agent_set_resend (const struct galena_world *world,
+                              struct galena_request *request);
+
 /* Sends the parts of all requests on that list.  */
 void galena_agent_run_answer (struct galena_world *world);
 
--- a/packages/core/src/agent_answer.c
+++ b/packages/core/src/agent_answer.c
@@ -10,6 +10,13 @@
   RESEND_PARTS = 8
 };
 
+void
+galena_agent_set_resend (const struct galena_world *world,
+                         struct galena_request *request)
+{
+  request->resend = galena_clock_after (world->now, RESEND_MS);
+}
+
 void
 galena_agent_set_ready (struct galena_world *world,
                         struct galena_request_handle handle)
@@ -36,6 +43,8 @@
   message.type = type;
   message.link = GALENA_LINK_PEER;
   message.peer = flow->entry;
+  if (request->resends % 2 == 1)
+    message.peer = galena_agent_other_entry (world, flow->entry);
   message.caller = flow->caller;
   message.flow = flow->id;
   message.tag = flow->tag;
@@ -99,9 +108,12 @@
 static void
 send_request_state (struct galena_world *world, struct galena_request *request)
 {
+  bool outstanding = request->answer.base != request->answer.unsent;
+
   if (galena_agent_flow (world, request->flow) == NULL)
     return;
-  request->resend = galena_clock_after (world->now, RESEND_MS);
+  if (!outstanding)
+    galena_agent_set_resend (world, request);
   if (request->state == GALENA_REQUEST_ENDED && request->result != GALENA_OK)
     {
       send_refusal (world, request);
@@ -154,6 +166,7 @@
         continue;
       galena_world_count (world, GALENA_COUNT_RESENT);
       request->answer.unsent = request->answer.base;
+      request->resends++;
       galena_agent_set_ready (world, handle);
     }
 }
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -185,6 +185,7 @@
     }
   flow->caller = message->caller;
   flow->entry = message->entry.ip != 0 ? message->entry : message->peer;
+  galena_agent_note_entry (world, flow->entry);
   flow->heard = world->now;
   flow->confirmed = true;
   return flow;
--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -277,6 +277,19 @@
     repeat_state (world, message, request, handle);
 }
 
+static void
+take_acknowledgement (struct galena_world *world,
+                      const struct galena_message *message,
+                      struct galena_request *request)
+{
+  uint32_t before = request->answer.base;
+
+  galena_stream_acknowledge (&request->answer, message->part);
+  request->resends = 0;
+  if (request->answer.base != before)
+    galena_agent_set_resend (world, request);
+}
+
 void
 galena_agent_on_ack_answer (struct galena_world *world,
                             const struct galena_message *message)
@@ -290,7 +303,7 @@
   request = find_request (world, flow_handle, message->request, &handle);
   if (request == NULL)
     return;
-  galena_stream_acknowledge (&request->answer, message->part);
+  take_acknowledgement (world, message, request);
   if (request->state == GALENA_REQUEST_ENDED
       && message->total != GALENA_TOTAL_UNKNOWN
       && galena_stream_complete (&request->answer))
--- a/packages/core/src/choice.c
+++ b/packages/core/src/choice.c
@@ -50,7 +50,7 @@
 
   if (hint == NULL)
     return 0;
-  if (!galena_clock_reached (world->now, hint->suspect_until))
+  if (galena_entry_avoids (world, hint))
     return UINT64_MAX;
   return cost (hint);
 }
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -37,6 +37,14 @@
   return galena_table_get (entry->hints, galena_handle_unpack (packed));
 }
 
+bool
+galena_entry_avoids (const struct galena_world *world,
+                     const struct galena_hint *hint)
+{
+  return !galena_clock_reached (world->now, hint->suspect_until)
+         || !galena_clock_reached (world->now, hint->leaving_until);
+}
+
 /* Returns the hint on UPSTREAM, made when there is none; NULL when full.  */
 static struct galena_hint *
 hint_for (struct galena_world *world, uint32_t upstream)
@@ -237,7 +245,20 @@
   return true;
 }
 
-/* Retries PENDING, or gives it up with RESULT.  */
+/* Whether RESULT says that the upstream is the wrong one, and nothing about
+   its load.  */
+static bool
+is_about_place (enum galena_result result)
+{
+  return result == GALENA_REFUSED_NO_UPSTREAM
+         || result == GALENA_REFUSED_LEAVING
+         || result == GALENA_REFUSED_WRONG_SERVICE
+         || result == GALENA_REFUSED_NOT_CANDIDATE;
+}
+
+/* Retries PENDING, or gives it up with RESULT.  An open that met the wrong
+   upstream waits while the budget is spent; one that met a full upstream is
+   refused.  */
 static void
 retry_or_refuse (struct galena_world *world, struct galena_handle handle,
                  enum galena_result result)
@@ -246,8 +267,16 @@
       = galena_table_get (world->entry->pending, handle);
   bool left = !galena_clock_reached (world->now, pending->deadline);
 
-  if (left && spend_retry_token (world) && try_next (world, pending))
-    return;
+  if (left && spend_retry_token (world))
+    {
+      if (try_next (world, pending))
+        return;
+    }
+  else if (left && is_about_place (result))
+    {
+      pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
+      return;
+    }
   refuse_open (world, &pending->open, result);
   remove_pending (world, handle);
 }
@@ -279,6 +308,8 @@
   remove_pending (world, handle);
 }
 
+/* Without any record yet, an open is left to the caller's next try at another
+   entry.  */
 static void
 on_caller_open (struct galena_world *world,
                 const struct galena_message *message)
@@ -293,6 +324,11 @@
   open.entry = (struct galena_endpoint){ 0, 0 };
   if (find_pending (world, open.flow, &handle) != NULL)
     return;
+  if (galena_config_service_count (world->config) == 0)
+    {
+      galena_world_count (world, GALENA_COUNT_NO_ROUTE);
+      return;
+    }
   galena_world_count (world, GALENA_COUNT_OPENS);
   service = galena_config_service_at (world->config, open.service);
   if (service == NULL)
@@ -454,6 +490,16 @@
   send_to_caller (world, message);
 }
 
+static void
+note_leaving (struct galena_world *world, const struct galena_message *message)
+{
+  struct galena_hint *hint
+      = hint_for (world, galena_tag_upstream (message->tag));
+
+  if (hint != NULL)
+    hint->leaving_until = galena_clock_after (world->now, SUSPECT_MS);
+}
+
 static void
 on_agent_refuse (struct galena_world *world,
                  const struct galena_message *message)
@@ -469,6 +515,8 @@
   if (find_pending (world, message->flow, &handle) == NULL)
     return;
   galena_stats_upstream (world, galena_tag_upstream (message->tag))->refused++;
+  if (message->result == GALENA_REFUSED_LEAVING)
+    note_leaving (world, message);
   retry_or_refuse (world, handle, message->result);
 }
 
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -21,6 +21,8 @@
   struct galena_clock heard;
   /* Avoid the upstream until then: it left an open unanswered.  */
   struct galena_clock suspect_until;
+  /* Avoid the upstream until then: it said that it is leaving.  */
+  struct galena_clock leaving_until;
   /* Opens sent since the last word from the agent.  */
   uint32_t unanswered;
   /* Overload level of each kind, 0 to 255.  */
@@ -55,4 +57,8 @@
 const struct galena_hint *galena_entry_hint (const struct galena_world *world,
                                              uint32_t upstream);
 
+/* Whether opens should go elsewhere than to the upstream of HINT.  */
+bool galena_entry_avoids (const struct galena_world *world,
+                          const struct galena_hint *hint);
+
 #endif
