Send only the fields that are set, and borrow bodies at an entry

A profile gave half of the difference to decoding (285 ns a datagram of 22 items), then to copies of bodies and to hash calls of 8 bytes through the library. Ruled out: the system calls, which both make alike. Change: the datagram names the fields present and leaves out those that are 0; an endpoint is one item; the loops over the table of fields are unrolled; items are 16 bytes and stored once. An entry's mailboxes borrow bodies from the receive batch instead of copying them twice. Short hashes are inlined.

--- a/packages/core/include/galenaford/message.h
+++ b/packages/core/include/galenaford/message.h
@@ -148,6 +148,9 @@
 {
   /* Most messages held at once.  */
   uint32_t capacity;
+  /* Whether bodies stay where they are; their owner then keeps them until
+     the mailbox is cleared.  */
+  bool borrow_bodies;
 };
 
 struct galena_mailbox;
@@ -161,7 +164,7 @@
 /* Destroys MAILBOX; accepts NULL.  */
 void galena_mailbox_destroy (struct galena_mailbox *mailbox);
 
-/* Copies MESSAGE and its body into MAILBOX.
+/* Copies MESSAGE, and its body unless bodies are borrowed, into MAILBOX.
    Errors: GALENA_ERR_FULL, GALENA_ERR_TOO_LARGE.  */
 enum galena_result galena_mailbox_push (struct galena_mailbox *mailbox,
                                         const struct galena_message *message);
--- a/packages/core/include/galenaford/world.h
+++ b/packages/core/include/galenaford/world.h
@@ -42,6 +42,9 @@
   uint32_t requests;
   /* Most messages in one tick, each way.  */
   uint32_t messages;
+  /* Entry only: whether bodies are borrowed.  The front end then keeps the
+     bodies that it pushed until it has sent the outbox.  */
+  bool borrow_bodies;
   /* Names of policies, or NULL for the default; see policy.h.  */
   const char *choice;
   const char *admission;
--- a/packages/core/src/map.c
+++ b/packages/core/src/map.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+/* Keys are short: a call would take longer than the hash.  */
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <galenaford/map.h>
--- a/packages/core/src/message.c
+++ b/packages/core/src/message.c
@@ -8,7 +8,7 @@
 struct galena_mailbox
 {
   struct galena_message *rows;
-  /* GALENA_PART_BYTES for each row.  */
+  /* GALENA_PART_BYTES for each row; NULL when bodies are borrowed.  */
   uint8_t *bodies;
   uint32_t capacity;
   uint32_t count;
@@ -43,8 +43,11 @@
     return GALENA_ERR_MEMORY;
   mailbox->capacity = options->capacity;
   mailbox->rows = calloc (options->capacity, sizeof *mailbox->rows);
-  mailbox->bodies = calloc (options->capacity, GALENA_PART_BYTES);
-  if (mailbox->rows == NULL || mailbox->bodies == NULL)
+  if (mailbox->rows == NULL)
+    goto fail;
+  if (!options->borrow_bodies)
+    mailbox->bodies = calloc (options->capacity, GALENA_PART_BYTES);
+  if (!options->borrow_bodies && mailbox->bodies == NULL)
     goto fail;
   *out = mailbox;
   return GALENA_OK;
@@ -64,23 +67,30 @@
   free (mailbox);
 }
 
+/* Gives the last row a copy of its body.  */
+static void
+copy_body (struct galena_mailbox *mailbox)
+{
+  size_t last = mailbox->count - 1;
+  struct galena_message *row = &mailbox->rows[last];
+  uint8_t *body = mailbox->bodies + last * GALENA_PART_BYTES;
+
+  if (row->body_size > 0)
+    memcpy (body, row->body, row->body_size);
+  row->body = body;
+}
+
 enum galena_result
 galena_mailbox_push (struct galena_mailbox *mailbox,
                      const struct galena_message *message)
 {
-  struct galena_message *row;
-  uint8_t *body;
-
   if (message->body_size > GALENA_PART_BYTES)
     return GALENA_ERR_TOO_LARGE;
   if (mailbox->count == mailbox->capacity)
     return GALENA_ERR_FULL;
-  body = mailbox->bodies + (size_t)mailbox->count * GALENA_PART_BYTES;
-  row = &mailbox->rows[mailbox->count++];
-  *row = *message;
-  row->body = body;
-  if (message->body_size > 0)
-    memcpy (body, message->body, message->body_size);
+  mailbox->rows[mailbox->count++] = *message;
+  if (mailbox->bodies != NULL)
+    copy_body (mailbox);
   return GALENA_OK;
 }
 
--- a/packages/core/src/rendezvous.c
+++ b/packages/core/src/rendezvous.c
@@ -4,6 +4,8 @@
 
 #include <math.h>
 
+/* Keys are short: a call would take longer than the hash.  */
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <galenaford/config.h>
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -23,7 +23,8 @@
 static enum galena_result
 create_mailboxes (struct galena_world *world)
 {
-  struct galena_mailbox_options options = { world->options.messages };
+  struct galena_mailbox_options options
+      = { world->options.messages, world->options.borrow_bodies };
   enum galena_result result = galena_mailbox_create (&options, &world->inbox);
 
   if (result != GALENA_OK)
@@ -41,6 +42,8 @@
 
   if (options->role >= GALENA_ROLE_COUNT)
     return GALENA_ERR_INVALID;
+  if (options->borrow_bodies && options->role != GALENA_ROLE_ENTRY)
+    return GALENA_ERR_INVALID;
   world = calloc (1, sizeof *world);
   if (world == NULL)
     return GALENA_ERR_MEMORY;
--- a/packages/daemon/src/entry_thread.c
+++ b/packages/daemon/src/entry_thread.c
@@ -46,6 +46,7 @@
           .seed = thread->process->seed + index,
           .flows = settings->entry_pending_opens,
           .messages = TICK_MESSAGES,
+          .borrow_bodies = true,
           .choice = settings->choice };
 
   return galena_world_create (&options, &thread->world);
--- a/packages/wire/src/unpack.c
+++ b/packages/wire/src/unpack.c
@@ -22,10 +22,10 @@
   static inline type galena_template##name
 #define msgpack_unpack_callback(name) on##name
 #define msgpack_unpack_object struct unpack_item
-#define msgpack_unpack_user struct unpack_items
+#define msgpack_unpack_user struct unpack_items *
 
 static inline struct unpack_item
-on_root (struct unpack_items *items)
+on_root (struct unpack_items **items)
 {
   (void)items;
   return (struct unpack_item){ .type = UNPACK_OTHER };
@@ -46,7 +46,7 @@
 }
 
 #define ON_UNSIGNED(name, type)                                               \
-  static inline int name (struct unpack_items *items, type value,             \
+  static inline int name (struct unpack_items **items, type value,            \
                           struct unpack_item *item)                           \
   {                                                                           \
     (void)items;                                                              \
@@ -54,7 +54,7 @@
   }
 
 #define ON_NUMBER(name, type)                                                 \
-  static inline int name (struct unpack_items *items, type value,             \
+  static inline int name (struct unpack_items **items, type value,            \
                           struct unpack_item *item)                           \
   {                                                                           \
     (void)items;                                                              \
@@ -63,7 +63,7 @@
   }
 
 #define ON_CONSTANT(name)                                                     \
-  static inline int name (struct unpack_items *items,                         \
+  static inline int name (struct unpack_items **items,                        \
                           struct unpack_item *item)                           \
   {                                                                           \
     (void)items;                                                              \
@@ -71,7 +71,7 @@
   }
 
 #define ON_BYTES(name, kind)                                                  \
-  static inline int name (struct unpack_items *items, const char *start,      \
+  static inline int name (struct unpack_items **items, const char *start,     \
                           const char *data, unsigned int size,                \
                           struct unpack_item *item)                           \
   {                                                                           \
@@ -102,30 +102,30 @@
 
 /* Only the outermost item may be an array; it comes before all others.  */
 static inline int
-on_array (struct unpack_items *items, unsigned int count,
+on_array (struct unpack_items **items, unsigned int count,
           struct unpack_item *item)
 {
   if (count > UNPACK_ITEMS_MAX)
     return UNPACK_FAILED_SIZE;
-  if (items->count != 0)
+  if ((*items)->count != 0)
     return UNPACK_FAILED_TYPE;
   *item = (struct unpack_item){ .type = UNPACK_ARRAY, .size = count };
   return 0;
 }
 
 static inline int
-on_array_item (struct unpack_items *items, struct unpack_item *array,
+on_array_item (struct unpack_items **items, struct unpack_item *array,
                struct unpack_item item)
 {
   (void)array;
   if (item.type == UNPACK_ARRAY)
     return UNPACK_FAILED_TYPE;
-  items->rows[items->count++] = item;
+  (*items)->rows[(*items)->count++] = item;
   return 0;
 }
 
 static inline int
-on_map (struct unpack_items *items, unsigned int count,
+on_map (struct unpack_items **items, unsigned int count,
         struct unpack_item *item)
 {
   (void)items;
@@ -135,7 +135,7 @@
 }
 
 static inline int
-on_map_item (struct unpack_items *items, struct unpack_item *map,
+on_map_item (struct unpack_items **items, struct unpack_item *map,
              struct unpack_item key, struct unpack_item value)
 {
   (void)items;
@@ -165,7 +165,8 @@
   if (size == 0)
     return GALENA_ERR_TRUNCATED;
   galena_template_init (&context);
-  context.user.count = 0;
+  context.user = items;
+  items->count = 0;
   status
       = galena_template_execute (&context, (const char *)bytes, size, &used);
   if (status != 1)
@@ -174,8 +175,5 @@
     return GALENA_ERR_TYPE;
   if (used != size)
     return GALENA_ERR_TOO_LARGE;
-  items->count = context.user.count;
-  memcpy (items->rows, context.user.rows,
-          context.user.count * sizeof *items->rows);
   return GALENA_OK;
 }
--- a/packages/wire/src/unpack.h
+++ b/packages/wire/src/unpack.h
@@ -25,11 +25,15 @@
 struct unpack_item
 {
   enum unpack_type type;
-  /* Value of an unsigned integer.  */
-  uint64_t value;
-  /* Binary data inside the bytes read.  */
-  const uint8_t *data;
+  /* Bytes of binary data, or items of an array.  */
   uint32_t size;
+  union
+  {
+    /* Value of an unsigned integer.  */
+    uint64_t value;
+    /* Binary data inside the bytes read.  */
+    const uint8_t *data;
+  };
 };
 
 struct unpack_items
--- a/packages/wire/src/wire.c
+++ b/packages/wire/src/wire.c
@@ -8,37 +8,54 @@
 
 #include "unpack.h"
 
-/* One integer field of a message.  */
+/* One field of a message; an endpoint travels as one integer.  */
 struct wire_field
 {
   size_t offset;
+  /* Bytes of the value: that of an integer, or WIRE_ENDPOINT_BYTES.  */
   size_t size;
 };
 
+enum
+{
+  /* An address of 4 bytes and a port of 2.  */
+  WIRE_ENDPOINT_BYTES = 6
+};
+
 #define WIRE_FIELD(member)                                                    \
   {                                                                           \
     offsetof (struct galena_message, member),                                 \
         sizeof (((struct galena_message *)0)->member)                         \
   }
 
-/* In the order of the array, after the schema version and the type.  */
+#define WIRE_ENDPOINT(member)                                                 \
+  {                                                                           \
+    offsetof (struct galena_message, member), WIRE_ENDPOINT_BYTES             \
+  }
+
+/* In the order of the array, after the schema version, the type and the set
+   of fields present.  A field that is not present is 0.  */
 static const struct wire_field FIELDS[] = {
-  WIRE_FIELD (service.ip), WIRE_FIELD (service.port), WIRE_FIELD (flow.high),
-  WIRE_FIELD (flow.low),   WIRE_FIELD (tag),          WIRE_FIELD (generation),
-  WIRE_FIELD (request),    WIRE_FIELD (kind),         WIRE_FIELD (part),
-  WIRE_FIELD (total),      WIRE_FIELD (deadline_ms),  WIRE_FIELD (result),
-  WIRE_FIELD (caller.ip),  WIRE_FIELD (caller.port),  WIRE_FIELD (entry.ip),
-  WIRE_FIELD (entry.port), WIRE_FIELD (hops),         WIRE_FIELD (overload),
-  WIRE_FIELD (wait_ms),    WIRE_FIELD (queue),        WIRE_FIELD (unrouted),
+  WIRE_ENDPOINT (service),  WIRE_FIELD (flow.high),  WIRE_FIELD (flow.low),
+  WIRE_FIELD (tag),         WIRE_FIELD (generation), WIRE_FIELD (request),
+  WIRE_FIELD (kind),        WIRE_FIELD (part),       WIRE_FIELD (total),
+  WIRE_FIELD (deadline_ms), WIRE_FIELD (result),     WIRE_ENDPOINT (caller),
+  WIRE_ENDPOINT (entry),    WIRE_FIELD (hops),       WIRE_FIELD (overload),
+  WIRE_FIELD (wait_ms),
 };
 
 enum
 {
   FIELD_COUNT = sizeof FIELDS / sizeof FIELDS[0],
-  /* Schema version, type, the fields, and the body.  */
-  ARRAY_SIZE = 2 + FIELD_COUNT + 1
+  /* Schema version, type, and set of fields present.  */
+  HEAD_ITEMS = 3,
+  /* The head and the body.  */
+  ITEMS_MIN = HEAD_ITEMS + 1
 };
 
+/* One bit for each field, the first field lowest.  */
+static const uint64_t ALL_FIELDS = (UINT64_C (1) << FIELD_COUNT) - 1;
+
 static enum galena_result
 read_integer (const struct unpack_item *item, uint64_t max, uint64_t *value)
 {
@@ -50,14 +67,32 @@
   return GALENA_OK;
 }
 
-static uint64_t
+static inline uint64_t
 field_max (const struct wire_field *field)
 {
   return field->size == 8 ? UINT64_MAX
                           : (UINT64_C (1) << (8 * field->size)) - 1;
 }
 
-static void
+static inline void
+store_endpoint (unsigned char *at, uint64_t value)
+{
+  struct galena_endpoint endpoint
+      = { (uint32_t)(value >> 16), (uint16_t)value };
+
+  memcpy (at, &endpoint, sizeof endpoint);
+}
+
+static inline uint64_t
+load_endpoint (const unsigned char *at)
+{
+  struct galena_endpoint endpoint;
+
+  memcpy (&endpoint, at, sizeof endpoint);
+  return ((uint64_t)endpoint.ip << 16) | endpoint.port;
+}
+
+static inline void
 store_field (struct galena_message *message, const struct wire_field *field,
              uint64_t value)
 {
@@ -70,6 +105,9 @@
     case 8:
       memcpy (at, &value, 8);
       break;
+    case WIRE_ENDPOINT_BYTES:
+      store_endpoint (at, value);
+      break;
     case 4:
       memcpy (at, &value32, 4);
       break;
@@ -81,7 +119,7 @@
     }
 }
 
-static uint64_t
+static inline uint64_t
 load_field (const struct galena_message *message,
             const struct wire_field *field)
 {
@@ -95,6 +133,8 @@
     case 8:
       memcpy (&value, at, 8);
       return value;
+    case WIRE_ENDPOINT_BYTES:
+      return load_endpoint (at);
     case 4:
       memcpy (&value32, at, 4);
       return value32;
@@ -138,29 +178,51 @@
   return GALENA_OK;
 }
 
+/* Reads the set of fields present.  */
+static enum galena_result
+read_present (const struct unpack_items *items, uint64_t *present)
+{
+  enum galena_result result
+      = read_integer (&items->rows[HEAD_ITEMS - 1], ALL_FIELDS, present);
+
+  if (result != GALENA_OK)
+    return result;
+  if (items->count < ITEMS_MIN + (uint32_t)__builtin_popcountll (*present))
+    return GALENA_ERR_TRUNCATED;
+  if (items->count > ITEMS_MIN + (uint32_t)__builtin_popcountll (*present))
+    return GALENA_ERR_TOO_LARGE;
+  return GALENA_OK;
+}
+
 static enum galena_result
 read_message (const struct unpack_items *items, struct galena_message *message)
 {
+  const struct unpack_item *item = &items->rows[HEAD_ITEMS];
+  uint64_t present;
   enum galena_result result;
 
-  if (items->count < 2)
+  if (items->count < HEAD_ITEMS)
     return GALENA_ERR_TRUNCATED;
   result = read_head (items->rows, message);
   if (result != GALENA_OK)
     return result;
-  if (items->count != ARRAY_SIZE)
-    return GALENA_ERR_TRUNCATED;
+  result = read_present (items, &present);
+  if (result != GALENA_OK)
+    return result;
+/* Unrolled, each field's offset and size are constants.  */
+#pragma GCC unroll 16
   for (uint32_t i = 0; i < FIELD_COUNT; i++)
     {
       uint64_t value;
 
-      result
-          = read_integer (&items->rows[2 + i], field_max (&FIELDS[i]), &value);
+      if ((present >> i & 1) == 0)
+        continue;
+      result = read_integer (item++, field_max (&FIELDS[i]), &value);
       if (result != GALENA_OK)
         return result;
       store_field (message, &FIELDS[i], value);
     }
-  return read_body (&items->rows[ARRAY_SIZE - 1], message);
+  return read_body (item, message);
 }
 
 enum galena_result
@@ -199,20 +261,46 @@
   return 0;
 }
 
+/* Stores the values of the fields that are not 0 in order; returns the set of
+   them.  */
+static uint64_t
+collect_fields (const struct galena_message *message,
+                uint64_t values[FIELD_COUNT])
+{
+  uint64_t present = 0;
+  uint32_t count = 0;
+
+#pragma GCC unroll 16
+  for (uint32_t i = 0; i < FIELD_COUNT; i++)
+    {
+      uint64_t value = load_field (message, &FIELDS[i]);
+
+      if (value == 0)
+        continue;
+      present |= UINT64_C (1) << i;
+      values[count++] = value;
+    }
+  return present;
+}
+
 enum galena_result
 galena_wire_encode (const struct galena_message *message, uint8_t *bytes,
                     size_t capacity, size_t *size)
 {
   struct wire_buffer buffer = { bytes, capacity, 0 };
+  uint64_t values[FIELD_COUNT];
+  uint64_t present = collect_fields (message, values);
+  uint32_t count = (uint32_t)__builtin_popcountll (present);
   msgpack_packer packer;
   int failed;
 
   msgpack_packer_init (&packer, &buffer, write_bytes);
-  failed = msgpack_pack_array (&packer, ARRAY_SIZE);
+  failed = msgpack_pack_array (&packer, ITEMS_MIN + count);
   failed |= msgpack_pack_uint32 (&packer, GALENA_WIRE_SCHEMA);
   failed |= msgpack_pack_uint32 (&packer, message->type);
-  for (uint32_t i = 0; i < FIELD_COUNT; i++)
-    failed |= msgpack_pack_uint64 (&packer, load_field (message, &FIELDS[i]));
+  failed |= msgpack_pack_uint64 (&packer, present);
+  for (uint32_t i = 0; i < count; i++)
+    failed |= msgpack_pack_uint64 (&packer, values[i]);
   failed |= msgpack_pack_bin (&packer, message->body_size);
   failed |= msgpack_pack_bin_body (&packer, message->body, message->body_size);
   if (failed)
--- a/test/bench/decisions.c
+++ b/test/bench/decisions.c
@@ -147,7 +147,8 @@
   struct galena_world_options options = { .role = GALENA_ROLE_ENTRY,
                                           .seed = 1,
                                           .flows = PENDING_OPENS,
-                                          .messages = 4 * BATCH };
+                                          .messages = 4 * BATCH,
+                                          .borrow_bodies = true };
 
   if (fixture_config (&fleet, &bench->config) != GALENA_OK)
     return false;
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -89,6 +89,106 @@
                    test->expect);
 }
 
+/* A field alone in a message, at its largest.  */
+struct field_case
+{
+  const char *name;
+  size_t offset;
+  size_t size;
+};
+
+#define FIELD_CASE(word, member)                                              \
+  {                                                                           \
+    "/wire/field/" word, offsetof (struct galena_message, member),            \
+        sizeof (((struct galena_message *)0)->member)                         \
+  }
+
+static const struct field_case FIELD_CASES[] = {
+  FIELD_CASE ("service-ip", service.ip),
+  FIELD_CASE ("service-port", service.port),
+  FIELD_CASE ("flow-high", flow.high),
+  FIELD_CASE ("flow-low", flow.low),
+  FIELD_CASE ("tag", tag),
+  FIELD_CASE ("generation", generation),
+  FIELD_CASE ("request", request),
+  FIELD_CASE ("kind", kind),
+  FIELD_CASE ("part", part),
+  FIELD_CASE ("total", total),
+  FIELD_CASE ("deadline", deadline_ms),
+  FIELD_CASE ("result", result),
+  FIELD_CASE ("caller-ip", caller.ip),
+  FIELD_CASE ("caller-port", caller.port),
+  FIELD_CASE ("entry-ip", entry.ip),
+  FIELD_CASE ("entry-port", entry.port),
+  FIELD_CASE ("hops", hops),
+  FIELD_CASE ("overload", overload),
+  FIELD_CASE ("wait", wait_ms),
+};
+
+static void
+run_field_case (gconstpointer data)
+{
+  const struct field_case *test = data;
+  struct galena_message message;
+  struct galena_message back;
+  uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
+  size_t size;
+
+  memset (&message, 0, sizeof message);
+  message.type = GALENA_MESSAGE_REQUEST;
+  memset ((char *)&message + test->offset, 0xff, test->size);
+  galena_wire_encode (&message, bytes, sizeof bytes, &size);
+  g_assert_cmpint (galena_wire_decode (bytes, size, &back), ==, GALENA_OK);
+  back.body = NULL;
+  g_assert_cmpmem (&back, sizeof back, &message, sizeof message);
+}
+
+/* A head of schema, type and set of fields, with what follows it.  */
+struct present_case
+{
+  const char *name;
+  uint8_t bytes[12];
+  size_t size;
+  enum galena_result expect;
+};
+
+static const struct present_case PRESENT_CASES[] = {
+  { "/wire/present/none",
+    { 0x94, GALENA_WIRE_SCHEMA, 4, 0, 0xc4, 0 },
+    6,
+    GALENA_OK },
+  { "/wire/present/head-only",
+    { 0x92, GALENA_WIRE_SCHEMA, 4 },
+    3,
+    GALENA_ERR_TRUNCATED },
+  { "/wire/present/item-missing",
+    { 0x94, GALENA_WIRE_SCHEMA, 4, 1, 0xc4, 0 },
+    6,
+    GALENA_ERR_TRUNCATED },
+  { "/wire/present/item-left-over",
+    { 0x95, GALENA_WIRE_SCHEMA, 4, 0, 1, 0xc4, 0 },
+    7,
+    GALENA_ERR_TOO_LARGE },
+  { "/wire/present/unknown-field",
+    { 0x95, GALENA_WIRE_SCHEMA, 4, 0xce, 0x80, 0, 0, 0, 1, 0xc4, 0 },
+    11,
+    GALENA_ERR_RANGE },
+  { "/wire/present/not-a-number",
+    { 0x94, GALENA_WIRE_SCHEMA, 4, 0xc0, 0xc4, 0 },
+    6,
+    GALENA_ERR_TYPE },
+};
+
+static void
+run_present_case (gconstpointer data)
+{
+  const struct present_case *test = data;
+  struct galena_message message;
+
+  g_assert_cmpint (galena_wire_decode (test->bytes, test->size, &message), ==,
+                   test->expect);
+}
+
 struct record_case
 {
   const char *name;
@@ -217,6 +317,12 @@
   for (size_t i = 0; i < G_N_ELEMENTS (BAD_DATAGRAM_CASES); i++)
     g_test_add_data_func (BAD_DATAGRAM_CASES[i].name, &BAD_DATAGRAM_CASES[i],
                           run_bad_datagram_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (FIELD_CASES); i++)
+    g_test_add_data_func (FIELD_CASES[i].name, &FIELD_CASES[i],
+                          run_field_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (PRESENT_CASES); i++)
+    g_test_add_data_func (PRESENT_CASES[i].name, &PRESENT_CASES[i],
+                          run_present_case);
   for (size_t i = 0; i < G_N_ELEMENTS (RECORD_CASES); i++)
     g_test_add_data_func (RECORD_CASES[i].name, &RECORD_CASES[i],
                           run_record_case);
