--- a/test/bench/path.c
+++ b/test/bench/path.c
@@ -1,16 +1,13 @@
 /* Time per packet of the entry beside that of a bare relay, over loopback.
 
    Each thread sends a batch to a subject, times the step that passes it on,
-   and drains it on the far side; then the same for the way back.  The two
-   subjects take turns batch by batch.  The figure
-   is the processor time of the subject's steps alone, so other load on the
-   machine counts only through shared caches.  */
+   and drains it on the far side; then the same for the way back.  Subjects
+   take turns batch by batch.  The figure is the processor time of their steps
+   alone, so other load on the machine counts only through shared caches.  */
 
 #include <pthread.h>
-#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/eventfd.h>
 #include <unistd.h>
 
 #include <urcu.h>
@@ -202,7 +199,7 @@
 
   process->snapshot = snapshot;
   process->seed = number;
-  process->stop_fd = eventfd (0, EFD_CLOEXEC);
+  process_init (process);
   settings->entry_address.ip = bench_ip ();
   settings->entry_address.port = (uint16_t)(ENTRY_PORT + number);
   settings->entry_pending_opens = PENDING_OPENS;
@@ -255,7 +252,7 @@
       if (side->subject == NULL)
         continue;
       side->operations->destroy (side->subject);
-      close (side->process.stop_fd);
+      process_release (&side->process);
     }
   galena_datagrams_destroy (thread->caller);
   galena_datagrams_destroy (thread->agent);
