Count what a socket does not take; test bad input at the sockets

Cause: a datagram that the system refused, or that did not fit, was lost without a count, also within a tick that sends more than one batch. Change: the link counts it as unsent; tables of bad datagrams, mutated ones from a seed, and a flood of one side run over real sockets. Conclusion: every datagram that goes no further is counted by reason.

--- a/packages/core/include/galenaford/counters.h
+++ b/packages/core/include/galenaford/counters.h
@@ -10,7 +10,8 @@
   X (GALENA_COUNT_TICKS, "ticks", "Ticks run.")                               \
   X (GALENA_COUNT_RECEIVED, "received", "Messages received.")                 \
   X (GALENA_COUNT_SENT, "sent", "Messages sent.")                             \
-  X (GALENA_COUNT_UNSENT, "unsent", "Messages dropped: the outbox was full.") \
+  X (GALENA_COUNT_UNSENT, "unsent",                                           \
+     "Messages dropped: the outbox or the socket was full.")                  \
   X (GALENA_COUNT_UNEXPECTED, "unexpected", "Messages of a wrong type.")      \
   X (GALENA_COUNT_MALFORMED, "malformed", "Datagrams that did not decode.")   \
   X (GALENA_COUNT_NO_ROUTE, "no_route", "Packets whose tag has no upstream.") \
--- a/packages/core/include/galenaford/stats.h
+++ b/packages/core/include/galenaford/stats.h
@@ -147,4 +147,7 @@
 void galena_world_count_malformed (struct galena_world *world,
                                    enum galena_result reason);
 
+/* Counts messages that the front end could not send.  */
+void galena_world_count_unsent (struct galena_world *world, uint32_t count);
+
 #endif
--- a/packages/core/src/stats.c
+++ b/packages/core/src/stats.c
@@ -196,6 +196,12 @@
   world->stats->malformed[reason % GALENA_RESULT_LIMIT]++;
 }
 
+void
+galena_world_count_unsent (struct galena_world *world, uint32_t count)
+{
+  world->counters.values[GALENA_COUNT_UNSENT] += count;
+}
+
 static void
 note_overload (struct galena_world *world, struct galena_kind_stats *row,
                bool overloaded)
--- a/packages/platform/include/galenaford/datagrams.h
+++ b/packages/platform/include/galenaford/datagrams.h
@@ -60,7 +60,8 @@
 void galena_datagrams_add (struct galena_datagrams *datagrams, size_t size,
                            struct galena_endpoint destination);
 
-/* Sends the batch.  Returns how many datagrams the system did not take.  */
+/* Sends the batch.  Returns how many datagrams the system did not take since
+   the last call.  */
 uint32_t galena_datagrams_flush (struct galena_datagrams *datagrams);
 
 #endif
--- a/packages/platform/include/galenaford/link.h
+++ b/packages/platform/include/galenaford/link.h
@@ -8,14 +8,13 @@
 #include <galenaford/world.h>
 
 /* Receives one batch from SOCKET into the inbox of WORLD as messages on LINK.
-   Returns the number of datagrams that did not decode.  */
-uint32_t galena_link_receive (struct galena_datagrams *socket,
-                              struct galena_world *world,
-                              enum galena_link link);
+   Datagrams that don't decode are dropped and counted by reason.  */
+void galena_link_receive (struct galena_datagrams *socket,
+                          struct galena_world *world, enum galena_link link);
 
 /* Sends the outbox of WORLD; SOCKETS has one socket for each link, or NULL
-   where the link has none.  */
+   where the link has none.  What the system does not take is counted.  */
 void galena_link_send (struct galena_datagrams *const sockets[],
-                       const struct galena_world *world);
+                       struct galena_world *world);
 
 #endif
--- a/packages/platform/src/datagrams.c
+++ b/packages/platform/src/datagrams.c
@@ -32,6 +32,8 @@
   struct galena_endpoint address;
   struct batch in;
   struct batch out;
+  /* Datagrams not taken by the system since the last flush was asked for.  */
+  uint32_t lost;
 };
 
 static struct sockaddr_in
@@ -163,11 +165,36 @@
   return in->bytes[index];
 }
 
+/* Sends the batch and counts what the system does not take.  */
+static void
+send_batch (struct galena_datagrams *datagrams)
+{
+  struct batch *out = &datagrams->out;
+  uint32_t done = 0;
+
+  while (done < out->count)
+    {
+      int sent = sendmmsg (datagrams->fd, out->headers + done,
+                           out->count - done, 0);
+      if (sent > 0)
+        {
+          done += (uint32_t)sent;
+          continue;
+        }
+      if (errno == EINTR)
+        continue;
+      /* The first datagram can't be sent; go on with the next one.  */
+      done++;
+      datagrams->lost++;
+    }
+  out->count = 0;
+}
+
 uint8_t *
 galena_datagrams_next (struct galena_datagrams *datagrams)
 {
   if (datagrams->out.count == GALENA_BATCH_MAX)
-    galena_datagrams_flush (datagrams);
+    send_batch (datagrams);
   return datagrams->out.bytes[datagrams->out.count];
 }
 
@@ -185,25 +212,10 @@
 uint32_t
 galena_datagrams_flush (struct galena_datagrams *datagrams)
 {
-  struct batch *out = &datagrams->out;
-  uint32_t done = 0;
-  uint32_t lost = 0;
+  uint32_t lost;
 
-  while (done < out->count)
-    {
-      int sent = sendmmsg (datagrams->fd, out->headers + done,
-                           out->count - done, 0);
-      if (sent > 0)
-        {
-          done += (uint32_t)sent;
-          continue;
-        }
-      if (errno == EINTR)
-        continue;
-      /* The first datagram can't be sent; go on with the next one.  */
-      done++;
-      lost++;
-    }
-  out->count = 0;
+  send_batch (datagrams);
+  lost = datagrams->lost;
+  datagrams->lost = 0;
   return lost;
 }
--- a/packages/platform/src/link.c
+++ b/packages/platform/src/link.c
@@ -3,12 +3,12 @@
 #include <galenaford/link.h>
 #include <galenaford/stats.h>
 
-uint32_t
+void
 galena_link_receive (struct galena_datagrams *socket,
                      struct galena_world *world, enum galena_link link)
 {
+  struct galena_mailbox *inbox = galena_world_inbox (world);
   uint32_t count = galena_datagrams_receive (socket);
-  uint32_t malformed = 0;
 
   for (uint32_t i = 0; i < count; i++)
     {
@@ -16,23 +16,20 @@
       struct galena_endpoint source;
       size_t size;
       const uint8_t *bytes = galena_datagrams_get (socket, i, &size, &source);
-
       enum galena_result result = galena_wire_decode (bytes, size, &message);
 
       if (result != GALENA_OK)
         {
           galena_world_count_malformed (world, result);
-          malformed++;
           continue;
         }
       message.link = link;
       message.peer = source;
-      galena_mailbox_push (galena_world_inbox (world), &message);
+      galena_mailbox_push (inbox, &message);
     }
-  return malformed;
 }
 
-static void
+static bool
 send_one (struct galena_datagrams *socket,
           const struct galena_message *message)
 {
@@ -40,25 +37,31 @@
   size_t size;
 
   if (galena_wire_encode (message, room, GALENA_DATAGRAM_BYTES_MAX, &size)
-      == GALENA_OK)
-    galena_datagrams_add (socket, size, message->peer);
+      != GALENA_OK)
+    return false;
+  galena_datagrams_add (socket, size, message->peer);
+  return true;
 }
 
 void
 galena_link_send (struct galena_datagrams *const sockets[],
-                  const struct galena_world *world)
+                  struct galena_world *world)
 {
   const struct galena_mailbox *outbox = galena_world_outbox (world);
   uint32_t count = galena_mailbox_count (outbox);
+  uint32_t unsent = 0;
 
   for (uint32_t i = 0; i < count; i++)
     {
       const struct galena_message *message = galena_mailbox_get (outbox, i);
 
-      if (sockets[message->link] != NULL)
-        send_one (sockets[message->link], message);
+      if (sockets[message->link] == NULL)
+        continue;
+      if (!send_one (sockets[message->link], message))
+        unsent++;
     }
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
     if (sockets[link] != NULL)
-      galena_datagrams_flush (sockets[link]);
+      unsent += galena_datagrams_flush (sockets[link]);
+  galena_world_count_unsent (world, unsent);
 }
--- /dev/null
+++ b/test/unit/test_link.c
@@ -0,0 +1,262 @@
+/* Bad input at the sockets: what does not decode is counted by its reason and
+   goes no further, whatever comes with it.  */
+
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <galenaford/link.h>
+#include <galenaford/random.h>
+#include <galenaford/stats.h>
+
+enum
+{
+  TICK_MESSAGES = 4 * GALENA_BATCH_MAX,
+  MUTATED = 20000,
+  /* Stands for the size of the good datagram.  */
+  WHOLE = GALENA_DATAGRAM_ROOM + 1
+};
+
+/* A world with a socket on each side, and a sender.  */
+struct bench
+{
+  struct galena_world *world;
+  struct galena_config *config;
+  struct galena_datagrams *sockets[GALENA_LINK_COUNT];
+  struct galena_datagrams *sender;
+  struct galena_clock now;
+};
+
+/* An address of this process alone, so that tests side by side don't meet. */
+static struct galena_endpoint
+own_address (void)
+{
+  return (struct galena_endpoint){ 0x7f5c0000 | (uint32_t)(getpid () & 0xffff),
+                                   0 };
+}
+
+static void
+open_bench (struct bench *bench)
+{
+  struct galena_config_options config = { NULL, 0, NULL, 0 };
+  struct galena_datagrams_options socket = { own_address (), false };
+  struct galena_world_options world = { .role = GALENA_ROLE_ENTRY,
+                                        .seed = 1,
+                                        .flows = 64,
+                                        .messages = TICK_MESSAGES,
+                                        .borrow_bodies = true };
+
+  *bench = (struct bench){ .now = { 1 } };
+  g_assert_cmpint (galena_config_create (&config, &bench->config), ==,
+                   GALENA_OK);
+  g_assert_cmpint (galena_world_create (&world, &bench->world), ==, GALENA_OK);
+  for (int link = GALENA_LINK_CALLER; link <= GALENA_LINK_PEER; link++)
+    g_assert_cmpint (galena_datagrams_create (&socket, &bench->sockets[link]),
+                     ==, GALENA_OK);
+  g_assert_cmpint (galena_datagrams_create (&socket, &bench->sender), ==,
+                   GALENA_OK);
+}
+
+static void
+close_bench (struct bench *bench)
+{
+  galena_datagrams_destroy (bench->sender);
+  for (int link = 0; link < GALENA_LINK_COUNT; link++)
+    galena_datagrams_destroy (bench->sockets[link]);
+  galena_world_destroy (bench->world);
+  galena_config_destroy (bench->config);
+}
+
+static void
+send_bytes (struct bench *bench, enum galena_link link, const uint8_t *bytes,
+            size_t size)
+{
+  memcpy (galena_datagrams_next (bench->sender), bytes, size);
+  galena_datagrams_add (bench->sender, size,
+                        galena_datagrams_address (bench->sockets[link]));
+}
+
+static void
+run_tick (struct bench *bench)
+{
+  for (int link = GALENA_LINK_CALLER; link <= GALENA_LINK_PEER; link++)
+    galena_link_receive (bench->sockets[link], bench->world,
+                         (enum galena_link)link);
+  bench->now.ms++;
+  galena_world_tick (bench->world, bench->now, bench->config);
+  galena_link_send (bench->sockets, bench->world);
+}
+
+static size_t
+encode (enum galena_message_type type, uint8_t *bytes)
+{
+  struct galena_message message
+      = { .type = type, .service = { 0x7f0a0001, 700 }, .tag = 1 };
+  size_t size;
+
+  message.flow = (struct galena_flow_id){ 1, 2 };
+  g_assert_cmpint (
+      galena_wire_encode (&message, bytes, GALENA_DATAGRAM_BYTES_MAX, &size),
+      ==, GALENA_OK);
+  return size;
+}
+
+static void
+get_report (const struct bench *bench, struct galena_report **report)
+{
+  struct galena_report_options options = { 1, 1 };
+
+  g_assert_cmpint (galena_report_create (&options, report), ==, GALENA_OK);
+  galena_world_report (bench->world, *report);
+}
+
+struct bad_case
+{
+  const char *name;
+  /* Bytes of a good datagram that are sent, or WHOLE; what is beyond it is
+     zero.  */
+  size_t size;
+  /* Byte AT becomes VALUE.  */
+  size_t at;
+  uint8_t value;
+  enum galena_result reason;
+};
+
+static const struct bad_case BAD_CASES[] = {
+  { "/link/bad/empty", 0, 0, 0, GALENA_ERR_TRUNCATED },
+  { "/link/bad/cut", 10, 0, 0x98, GALENA_ERR_TRUNCATED },
+  { "/link/bad/schema", WHOLE, 1, 99, GALENA_ERR_SCHEMA },
+  { "/link/bad/type", WHOLE, 2, 99, GALENA_ERR_RANGE },
+  { "/link/bad/over-the-limit", GALENA_DATAGRAM_BYTES_MAX + 1, 0, 0,
+    GALENA_ERR_TOO_LARGE },
+  { "/link/bad/over-the-room", GALENA_DATAGRAM_ROOM, 0, 0,
+    GALENA_ERR_TOO_LARGE },
+};
+
+static void
+run_bad_case (gconstpointer data)
+{
+  const struct bad_case *test = data;
+  uint8_t bytes[GALENA_DATAGRAM_ROOM] = { 0 };
+  struct galena_report *report;
+  struct bench bench;
+  size_t size;
+
+  open_bench (&bench);
+  size = encode (GALENA_MESSAGE_REQUEST, bytes);
+  bytes[test->at] = test->value;
+  send_bytes (&bench, GALENA_LINK_CALLER, bytes,
+              test->size == WHOLE ? size : test->size);
+  galena_datagrams_flush (bench.sender);
+  run_tick (&bench);
+  get_report (&bench, &report);
+  g_assert_cmpuint (report->malformed[test->reason], ==, 1);
+  g_assert_cmpuint (report->counters.values[GALENA_COUNT_RECEIVED], ==, 0);
+  g_assert_cmpuint (report->counters.values[GALENA_COUNT_SENT], ==, 0);
+  galena_report_destroy (report);
+  close_bench (&bench);
+}
+
+static size_t
+mutate (struct galena_random *random, uint8_t *bytes, size_t size)
+{
+  uint32_t changes = galena_random_below (random, 4);
+
+  for (uint32_t i = 0; i < changes; i++)
+    bytes[galena_random_below (random, (uint32_t)size)]
+        = (uint8_t)galena_random_next (random);
+  if (galena_random_below (random, 4) == 0)
+    size = galena_random_below (random, GALENA_DATAGRAM_ROOM);
+  return size;
+}
+
+static void
+check_mutated (void)
+{
+  struct galena_random random = { 11, 0 };
+  struct galena_report *report;
+  struct bench bench;
+
+  open_bench (&bench);
+  for (uint32_t i = 0; i < MUTATED; i++)
+    {
+      uint8_t bytes[GALENA_DATAGRAM_ROOM] = { 0 };
+      uint32_t type = 1 + galena_random_below (&random, GALENA_MESSAGE_LOAD);
+      enum galena_link link
+          = (enum galena_link)galena_random_below (&random, 2);
+      size_t size = encode ((enum galena_message_type)type, bytes);
+
+      size = mutate (&random, bytes, size);
+      send_bytes (&bench, link, bytes, size);
+      galena_datagrams_flush (bench.sender);
+      run_tick (&bench);
+    }
+  get_report (&bench, &report);
+  g_assert_cmpuint (report->counters.values[GALENA_COUNT_RECEIVED]
+                        + report->counters.values[GALENA_COUNT_MALFORMED],
+                    ==, MUTATED);
+  g_assert_cmpuint (report->counters.values[GALENA_COUNT_MALFORMED], >, 0);
+  g_assert_cmpuint (report->usage.pending_opens, ==, 0);
+  galena_report_destroy (report);
+  close_bench (&bench);
+}
+
+/* A flood of callers leaves the replies of agents their share of each tick. */
+static void
+check_flood (void)
+{
+  uint8_t request[GALENA_DATAGRAM_BYTES_MAX];
+  uint8_t answer[GALENA_DATAGRAM_BYTES_MAX];
+  size_t request_size = encode (GALENA_MESSAGE_REQUEST, request);
+  size_t answer_size = encode (GALENA_MESSAGE_ANSWER, answer);
+  const struct galena_counters *counters;
+  struct bench bench;
+
+  open_bench (&bench);
+  counters = galena_world_counters (bench.world);
+  for (int i = 0; i < 4 * GALENA_BATCH_MAX; i++)
+    send_bytes (&bench, GALENA_LINK_CALLER, request, request_size);
+  galena_datagrams_flush (bench.sender);
+  for (int i = 0; i < GALENA_BATCH_MAX; i++)
+    send_bytes (&bench, GALENA_LINK_PEER, answer, answer_size);
+  galena_datagrams_flush (bench.sender);
+  run_tick (&bench);
+  g_assert_cmpuint (counters->values[GALENA_COUNT_RECEIVED], ==,
+                    2 * GALENA_BATCH_MAX);
+  close_bench (&bench);
+}
+
+/* What the system does not take is counted, not lost without a trace.  */
+static void
+check_unsent (void)
+{
+  uint8_t bytes[GALENA_DATAGRAM_BYTES_MAX];
+  size_t size;
+  struct galena_message answer = { .type = GALENA_MESSAGE_ANSWER,
+                                   .tag = 1,
+                                   .caller = { 0x7f000001, 0 } };
+  const struct galena_counters *counters;
+  struct bench bench;
+
+  open_bench (&bench);
+  counters = galena_world_counters (bench.world);
+  galena_wire_encode (&answer, bytes, sizeof bytes, &size);
+  send_bytes (&bench, GALENA_LINK_PEER, bytes, size);
+  galena_datagrams_flush (bench.sender);
+  run_tick (&bench);
+  g_assert_cmpuint (counters->values[GALENA_COUNT_SENT], ==, 1);
+  g_assert_cmpuint (counters->values[GALENA_COUNT_UNSENT], ==, 1);
+  close_bench (&bench);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (BAD_CASES); i++)
+    g_test_add_data_func (BAD_CASES[i].name, &BAD_CASES[i], run_bad_case);
+  g_test_add_func ("/link/mutated", check_mutated);
+  g_test_add_func ("/link/flood", check_flood);
+  g_test_add_func ("/link/unsent", check_unsent);
+  return g_test_run ();
+}
