Send a request that an upstream refused to another one

Ruled out: passing requests on between agents, since only the caller may give a flow another owner. Change: the caller opens the flow again and repeats the request, at most twice, when no other request is on the flow. A refused request was not run, so this holds for those that are not idempotent as well.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	test/demo.sh $(BUILD) $(DEPLOYMENT)
 
 test: all
-	ctest --test-dir $(BUILD) --output-on-failure
+	ctest --test-dir $(BUILD) --output-on-failure -j $(shell nproc)
 
 # Prints the tables that docs/MEASUREMENTS.md quotes.
 measure: all
--- a/packages/core/include/galenaford/counters.h
+++ b/packages/core/include/galenaford/counters.h
@@ -35,6 +35,8 @@
   X (GALENA_COUNT_ANSWERED, "answered", "Requests answered in full.")         \
   X (GALENA_COUNT_UNKNOWN, "unknown", "Requests whose outcome is unknown.")   \
   X (GALENA_COUNT_CANCELLED, "cancelled", "Requests cancelled.")              \
+  X (GALENA_COUNT_TRIED_ELSEWHERE, "tried_elsewhere",                         \
+     "Refused requests that a caller sent to another upstream.")              \
   X (GALENA_COUNT_REOPENED, "reopened", "Flows opened again by a caller.")    \
   X (GALENA_COUNT_RESENT, "resent", "Parts sent again.")
 
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -263,7 +263,6 @@
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
-  galena_world_count (world, GALENA_COUNT_REOPENED);
   for_each_request (world, handle, start_over_or_end, GALENA_UNKNOWN_OUTCOME);
   galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
   unindex_flow (world, flow);
--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -2,6 +2,12 @@
 
 #include "caller_tables.h"
 
+enum
+{
+  /* Most further upstreams that a refused request is sent to.  */
+  TRIES_ELSEWHERE_MAX = 2
+};
+
 struct galena_caller_flow *
 galena_caller_flow_of (const struct galena_world *world,
                        const struct galena_message *message,
@@ -73,6 +79,36 @@
   galena_world_send (world, &ack);
 }
 
+/* Whether a refusal speaks of the upstream rather than of the request.  */
+static bool
+is_of_upstream (enum galena_result result)
+{
+  return result == GALENA_REFUSED_BY_UPSTREAM
+         || result == GALENA_REFUSED_LEAVING;
+}
+
+/* Sends a refused request to another upstream, when its flow has no other
+   request; false when it should end instead.  A refused request was not run,
+   so this is as safe as the first try.  */
+static bool
+try_elsewhere (struct galena_world *world, enum galena_result result,
+               struct galena_flow_handle flow_handle,
+               struct galena_caller_request *request)
+{
+  const struct galena_caller_flow *flow
+      = galena_caller_flow (world, flow_handle);
+
+  if (!is_of_upstream (result) || request->cancelled
+      || request->answer.base > 0 || flow->open_requests > 1
+      || request->tried_elsewhere == TRIES_ELSEWHERE_MAX)
+    return false;
+  request->tried_elsewhere++;
+  request->sent = 0;
+  galena_world_count (world, GALENA_COUNT_TRIED_ELSEWHERE);
+  galena_caller_reopen (world, flow_handle);
+  return true;
+}
+
 static void
 on_refuse (struct galena_world *world, const struct galena_message *message)
 {
@@ -97,7 +133,7 @@
   if (message->result == GALENA_UNKNOWN_OUTCOME && request->idempotent
       && !request->cancelled)
     galena_caller_start_over (world, handle);
-  else
+  else if (!try_elsewhere (world, message->result, flow_handle, request))
     galena_caller_end (world, handle, message->result);
 }
 
@@ -184,6 +220,7 @@
       || flow->state != GALENA_CALLER_FLOW_OPEN)
     return;
   galena_world_count (world, GALENA_COUNT_LOST);
+  galena_world_count (world, GALENA_COUNT_REOPENED);
   galena_caller_reopen (world, handle);
 }
 
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -232,7 +232,10 @@
       else if (flow->open_requests == 0)
         run_idle (world, flow);
       else if (owner_is_silent (world, flow))
-        galena_caller_reopen (world, handle);
+        {
+          galena_world_count (world, GALENA_COUNT_REOPENED);
+          galena_caller_reopen (world, handle);
+        }
     }
   run_requests (world);
 }
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -58,6 +58,8 @@
   bool idempotent;
   bool endless;
   bool cancelled;
+  /* Times it was sent to another upstream after a refusal.  */
+  uint32_t tried_elsewhere;
   /* Whether a copy on an earlier flow or number may have run.  */
   bool exposed;
   /* Number that the application gave.  */
