Keep every kind its share of slots, queue and expected wait

Cause: the expected wait counted the queues of all kinds, so a photo queue refused readings and events (a photo flood x10 left them 0.0%), although the slots went to urgent kinds first. The minimum share was compared with whole running requests, so on 3 slots a share of 10% took a third of the slots. Ruled out: the order of the queues alone (strict urgency lost the same).

Change: slot time is accounted per kind; a share earns slot time while it is unused, up to one second of it, and pays for what runs. Kinds that are owed go first, the rest is lent by urgency. The wait of a kind is its own queue over the slots it can count on, with accepted flows that have not sent yet; a flow is refused when that exceeds half of its time left. Entries keep the wait per kind; a hint older than one second wears off. Each admission policy says its own wait, so the baselines stay honest.

--- a/packages/core/src/admission.c
+++ b/packages/core/src/admission.c
@@ -4,6 +4,9 @@
 
 #include "agent.h"
 
+/* Slots that a kind without a share is taken to get when all are in use.  */
+static const double LEAST_SLOTS = 0.1;
+
 static const struct galena_request *
 head_of (const struct galena_world *world, uint32_t kind)
 {
@@ -27,31 +30,77 @@
   return best;
 }
 
-/* Returns the most urgent kind with queued work, of all kinds or of those
-   that run less than their minimum share.  */
+/* Returns the run time of all that is queued or about to be, for kinds of
+   at most URGENCY, divided by the slots.  */
+static double
+queued_ms (const struct galena_world *world, uint32_t urgency)
+{
+  const struct galena_service *service = galena_agent_service (world);
+  double work_ms = 0;
+
+  for (uint32_t i = 0; i < service->kind_count; i++)
+    {
+      const struct galena_kind *kind = &service->kinds[i];
+      const struct galena_kind_queue *queue
+          = galena_agent_queue (world, kind->number);
+
+      if (kind->urgency <= urgency)
+        work_ms
+            += (queue->queued + queue->promised) * galena_agent_run_ms (queue);
+    }
+  return work_ms / galena_agent_slots (world);
+}
+
+static double
+queue_ms_first_come (const struct galena_world *world, uint16_t kind)
+{
+  (void)kind;
+  return queued_ms (world, UINT32_MAX);
+}
+
+static double
+queue_ms_urgency (const struct galena_world *world, uint16_t kind)
+{
+  const struct galena_kind *row
+      = galena_service_kind (galena_agent_service (world), kind);
+
+  return queued_ms (world, row == NULL ? UINT32_MAX : row->urgency);
+}
+
+/* Tells whether FIRST goes before SECOND: by urgency, then by what the kind
+   lately used of its share.  */
+static bool
+goes_before (const struct galena_world *world, const struct galena_kind *first,
+             const struct galena_kind *second)
+{
+  if (second == NULL)
+    return true;
+  if (first->urgency != second->urgency)
+    return first->urgency < second->urgency;
+  return galena_agent_queue (world, first->number)->credit_ms
+         > galena_agent_queue (world, second->number)->credit_ms;
+}
+
+/* Returns the first kind with queued work, of all kinds or of those that
+   their minimum share still owes slot time.  */
 static int
-pick_urgent (const struct galena_world *world, bool below_share)
+pick_urgent (const struct galena_world *world, bool owed)
 {
   const struct galena_service *service = galena_agent_service (world);
-  const struct galena_upstream *self = galena_agent_self (world);
-  int best = -1;
-  uint32_t best_urgency = UINT32_MAX;
+  const struct galena_kind *best = NULL;
 
   for (uint32_t i = 0; i < service->kind_count; i++)
     {
       const struct galena_kind *kind = &service->kinds[i];
       const struct galena_kind_queue *queue
-          = &world->agent->queues[kind->number];
-      uint32_t share = self->slots * kind->minimum_share_percent;
+          = galena_agent_queue (world, kind->number);
 
-      if (queue->queued == 0 || kind->urgency >= best_urgency)
+      if (queue->queued == 0 || (owed && queue->credit_ms <= 0))
         continue;
-      if (below_share && queue->running * 100 >= share)
-        continue;
-      best = kind->number;
-      best_urgency = kind->urgency;
+      if (goes_before (world, kind, best))
+        best = kind;
     }
-  return best;
+  return best == NULL ? -1 : best->number;
 }
 
 static int
@@ -68,10 +117,49 @@
   return kind >= 0 ? kind : pick_urgent (world, false);
 }
 
+/* Returns the slots that OTHER keeps from a kind of URGENCY.  */
+static double
+claimed_slots (const struct galena_world *world,
+               const struct galena_kind *other, uint32_t urgency, double slots)
+{
+  double used = galena_agent_queue (world, other->number)->used;
+  double share = slots * other->minimum_share_percent / 100;
+
+  if (other->urgency < urgency)
+    return used;
+  return used < share ? used : share;
+}
+
+/* The slots open to a kind are its minimum share, or what the others leave
+   when that is more.  */
+static double
+queue_ms_shares (const struct galena_world *world, uint16_t number)
+{
+  const struct galena_service *service = galena_agent_service (world);
+  const struct galena_kind *kind = galena_service_kind (service, number);
+  const struct galena_kind_queue *queue = galena_agent_queue (world, number);
+  double slots = galena_agent_slots (world);
+  double open = slots;
+  double share;
+
+  if (kind == NULL || queue->queued + queue->promised == 0)
+    return 0;
+  for (uint32_t i = 0; i < service->kind_count; i++)
+    if (service->kinds[i].number != number)
+      open -= claimed_slots (world, &service->kinds[i], kind->urgency, slots);
+  share = slots * kind->minimum_share_percent / 100;
+  if (open < share)
+    open = share;
+  if (open < LEAST_SLOTS)
+    open = LEAST_SLOTS;
+  return (queue->queued + queue->promised) * galena_agent_run_ms (queue)
+         / open;
+}
+
 static const struct galena_admission_policy POLICIES[] = {
-  { "shares", pick_shares },
-  { "urgency", pick_strict_urgency },
-  { "first-come", pick_first_come },
+  { "shares", pick_shares, queue_ms_shares },
+  { "urgency", pick_strict_urgency, queue_ms_urgency },
+  { "first-come", pick_first_come, queue_ms_first_come },
 };
 
 const struct galena_admission_policy *
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -88,6 +88,7 @@
 }
 
 static const struct galena_system SYSTEMS[] = {
+  { "account", 0, galena_agent_run_account },
   { "receive", 0, run_receive },
   { "expire-requests", EXPIRE_REQUESTS_PERIOD_MS,
     galena_agent_run_expire_requests },
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -24,8 +24,12 @@
   uint32_t done_floor;
   /* Bit N is set when request done_floor + 1 + N is done with.  */
   uint64_t done_bits;
+  /* Kind that the open announced.  */
+  uint16_t kind;
   /* Whether the caller has sent anything with the tag.  */
   bool confirmed;
+  /* Whether the flow counts as promised in the queue of its kind.  */
+  bool promised;
   /* Whether the flow's packets carry no route in their tag.  */
   bool unrouted;
 };
@@ -83,8 +87,17 @@
   struct galena_request_handle tail;
   uint32_t queued;
   uint32_t running;
+  /* Accepted flows whose first request has not come yet.  */
+  uint32_t promised;
   /* Smoothed run time in milliseconds.  */
   double run_ms;
+  /* Smoothed number of slots in use.  */
+  double used;
+  /* Slot time in milliseconds that the minimum share still owes the kind;
+     negative for what the kind lately used beyond it.  */
+  double credit_ms;
+  /* Smoothed share of opens and requests refused as overload, 0 to 1.  */
+  double refused_share;
 };
 
 /* Another agent's word that it owns flows of a bucket whose chain it has
@@ -107,6 +120,8 @@
   struct galena_kind_queue queues[GALENA_KINDS_MAX];
   /* Requests that run and hold a slot.  */
   uint32_t running;
+  /* When slot time was last accounted for.  */
+  struct galena_clock accounted;
   /* Requests with answer parts to send in this tick.  */
   struct galena_request_handle *ready;
   uint32_t ready_count;
@@ -268,14 +283,42 @@
 /* Hands queued requests to the upstream while it has room.  */
 void galena_agent_run_admit (struct galena_world *world);
 
-/* Fills in the load of MESSAGE's kind at this agent.  */
-void galena_agent_tell_load (const struct galena_world *world,
-                             struct galena_message *message);
+/* agent_load.c */
+
+/* Accounts for the slot time used since the last tick.  */
+void galena_agent_run_account (struct galena_world *world);
+
+/* Returns the run time to expect of QUEUE's kind in milliseconds.  */
+double galena_agent_run_ms (const struct galena_kind_queue *queue);
+
+/* Returns the slots that requests may hold at once.  */
+double galena_agent_slots (const struct galena_world *world);
 
 /* Returns the expected wait of a new request of KIND in milliseconds.  */
 uint32_t galena_agent_expected_wait_ms (const struct galena_world *world,
                                         uint16_t kind);
 
+/* Tells whether a new flow of KIND can expect to meet a deadline that is
+   LEFT_MS away, and notes the answer for the overload level.  */
+bool galena_agent_has_room (struct galena_world *world, uint16_t kind,
+                            uint32_t left_ms);
+
+/* Counts FLOW as a request to come, or no more.  */
+void galena_agent_promise (struct galena_world *world,
+                           struct galena_flow *flow);
+void galena_agent_end_promise (struct galena_world *world,
+                               struct galena_flow *flow);
+
+/* Fills in the load of MESSAGE's kind at this agent.  */
+void galena_agent_tell_load (const struct galena_world *world,
+                             struct galena_message *message);
+
+static inline struct galena_kind_queue *
+galena_agent_queue (const struct galena_world *world, uint16_t kind)
+{
+  return &world->agent->queues[kind % GALENA_KINDS_MAX];
+}
+
 static inline struct galena_request *
 galena_agent_request (const struct galena_world *world,
                       struct galena_request_handle handle)
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -9,6 +9,8 @@
 {
   /* A flow whose accept nobody confirmed ends after this long.  */
   UNCONFIRMED_FLOW_MS = 5000,
+  /* A flow that sent no request for this long counts as idle.  */
+  PROMISE_MS = 1000,
   /* A silent flow ends after this long.  */
   SILENT_FLOW_MS = 120000,
   /* Request numbers remembered one by one above the floor.  */
@@ -40,6 +42,7 @@
   struct galena_flow *flow = galena_agent_flow (world, handle);
   uint64_t key = galena_flow_key (agent->flows_by_id, flow->id);
 
+  galena_agent_end_promise (world, flow);
   galena_map_remove (agent->flows_by_id, key);
   galena_table_remove (agent->flows, handle.row);
 }
@@ -60,8 +63,7 @@
 
 /* Tells whether this agent may accept OPEN, and why not.  */
 static enum galena_result
-check_open (const struct galena_world *world,
-            const struct galena_message *open)
+check_open (struct galena_world *world, const struct galena_message *open)
 {
   const struct galena_upstream *self = galena_agent_self (world);
   const struct galena_service *service = galena_agent_service (world);
@@ -81,7 +83,7 @@
     return GALENA_REFUSED_CONNECTIONS;
   if (open->deadline_ms == 0)
     return GALENA_REFUSED_DEADLINE;
-  if (galena_agent_expected_wait_ms (world, open->kind) > open->deadline_ms)
+  if (!galena_agent_has_room (world, open->kind, open->deadline_ms))
     return GALENA_REFUSED_OVERLOAD;
   return GALENA_OK;
 }
@@ -97,6 +99,7 @@
   if (flow == NULL)
     return NULL;
   flow->id = open->flow;
+  flow->kind = open->kind;
   flow->tag
       = galena_tag_make (world->options.upstream, world->options.incarnation,
                          (uint32_t)galena_random_next (&world->random));
@@ -251,6 +254,8 @@
   while ((flow = galena_table_next (world->agent->flows, &cursor, &handle.row))
          != NULL)
     {
+      if (galena_clock_between (flow->heard, world->now) >= PROMISE_MS)
+        galena_agent_end_promise (world, flow);
       if (!is_expired (world, flow))
         continue;
       galena_world_count (world, GALENA_COUNT_EXPIRED_FLOWS);
--- /dev/null
+++ b/packages/core/src/agent_load.c
@@ -0,0 +1,151 @@
+/* The load of an agent: slot time used by each kind, expected waits, and what
+   replies tell of both.  */
+
+#include "agent.h"
+
+enum
+{
+  /* Run time assumed of a kind until one has been seen.  */
+  ASSUMED_RUN_MS = 20,
+  /* Over how long the slots in use are smoothed.  */
+  USED_SMOOTHING_MS = 500,
+  /* Slot time of the minimum share that is saved up or owed at most.  */
+  CREDIT_SPAN_MS = 1000,
+  /* Part of its time left that a new request may spend in the queue.  */
+  QUEUE_TIME_PERCENT = 50,
+  OVERLOAD_LEVEL_MAX = 255
+};
+
+/* Weight of the newest decision in the smoothed share of refusals.  */
+static const double REFUSED_WEIGHT = 0.05;
+
+double
+galena_agent_run_ms (const struct galena_kind_queue *queue)
+{
+  return queue->run_ms > 0 ? queue->run_ms : ASSUMED_RUN_MS;
+}
+
+double
+galena_agent_slots (const struct galena_world *world)
+{
+  const struct galena_upstream *self = galena_agent_self (world);
+
+  return self == NULL ? 0 : self->slots;
+}
+
+static double
+clamp (double value, double low, double high)
+{
+  if (value < low)
+    return low;
+  return value > high ? high : value;
+}
+
+static void
+account_kind (struct galena_kind_queue *queue, double share_slots,
+              double passed_ms)
+{
+  double span_ms = share_slots * CREDIT_SPAN_MS;
+  double weight = clamp (passed_ms / USED_SMOOTHING_MS, 0, 1);
+
+  queue->used += (queue->running - queue->used) * weight;
+  queue->credit_ms += (share_slots - queue->running) * passed_ms;
+  queue->credit_ms = clamp (queue->credit_ms, -span_ms, span_ms);
+}
+
+void
+galena_agent_run_account (struct galena_world *world)
+{
+  struct galena_agent *agent = world->agent;
+  const struct galena_service *service = galena_agent_service (world);
+  double slots = galena_agent_slots (world);
+  double passed_ms
+      = (double)galena_clock_between (agent->accounted, world->now);
+
+  agent->accounted = world->now;
+  if (service == NULL || passed_ms <= 0)
+    return;
+  for (uint32_t i = 0; i < service->kind_count; i++)
+    {
+      const struct galena_kind *kind = &service->kinds[i];
+
+      account_kind (galena_agent_queue (world, kind->number),
+                    slots * kind->minimum_share_percent / 100, passed_ms);
+    }
+}
+
+/* Returns the milliseconds until what runs now has freed the slots.  */
+static double
+running_ms (const struct galena_world *world)
+{
+  double work_ms = 0;
+
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    {
+      const struct galena_kind_queue *queue = &world->agent->queues[i];
+
+      if (queue->running > 0)
+        work_ms += queue->running * galena_agent_run_ms (queue);
+    }
+  return work_ms / galena_agent_slots (world);
+}
+
+uint32_t
+galena_agent_expected_wait_ms (const struct galena_world *world, uint16_t kind)
+{
+  if (galena_agent_slots (world) < 1)
+    return 0;
+  return (uint32_t)(running_ms (world)
+                    + world->agent->admission->queue_ms (world, kind));
+}
+
+bool
+galena_agent_has_room (struct galena_world *world, uint16_t kind,
+                       uint32_t left_ms)
+{
+  struct galena_kind_queue *queue = galena_agent_queue (world, kind);
+  uint64_t allowed_ms = (uint64_t)left_ms * QUEUE_TIME_PERCENT / 100;
+  bool room = galena_agent_expected_wait_ms (world, kind) <= allowed_ms;
+
+  queue->refused_share
+      += ((room ? 0 : 1) - queue->refused_share) * REFUSED_WEIGHT;
+  return room;
+}
+
+void
+galena_agent_promise (struct galena_world *world, struct galena_flow *flow)
+{
+  flow->promised = true;
+  galena_agent_queue (world, flow->kind)->promised++;
+}
+
+void
+galena_agent_end_promise (struct galena_world *world, struct galena_flow *flow)
+{
+  if (!flow->promised)
+    return;
+  flow->promised = false;
+  galena_agent_queue (world, flow->kind)->promised--;
+}
+
+static uint32_t
+count_queued (const struct galena_world *world)
+{
+  uint32_t queued = 0;
+
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    queued += world->agent->queues[i].queued;
+  return queued;
+}
+
+void
+galena_agent_tell_load (const struct galena_world *world,
+                        struct galena_message *message)
+{
+  const struct galena_kind_queue *queue
+      = galena_agent_queue (world, message->kind);
+
+  message->wait_ms = galena_agent_expected_wait_ms (world, message->kind);
+  message->queue = count_queued (world) + world->agent->running;
+  message->overload = (uint8_t)(queue->refused_share * OVERLOAD_LEVEL_MAX);
+}
--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -96,6 +96,7 @@
       == GALENA_OK)
     {
       galena_agent_flow (world, flow)->open_requests++;
+      galena_agent_end_promise (world, galena_agent_flow (world, flow));
       return request;
     }
   galena_table_remove (agent->requests, handle->row);
--- a/packages/core/src/agent_run.c
+++ b/packages/core/src/agent_run.c
@@ -2,68 +2,15 @@
 
 #include "agent.h"
 
-enum
-{
-  /* Run time assumed of a kind until one has been seen.  */
-  ASSUMED_RUN_MS = 20
-};
-
 /* Weight of the newest run time in the smoothed one.  */
 static const double RUN_TIME_SHARE = 0.2;
 
-static struct galena_kind_queue *
-queue_of (const struct galena_world *world, uint16_t kind)
-{
-  return &world->agent->queues[kind % GALENA_KINDS_MAX];
-}
-
-static double
-run_ms_of (const struct galena_kind_queue *queue)
-{
-  return queue->run_ms > 0 ? queue->run_ms : ASSUMED_RUN_MS;
-}
-
-uint32_t
-galena_agent_expected_wait_ms (const struct galena_world *world, uint16_t kind)
-{
-  const struct galena_upstream *self = galena_agent_self (world);
-  double work_ms = 0;
-
-  (void)kind;
-  if (self == NULL || self->slots == 0)
-    return 0;
-  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
-    {
-      const struct galena_kind_queue *queue = &world->agent->queues[i];
-      work_ms += (queue->queued + queue->running) * run_ms_of (queue);
-    }
-  return (uint32_t)(work_ms / self->slots);
-}
-
-static uint32_t
-count_queued (const struct galena_world *world)
-{
-  uint32_t queued = 0;
-
-  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
-    queued += world->agent->queues[i].queued;
-  return queued;
-}
-
-void
-galena_agent_tell_load (const struct galena_world *world,
-                        struct galena_message *message)
-{
-  message->wait_ms = galena_agent_expected_wait_ms (world, message->kind);
-  message->queue = count_queued (world) + world->agent->running;
-}
-
 void
 galena_agent_enqueue (struct galena_world *world,
                       struct galena_request_handle handle)
 {
   struct galena_request *request = galena_agent_request (world, handle);
-  struct galena_kind_queue *queue = queue_of (world, request->kind);
+  struct galena_kind_queue *queue = galena_agent_queue (world, request->kind);
   struct galena_request *tail = galena_agent_request (world, queue->tail);
   uint32_t left_ms = galena_clock_left (world->now, request->deadline);
 
@@ -87,7 +34,7 @@
                       struct galena_request_handle handle)
 {
   struct galena_request *request = galena_agent_request (world, handle);
-  struct galena_kind_queue *queue = queue_of (world, request->kind);
+  struct galena_kind_queue *queue = galena_agent_queue (world, request->kind);
   struct galena_request_handle *link = &queue->head;
   struct galena_request_handle before = { { 0, 0 } };
 
@@ -106,7 +53,7 @@
 hand_over (struct galena_world *world, struct galena_request_handle handle)
 {
   struct galena_request *request = galena_agent_request (world, handle);
-  struct galena_kind_queue *queue = queue_of (world, request->kind);
+  struct galena_kind_queue *queue = galena_agent_queue (world, request->kind);
   struct galena_message run = { .type = GALENA_MESSAGE_RUN,
                                 .link = GALENA_LINK_APPLICATION,
                                 .run = handle,
@@ -138,7 +85,8 @@
   for (uint32_t i = 0; i < service->kind_count; i++)
     {
       const struct galena_kind *kind = &service->kinds[i];
-      struct galena_kind_queue *queue = queue_of (world, kind->number);
+      struct galena_kind_queue *queue
+          = galena_agent_queue (world, kind->number);
 
       while (kind->endless && queue->queued > 0)
         hand_over (world, queue->head);
@@ -154,7 +102,7 @@
   if (self == NULL)
     return;
   start_endless (world, galena_agent_service (world));
-  while (world->agent->running < self->slots)
+  while (world->agent->running < galena_agent_slots (world))
     {
       kind = world->agent->admission->pick (world);
       if (kind < 0)
@@ -181,14 +129,14 @@
 static void
 release_slot (struct galena_world *world, const struct galena_request *request)
 {
-  struct galena_kind_queue *queue = queue_of (world, request->kind);
+  struct galena_kind_queue *queue = galena_agent_queue (world, request->kind);
   double run_ms = (double)galena_clock_between (request->started, world->now);
 
   if (request->endless)
     return;
   queue->running--;
   world->agent->running--;
-  queue->run_ms += (run_ms - run_ms_of (queue)) * RUN_TIME_SHARE;
+  queue->run_ms += (run_ms - galena_agent_run_ms (queue)) * RUN_TIME_SHARE;
   if (queue->run_ms <= 0)
     queue->run_ms = run_ms;
 }
--- a/packages/core/src/choice.c
+++ b/packages/core/src/choice.c
@@ -5,41 +5,64 @@
 #include "entry.h"
 #include "policy.h"
 
+enum
+{
+  /* A hint this old or older counts for less with each millisecond.  */
+  HINT_FRESH_MS = 1000
+};
+
 static uint32_t
-choose_random (struct galena_world *world, const uint32_t *candidates,
-               uint32_t count)
+choose_random (struct galena_world *world, uint16_t kind,
+               const uint32_t *candidates, uint32_t count)
 {
+  (void)kind;
   (void)candidates;
   return galena_random_below (&world->random, count);
 }
 
 static uint32_t
-choose_first (struct galena_world *world, const uint32_t *candidates,
-              uint32_t count)
+choose_first (struct galena_world *world, uint16_t kind,
+              const uint32_t *candidates, uint32_t count)
 {
   (void)world;
+  (void)kind;
   (void)candidates;
   (void)count;
   return 0;
 }
 
-/* Returns the cost of sending an open to an upstream, lower is better.  */
-typedef uint64_t cost_function (const struct galena_hint *hint);
+/* Returns the cost of an open of KIND by HINT, lower is better.  */
+typedef uint64_t cost_function (const struct galena_world *world,
+                                const struct galena_hint *hint, uint16_t kind);
 
 static uint64_t
-wait_cost (const struct galena_hint *hint)
+wait_cost (const struct galena_world *world, const struct galena_hint *hint,
+           uint16_t kind)
 {
-  return hint->wait_ms;
+  uint32_t wait_ms;
+  int64_t worn_ms;
+
+  if (kind >= GALENA_KINDS_MAX)
+    return 0;
+  wait_ms = hint->wait_ms[kind];
+  worn_ms
+      = galena_clock_between (hint->told[kind], world->now) - HINT_FRESH_MS;
+  if (worn_ms <= 0)
+    return wait_ms;
+  return worn_ms < wait_ms ? wait_ms - (uint64_t)worn_ms : 0;
 }
 
 static uint64_t
-queue_cost (const struct galena_hint *hint)
+queue_cost (const struct galena_world *world, const struct galena_hint *hint,
+            uint16_t kind)
 {
+  (void)world;
+  (void)kind;
   return hint->queue;
 }
 
 static uint64_t
-cost_of (const struct galena_world *world, uint32_t candidate,
+cost_of (const struct galena_world *world, uint16_t kind, uint32_t candidate,
          cost_function *cost)
 {
   const struct galena_upstream *upstream
@@ -50,23 +73,24 @@
     return 0;
   if (!galena_clock_reached (world->now, hint->suspect_until))
     return UINT64_MAX;
-  return cost (hint);
+  return cost (world, hint, kind);
 }
 
 /* Takes the cheaper of the first two; of all when the first is suspect.  */
 static uint32_t
-choose_cheaper (const struct galena_world *world, const uint32_t *candidates,
-                uint32_t count, cost_function *cost)
+choose_cheaper (const struct galena_world *world, uint16_t kind,
+                const uint32_t *candidates, uint32_t count,
+                cost_function *cost)
 {
   uint32_t best = 0;
-  uint64_t best_cost = cost_of (world, candidates[0], cost);
+  uint64_t best_cost = cost_of (world, kind, candidates[0], cost);
   uint32_t considered = count < 2 ? count : 2;
 
   if (count > 2 && best_cost == UINT64_MAX)
     considered = count;
   for (uint32_t i = 1; i < considered; i++)
     {
-      uint64_t next = cost_of (world, candidates[i], cost);
+      uint64_t next = cost_of (world, kind, candidates[i], cost);
       if (next >= best_cost)
         continue;
       best = i;
@@ -76,17 +100,17 @@
 }
 
 static uint32_t
-choose_two_wait (struct galena_world *world, const uint32_t *candidates,
-                 uint32_t count)
+choose_two_wait (struct galena_world *world, uint16_t kind,
+                 const uint32_t *candidates, uint32_t count)
 {
-  return choose_cheaper (world, candidates, count, wait_cost);
+  return choose_cheaper (world, kind, candidates, count, wait_cost);
 }
 
 static uint32_t
-choose_two_queue (struct galena_world *world, const uint32_t *candidates,
-                  uint32_t count)
+choose_two_queue (struct galena_world *world, uint16_t kind,
+                  const uint32_t *candidates, uint32_t count)
 {
-  return choose_cheaper (world, candidates, count, queue_cost);
+  return choose_cheaper (world, kind, candidates, count, queue_cost);
 }
 
 static const struct galena_choice_policy POLICIES[] = {
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -210,7 +210,8 @@
   count = untried_candidates (world, service, pending, untried);
   if (count == 0)
     return false;
-  chosen = world->entry->choice->choose (world, untried, count);
+  chosen = world->entry->choice->choose (world, pending->open.kind, untried,
+                                         count);
   send_open (world, pending, service,
              galena_config_upstream (world->config, untried[chosen]));
   return true;
@@ -399,13 +400,15 @@
     galena_world_note (
         world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
                                           .upstream = hint->upstream });
-  hint->wait_ms = message->wait_ms;
   hint->queue = message->queue;
   hint->heard = world->now;
   hint->unanswered = 0;
   hint->suspect_until = world->now;
-  if (message->kind < GALENA_KINDS_MAX)
-    hint->overload[message->kind] = message->overload;
+  if (message->kind >= GALENA_KINDS_MAX)
+    return;
+  hint->overload[message->kind] = message->overload;
+  hint->wait_ms[message->kind] = message->wait_ms;
+  hint->told[message->kind] = world->now;
 }
 
 static void
@@ -631,7 +634,9 @@
 
   if (hint == NULL)
     return;
-  row->wait_ms = hint->wait_ms;
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    if (hint->wait_ms[i] > row->wait_ms)
+      row->wait_ms = hint->wait_ms[i];
   row->suspect = !galena_clock_reached (world->now, hint->suspect_until);
 }
 
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -13,8 +13,10 @@
 struct galena_hint
 {
   uint32_t upstream;
-  /* Expected wait in milliseconds, as the agent last told.  */
-  uint32_t wait_ms;
+  /* Expected wait of each kind in milliseconds, as the agent last told.  */
+  uint32_t wait_ms[GALENA_KINDS_MAX];
+  /* When that was told.  */
+  struct galena_clock told[GALENA_KINDS_MAX];
   /* Requests queued and running, as the agent last told.  */
   uint32_t queue;
   /* When the agent was last heard.  */
--- a/packages/core/src/policy.h
+++ b/packages/core/src/policy.h
@@ -11,20 +11,24 @@
 struct galena_choice_policy
 {
   const char *name;
-  /* Returns the position in CANDIDATES of the upstream to try, given COUNT
-     upstream indices, best hash first.  COUNT is at least 1.  */
-  uint32_t (*choose) (struct galena_world *world, const uint32_t *candidates,
-                      uint32_t count);
+  /* Returns the position in CANDIDATES of the upstream to try with an open of
+     KIND, given COUNT upstream indices, best hash first.  COUNT is at
+     least 1.  */
+  uint32_t (*choose) (struct galena_world *world, uint16_t kind,
+                      const uint32_t *candidates, uint32_t count);
   /* Whether the candidates are drawn from all upstreams of the service.  */
   bool any_upstream;
 };
 
-/* Decides which queued request runs next.  */
+/* Decides which queued request runs next, and what wait that makes.  */
 struct galena_admission_policy
 {
   const char *name;
   /* Returns the number of the kind to run next, or -1 for none.  */
   int (*pick) (struct galena_world *world);
+  /* Returns the milliseconds that the queue ahead of a new request of KIND
+     takes, without the requests that run now.  */
+  double (*queue_ms) (const struct galena_world *world, uint16_t kind);
 };
 
 /* Finds a policy by NAME, the default for NULL; returns NULL when there is
--- a/test/measure/balance.c
+++ b/test/measure/balance.c
@@ -37,6 +37,7 @@
   uint32_t node = (uint32_t)fleet_find (fleet, "agent-1");
 
   fleet_upstream_row (fleet, node)->slots *= 3;
+  fleet_publish (fleet, 0);
 }
 
 static const struct lie LIES[] = {
--- a/test/measure/measure.h
+++ b/test/measure/measure.h
@@ -81,4 +81,18 @@
 uint64_t measure_count (const struct fleet *fleet, enum fleet_node_kind kind,
                         enum galena_counter counter);
 
+/* Goodput of each kind, in milliseconds of work a second, and its p99.  */
+struct measure_flood_figures
+{
+  double goodput[MEASURE_KIND_COUNT];
+  uint32_t p99_ms[MEASURE_KIND_COUNT];
+  double whole;
+};
+
+/* Runs the usual load with a flood of KIND that asks for TIMES the capacity;
+   0 for none.  */
+void measure_run_flood (uint64_t seed, const char *admission,
+                        enum measure_kind kind, double times,
+                        struct measure_flood_figures *figures);
+
 #endif
--- /dev/null
+++ b/test/unit/test_admission.c
@@ -0,0 +1,46 @@
+/* What kinds keep under floods, with the bounds that users asked for.  */
+
+#include "measure.h"
+
+struct flood_case
+{
+  const char *name;
+  enum measure_kind flooder;
+  double times;
+  /* Least share of its usual goodput that each kind keeps.  */
+  double kept[MEASURE_KIND_COUNT];
+};
+
+static const struct flood_case FLOODS[] = {
+  { "/flood/photo-2", MEASURE_PHOTO, 2, { 0, 0.95, 0.95, 1 } },
+  { "/flood/photo-10", MEASURE_PHOTO, 10, { 0, 0.95, 0.95, 1 } },
+  { "/flood/reading-2", MEASURE_READING, 2, { 0, 1, 0.95, 0.95 } },
+  { "/flood/reading-10", MEASURE_READING, 10, { 0, 1, 0.95, 0.95 } },
+};
+
+/* Least goodput of the whole, of that without a flood.  */
+static const double LEAST_WHOLE = 0.9;
+
+static void
+run_flood_case (gconstpointer data)
+{
+  const struct flood_case *test = data;
+  struct measure_flood_figures usual;
+  struct measure_flood_figures flooded;
+
+  measure_run_flood (3, NULL, test->flooder, 0, &usual);
+  measure_run_flood (3, NULL, test->flooder, test->times, &flooded);
+  for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
+    g_assert_cmpfloat (flooded.goodput[i], >=,
+                       usual.goodput[i] * test->kept[i]);
+  g_assert_cmpfloat (flooded.whole, >=, usual.whole * LEAST_WHOLE);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (FLOODS); i++)
+    g_test_add_data_func (FLOODS[i].name, &FLOODS[i], run_flood_case);
+  return g_test_run ();
+}
