Keep every kind connections of its own

Cause: endless feeds hold a connection and no slot, so no share of slots bounds them; feeds opened to 200% of the connections left events 0.0%.

Change: half of an upstream's connections is kept by minimum share, the rest goes to whoever comes first. Ruled out: keeping all by share (feeds of a kind without a share would get 30% only); closing feeds to make room (an established flow is to survive).

--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -87,6 +87,8 @@
   struct galena_request_handle tail;
   uint32_t queued;
   uint32_t running;
+  /* Flows that were opened for the kind.  */
+  uint32_t flows;
   /* Accepted flows whose first request has not come yet.  */
   uint32_t promised;
   /* Smoothed run time in milliseconds.  */
@@ -303,6 +305,11 @@
 bool galena_agent_has_room (struct galena_world *world, uint16_t kind,
                             uint32_t left_ms);
 
+/* Tells whether a new flow of KIND leaves the other kinds the connections
+   that are kept for them.  */
+bool galena_agent_has_connection (const struct galena_world *world,
+                                  uint16_t kind);
+
 /* Counts FLOW as a request to come, or no more.  */
 void galena_agent_promise (struct galena_world *world,
                            struct galena_flow *flow);
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -43,6 +43,7 @@
   uint64_t key = galena_flow_key (agent->flows_by_id, flow->id);
 
   galena_agent_end_promise (world, flow);
+  galena_agent_queue (world, flow->kind)->flows--;
   galena_map_remove (agent->flows_by_id, key);
   galena_table_remove (agent->flows, handle.row);
 }
@@ -79,7 +80,7 @@
       && !galena_agent_is_candidate (
           world, galena_service_bucket (service, open->flow)))
     return GALENA_REFUSED_NOT_CANDIDATE;
-  if (galena_table_count (world->agent->flows) >= self->connections)
+  if (!galena_agent_has_connection (world, open->kind))
     return GALENA_REFUSED_CONNECTIONS;
   if (open->deadline_ms == 0)
     return GALENA_REFUSED_DEADLINE;
@@ -108,7 +109,10 @@
   if (galena_map_insert (agent->flows_by_id, key,
                          galena_handle_pack (handle.row))
       == GALENA_OK)
-    return flow;
+    {
+      galena_agent_queue (world, flow->kind)->flows++;
+      return flow;
+    }
   galena_table_remove (agent->flows, handle.row);
   return NULL;
 }
--- a/packages/core/src/agent_load.c
+++ b/packages/core/src/agent_load.c
@@ -13,6 +13,9 @@
   CREDIT_SPAN_MS = 1000,
   /* Part of its time left that a new request may spend in the queue.  */
   QUEUE_TIME_PERCENT = 50,
+  /* Part of the connections that is kept by minimum share; the rest goes to
+     whoever comes first.  */
+  KEPT_CONNECTIONS_PERCENT = 50,
   OVERLOAD_LEVEL_MAX = 255
 };
 
@@ -112,6 +115,31 @@
   return room;
 }
 
+/* Returns the connections that KIND is kept and does not use.  */
+static uint32_t
+unused_connections (const struct galena_world *world,
+                    const struct galena_kind *kind, uint32_t connections)
+{
+  uint64_t kept = (uint64_t)connections * KEPT_CONNECTIONS_PERCENT / 100
+                  * kind->minimum_share_percent / 100;
+  uint32_t flows = galena_agent_queue (world, kind->number)->flows;
+
+  return flows < kept ? (uint32_t)kept - flows : 0;
+}
+
+bool
+galena_agent_has_connection (const struct galena_world *world, uint16_t kind)
+{
+  const struct galena_service *service = galena_agent_service (world);
+  uint32_t connections = galena_agent_self (world)->connections;
+  uint32_t taken = galena_table_count (world->agent->flows);
+
+  for (uint32_t i = 0; i < service->kind_count; i++)
+    if (service->kinds[i].number != kind)
+      taken += unused_connections (world, &service->kinds[i], connections);
+  return taken < connections;
+}
+
 void
 galena_agent_promise (struct galena_world *world, struct galena_flow *flow)
 {
--- a/test/measure/measure.h
+++ b/test/measure/measure.h
@@ -95,4 +95,18 @@
                         enum measure_kind kind, double times,
                         struct measure_flood_figures *figures);
 
+struct measure_feeds_figures
+{
+  uint64_t feeds;
+  /* Flows that agents hold at the end.  */
+  uint64_t flows;
+  /* Share of the events that were answered.  */
+  double events_kept;
+  uint32_t event_p99_ms;
+};
+
+/* Opens feeds for OPENED times the connections of all upstreams.  */
+void measure_run_feeds (uint64_t seed, double opened,
+                        struct measure_feeds_figures *figures);
+
 #endif
--- a/test/measure/setup.c
+++ b/test/measure/setup.c
@@ -33,6 +33,12 @@
     .minimum_share_percent = 10 },
 };
 
+enum
+{
+  /* Feeds last longer than any experiment.  */
+  FEED_LASTS_MS = 3600000
+};
+
 static const double SPEEDS[] = { 1, 2, 4 };
 
 struct fleet *
@@ -88,6 +94,7 @@
           .deadline_ms = KINDS[kind].deadline_ms,
           .idempotent = KINDS[kind].idempotent,
           .endless = KINDS[kind].endless,
+          .lasts_ms = FEED_LASTS_MS,
           .from = { from_ms },
           .until = { until_ms },
           .caller = (uint32_t)fleet_find (fleet, "caller-1") };
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -36,11 +36,36 @@
   g_assert_cmpfloat (flooded.whole, >=, usual.whole * LEAST_WHOLE);
 }
 
+struct feeds_case
+{
+  const char *name;
+  /* Feeds opened, as a multiple of all connections.  */
+  double opened;
+  double events_kept;
+};
+
+static const struct feeds_case FEEDS[] = {
+  { "/feeds/half", 0.5, 0.95 },
+  { "/feeds/twice", 2, 0.95 },
+};
+
+static void
+run_feeds_case (gconstpointer data)
+{
+  const struct feeds_case *test = data;
+  struct measure_feeds_figures figures;
+
+  measure_run_feeds (3, test->opened, &figures);
+  g_assert_cmpfloat (figures.events_kept, >=, test->events_kept);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (FLOODS); i++)
     g_test_add_data_func (FLOODS[i].name, &FLOODS[i], run_flood_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (FEEDS); i++)
+    g_test_add_data_func (FEEDS[i].name, &FEEDS[i], run_feeds_case);
   return g_test_run ();
 }
