--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 clean:
 	rm -rf $(BUILD)
+
+bench: all
+	$(BUILD)/test/bench/bench
--- a/packages/core/src/admission.c
+++ b/packages/core/src/admission.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <galenaford/policies.h>
+
 #include "agent.h"
 
 /* Slots that a kind without a share is taken to get when all are in use.  */
@@ -172,3 +174,11 @@
       return &POLICIES[i];
   return NULL;
 }
+
+const char *
+galena_admission_name (uint32_t index)
+{
+  if (index >= sizeof POLICIES / sizeof POLICIES[0])
+    return NULL;
+  return POLICIES[index].name;
+}
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -82,6 +82,8 @@
     return GALENA_REFUSED_NOT_CANDIDATE;
   if (!galena_agent_has_connection (world, open->kind))
     return GALENA_REFUSED_CONNECTIONS;
+  if (!galena_agent_upstream_is_open (world))
+    return GALENA_REFUSED_BY_UPSTREAM;
   if (open->deadline_ms == 0)
     return GALENA_REFUSED_DEADLINE;
   if (!galena_agent_has_room (world, open->kind, open->deadline_ms))
@@ -156,6 +158,7 @@
       return;
     }
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
+  galena_agent_note_accept (world);
   galena_stats_count (world,
                       galena_agent_service_number (world, message->kind),
                       message->kind, GALENA_KIND_ACCEPTED);
@@ -194,8 +197,16 @@
   return flow;
 }
 
-/* Forgets the requests of FLOW; those that run are cancelled first and go
-   when the upstream has told their end.  */
+/* Whether a request that runs is to be stopped when its flow ends.  Work that
+   must not be doubled is let run to its end, so that it is not lost.  */
+static bool
+is_cancelled_with_flow (const struct galena_request *request)
+{
+  return request->idempotent || request->endless;
+}
+
+/* Forgets the requests of FLOW; those that run go when the upstream has told
+   their end.  */
 static void
 drop_requests_of (struct galena_world *world, struct galena_flow_handle flow)
 {
@@ -210,10 +221,10 @@
       if (galena_handle_pack (request->flow.row)
           != galena_handle_pack (flow.row))
         continue;
-      if (request->state == GALENA_REQUEST_RUNNING)
-        galena_agent_cancel_run (world, handle);
-      else
+      if (request->state != GALENA_REQUEST_RUNNING)
         galena_agent_forget_request (world, handle);
+      else if (is_cancelled_with_flow (request))
+        galena_agent_cancel_run (world, handle);
     }
 }
 
@@ -233,9 +244,12 @@
   struct galena_flow *flow = find_flow (world, message->flow, &handle);
 
   if (flow == NULL || !galena_tag_matches (flow->tag, message->tag))
-    galena_agent_pass_on (world, message);
-  else
-    end_flow (world, handle);
+    {
+      galena_agent_pass_on (world, message);
+      return;
+    }
+  end_flow (world, handle);
+  galena_agent_send_lost (world, message);
 }
 
 static bool
--- a/packages/core/src/agent_load.c
+++ b/packages/core/src/agent_load.c
@@ -174,6 +174,8 @@
       = galena_agent_queue (world, message->kind);
 
   message->wait_ms = galena_agent_expected_wait_ms (world, message->kind);
+  if (!galena_agent_upstream_is_open (world))
+    message->wait_ms = GALENA_WAIT_CLOSED_MS;
   message->queue = count_queued (world) + world->agent->running;
   message->overload = (uint8_t)(queue->refused_share * OVERLOAD_LEVEL_MAX);
 }
--- a/packages/core/src/agent_run.c
+++ b/packages/core/src/agent_run.c
@@ -162,6 +162,7 @@
   if (request == NULL || request->state != GALENA_REQUEST_RUNNING)
     return;
   release_slot (world, request);
+  galena_agent_note_upstream (world, message->result);
   if (message->result == GALENA_OK)
     galena_world_count (world, GALENA_COUNT_ANSWERED);
   else if (message->result == GALENA_UNKNOWN_OUTCOME)
