--- a/packages/ctl/src/check.c
+++ b/packages/ctl/src/check.c
@@ -24,10 +24,10 @@
 
   for (uint32_t i = 0; i < faults->count; i++)
     json_array_append_new (
-        rows, json_pack ("{ssssss}", "path", faults->rows[i].path, "result",
-                         galena_result_word (faults->rows[i].result),
+        rows, json_pack ("{s:s, s:s, s:s}", "path", faults->rows[i].path,
+                         "result", galena_result_word (faults->rows[i].result),
                          "allowed", faults->rows[i].allowed));
-  object = json_pack ("{sssssN}", "record", path, "result",
+  object = json_pack ("{s:s, s:s, s:o}", "record", path, "result",
                       galena_result_word (result), "faults", rows);
   json_dumpf (object, stdout, JSON_COMPACT | JSON_PRESERVE_ORDER);
   putchar ('\n');
