--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -45,10 +45,13 @@
   /* Runs take COLD_FACTOR as long before this instant.  */
   struct galena_clock warm_at;
   double cold_factor;
-  /* Refuses work beyond its slots, as not run.  */
+  /* Refuses work beyond its slots, as not run; otherwise work beyond them
+     slows each run that starts.  */
   bool sheds;
   /* Takes requests and never answers.  */
   bool silent;
+  /* Can't be connected to: refuses everything, as not run.  */
+  bool down;
 };
 
 struct fleet_node
@@ -68,6 +71,8 @@
   struct galena_clock frozen_until;
   /* Packets pass between nodes of one group only; 0 to FLEET_GROUPS_MAX-1. */
   uint32_t group;
+  /* The agent tells a wait of 0 in all it sends.  */
+  bool tells_no_wait;
   /* When the node stopped serving; INT64_MAX while it serves.  */
   struct galena_clock withdrawn_at;
   /* When a planned stop ends the node all the same; INT64_MAX when none.  */
--- a/test/fake/fleet_upstream.c
+++ b/test/fake/fleet_upstream.c
@@ -24,8 +24,9 @@
                      .endless = load->endless };
 
   run.answer_at = message->resume;
-  if (upstream->sheds && run.holds_slot
-      && upstream->running >= upstream->slots)
+  if (upstream->down
+      || (upstream->sheds && run.holds_slot
+          && upstream->running >= upstream->slots))
     {
       struct galena_message end = { .type = GALENA_MESSAGE_RUN_END,
                                     .link = GALENA_LINK_APPLICATION,
@@ -36,12 +37,14 @@
     }
   if (!galena_clock_reached (fleet->now, upstream->warm_at))
     ms *= upstream->cold_factor;
+  upstream->busy_ms += run.holds_slot ? (uint64_t)ms : 0;
+  if (run.holds_slot && upstream->running >= upstream->slots)
+    ms *= (double)(upstream->running + 1) / upstream->slots;
   run.end = galena_clock_after (fleet->now, (int64_t)ms + 1);
   job->executed++;
   job->misrouted += load->service != node->service;
   upstream->executed++;
   upstream->running += run.holds_slot;
-  upstream->busy_ms += run.holds_slot ? (uint64_t)ms : 0;
   g_array_append_val (fleet->runs, run);
 }
 
