--- a/packages/core/include/galenaford/world.h
+++ b/packages/core/include/galenaford/world.h
@@ -88,7 +88,8 @@
 size_t galena_world_run_room (const struct galena_world *world,
                               struct galena_request_handle run);
 
-/* Agent and entry: asks the world to take no new flows.  */
+/* Agent and entry: asks the world to take no new flows.  An agent refuses
+   them; an entry leaves them to other entries, as the caller sends again.  */
 void galena_world_drain (struct galena_world *world);
 
 /* Tells whether nothing is in progress.  */
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -293,6 +293,11 @@
   open.entry = (struct galena_endpoint){ 0, 0 };
   if (find_pending (world, open.flow, &handle) != NULL)
     return;
+  if (world->draining)
+    {
+      galena_world_count (world, GALENA_COUNT_LEFT_TO_OTHERS);
+      return;
+    }
   galena_world_count (world, GALENA_COUNT_OPENS);
   service = galena_config_service_at (world->config, open.service);
   if (service == NULL)
--- a/packages/platform/src/settings.c
+++ b/packages/platform/src/settings.c
@@ -405,7 +405,7 @@
   if (fault == NULL)
     return text;
   report (load, load->line, "-", "-", fault);
-  strcpy (text, "\n");
+  snprintf (text, (size_t)size, "\n");
   return text;
 }
 
