Let a stopping entry take opens, and end it under steady load

Cause: an entry that left new opens to others made callers wait for their next try.

What it was meant for stays: under steady load an entry always has some open without a reply and would stop only at the limit. Two seconds after the drain began it counts as idle all the same; opens from before have ended by then and later ones run nothing.

--- a/packages/core/include/galenaford/counters.h
+++ b/packages/core/include/galenaford/counters.h
@@ -17,8 +17,6 @@
   X (GALENA_COUNT_WRONG_SERVICE, "wrong_service",                             \
      "Packets whose service is not the flow's own.")                          \
   X (GALENA_COUNT_OPENS, "opens", "Opens seen first.")                        \
-  X (GALENA_COUNT_LEFT_TO_OTHERS, "left_to_others",                           \
-     "Opens left to other entries while stopping.")                           \
   X (GALENA_COUNT_RETRIES, "retries", "Opens sent to a further candidate.")   \
   X (GALENA_COUNT_RETRIES_DENIED, "retries_denied",                           \
      "Opens not retried: the budget was spent.")                              \
--- a/packages/core/include/galenaford/world.h
+++ b/packages/core/include/galenaford/world.h
@@ -89,10 +89,10 @@
                               struct galena_request_handle run);
 
 /* Agent and entry: asks the world to take no new flows.  An agent refuses
-   them; an entry leaves them to other entries, as the caller sends again.  */
+   them; an entry goes on, as it holds no flow.  */
 void galena_world_drain (struct galena_world *world);
 
-/* Tells whether nothing is in progress.  */
+/* Tells whether nothing is in progress that a stop would cut.  */
 bool galena_world_idle (const struct galena_world *world);
 
 const struct galena_counters *
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -19,6 +19,8 @@
   HINT_LIFE_MS = 5000,
   HINT_PERIOD_MS = 1000,
   HINTS_MAX = 8192,
+  /* A stopping entry waits for its opens this long.  */
+  DRAIN_OPENS_MS = 2000,
   /* Most retries saved up.  */
   RETRY_TOKENS_MAX = 10
 };
@@ -293,11 +295,6 @@
   open.entry = (struct galena_endpoint){ 0, 0 };
   if (find_pending (world, open.flow, &handle) != NULL)
     return;
-  if (world->draining)
-    {
-      galena_world_count (world, GALENA_COUNT_LEFT_TO_OTHERS);
-      return;
-    }
   galena_world_count (world, GALENA_COUNT_OPENS);
   service = galena_config_service_at (world->config, open.service);
   if (service == NULL)
@@ -628,6 +625,20 @@
   usage->hints = galena_table_count (world->entry->hints);
 }
 
+/* Under steady load there is always an open without a reply.  Those from
+   before the drain have ended after DRAIN_OPENS_MS; later ones run nothing,
+   and their callers send them again.  */
+static bool
+is_idle (const struct galena_world *world)
+{
+  struct galena_clock end
+      = galena_clock_after (world->drain_began, DRAIN_OPENS_MS);
+
+  if (galena_table_count (world->entry->pending) == 0)
+    return true;
+  return world->draining && galena_clock_reached (world->now, end);
+}
+
 static void
 report_upstream (const struct galena_world *world,
                  struct galena_upstream_stats *row)
@@ -645,6 +656,7 @@
   .create = create_entry,
   .destroy = destroy_entry,
   .usage = report_usage,
+  .is_idle = is_idle,
   .report_upstream = report_upstream,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -156,7 +156,10 @@
 void
 galena_world_drain (struct galena_world *world)
 {
+  if (world->draining)
+    return;
   world->draining = true;
+  world->drain_began = world->now;
 }
 
 const struct galena_counters *
@@ -184,6 +187,8 @@
 {
   struct galena_world_usage usage;
 
+  if (world->role->is_idle != NULL)
+    return world->role->is_idle (world);
   galena_world_usage (world, &usage);
   return usage.requests == 0 && usage.pending_opens == 0;
 }
--- a/packages/core/src/world_private.h
+++ b/packages/core/src/world_private.h
@@ -31,6 +31,9 @@
   void (*destroy) (struct galena_world *world);
   void (*usage) (const struct galena_world *world,
                  struct galena_world_usage *usage);
+  /* Tells whether a stop would cut nothing; NULL when that is so without
+     requests and opens.  */
+  bool (*is_idle) (const struct galena_world *world);
   /* Fill in what a row of statistics takes from the role's tables; may be
      NULL.  */
   void (*report_kind) (const struct galena_world *world,
@@ -63,6 +66,8 @@
   /* When each system runs next.  */
   struct galena_clock due[GALENA_SYSTEMS_MAX];
   bool draining;
+  /* When the world was first asked to take no new flows.  */
+  struct galena_clock drain_began;
   /* The tables of the role; the other two are NULL.  */
   struct galena_entry *entry;
   struct galena_agent *agent;
