--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -332,7 +332,6 @@
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
 
-  galena_world_count (world, GALENA_COUNT_REOPENED);
   if (!galena_handle_is_none (flow->successor.row))
     {
       give_up_predecessor (world, handle);
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -230,7 +230,10 @@
   else if (flow->open_requests == 0)
     run_idle (world, flow);
   else if (owner_is_silent (world, flow))
-    galena_caller_reopen (world, handle);
+    {
+      galena_world_count (world, GALENA_COUNT_REOPENED);
+      galena_caller_reopen (world, handle);
+    }
 }
 
 void
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -68,6 +68,8 @@
   bool idempotent;
   bool endless;
   bool cancelled;
+  /* Times it was sent to another upstream after a refusal.  */
+  uint32_t tried_elsewhere;
   /* Whether a copy on an earlier flow or number may have run.  */
   bool exposed;
   /* Bytes and parts of the answer passed to the application so far; of an
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -19,6 +19,8 @@
   HINT_LIFE_MS = 5000,
   HINT_PERIOD_MS = 1000,
   HINTS_MAX = 8192,
+  /* A stopping entry waits for its opens this long.  */
+  DRAIN_OPENS_MS = 2000,
   /* Most retries saved up.  */
   RETRY_TOKENS_MAX = 10
 };
@@ -218,7 +220,8 @@
   count = untried_candidates (world, service, pending, untried);
   if (count == 0)
     return false;
-  chosen = world->entry->choice->choose (world, untried, count);
+  chosen = world->entry->choice->choose (world, pending->open.kind, untried,
+                                         count);
   send_open (world, pending, service,
              galena_config_upstream (world->config, untried[chosen]));
   return true;
@@ -435,13 +438,15 @@
     galena_world_note (
         world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
                                           .upstream = hint->upstream });
-  hint->wait_ms = message->wait_ms;
   hint->queue = message->queue;
   hint->heard = world->now;
   hint->unanswered = 0;
   hint->suspect_until = world->now;
-  if (message->kind < GALENA_KINDS_MAX)
-    hint->overload[message->kind] = message->overload;
+  if (message->kind >= GALENA_KINDS_MAX)
+    return;
+  hint->overload[message->kind] = message->overload;
+  hint->wait_ms[message->kind] = message->wait_ms;
+  hint->told[message->kind] = world->now;
 }
 
 static void
@@ -671,6 +676,20 @@
   usage->hints = galena_table_count (world->entry->hints);
 }
 
+/* Under steady load there is always an open without a reply.  Those from
+   before the drain have ended after DRAIN_OPENS_MS; later ones run nothing,
+   and their callers send them again.  */
+static bool
+is_idle (const struct galena_world *world)
+{
+  struct galena_clock end
+      = galena_clock_after (world->drain_began, DRAIN_OPENS_MS);
+
+  if (galena_table_count (world->entry->pending) == 0)
+    return true;
+  return world->draining && galena_clock_reached (world->now, end);
+}
+
 static void
 report_upstream (const struct galena_world *world,
                  struct galena_upstream_stats *row)
@@ -679,7 +698,9 @@
 
   if (hint == NULL)
     return;
-  row->wait_ms = hint->wait_ms;
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    if (hint->wait_ms[i] > row->wait_ms)
+      row->wait_ms = hint->wait_ms[i];
   row->suspect = !galena_clock_reached (world->now, hint->suspect_until);
 }
 
@@ -688,6 +709,7 @@
   .create = create_entry,
   .destroy = destroy_entry,
   .usage = report_usage,
+  .is_idle = is_idle,
   .report_upstream = report_upstream,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
