Leave silent paths for a new source port

Change: a caller's flow that hears nothing for 1 s goes to a source port that is newer than its last sign of life; an entry that gets no reply from an agent for 500 ms takes another port towards it. An open that no candidate answered goes round again, twice at most, and the budget earns at least one retry a second, so that an open left after a flood of tries is not stuck. Fake: a silence holds for the port pairs in use between two nodes, not for all lower ports of a node. Front ends take no notice of the port number yet.

--- a/packages/core/include/galenaford/counters.h
+++ b/packages/core/include/galenaford/counters.h
@@ -39,6 +39,8 @@
   X (GALENA_COUNT_TRIED_ELSEWHERE, "tried_elsewhere",                         \
      "Refused requests that a caller sent to another upstream.")              \
   X (GALENA_COUNT_REOPENED, "reopened", "Flows opened again by a caller.")    \
+  X (GALENA_COUNT_PATHS_LEFT, "paths_left",                                   \
+     "Source ports given up because their path was silent.")                  \
   X (GALENA_COUNT_MOVED, "moved", "Flows moved from a leaving upstream.")     \
   X (GALENA_COUNT_RESENT, "resent", "Parts sent again.")
 
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -56,6 +56,7 @@
   row->deadline = galena_clock_after (world->now, options->deadline_ms);
   row->resend = world->now;
   row->heard = world->now;
+  row->path = world->caller->path;
   return galena_caller_index (world, row->id, *flow);
 }
 
--- a/packages/core/src/caller_close.c
+++ b/packages/core/src/caller_close.c
@@ -51,6 +51,7 @@
   struct galena_message close = { .type = GALENA_MESSAGE_CLOSE,
                                   .link = GALENA_LINK_CALLER,
                                   .peer = world->options.fabric,
+                                  .path = world->caller->path,
                                   .service = closing->service,
                                   .flow = closing->id,
                                   .tag = closing->tag };
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -27,6 +27,7 @@
   message.type = type;
   message.link = GALENA_LINK_CALLER;
   message.peer = world->options.fabric;
+  message.path = flow->path;
   message.service = flow->service;
   message.flow = flow->id;
   message.tag = flow->tag;
@@ -247,6 +248,8 @@
       (flow = galena_table_next (world->caller->flows, &cursor, &handle.row))
       != NULL)
     {
+      if (flow->state == GALENA_CALLER_FLOW_OPENING || flow->open_requests > 0)
+        galena_caller_check_path (world, flow);
       if (flow->moving)
         galena_caller_run_move (world, handle);
       run_flow (world, flow, handle);
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -35,6 +35,9 @@
   struct galena_clock resend;
   /* When the owner last gave a sign of life.  */
   struct galena_clock heard;
+  /* Source port in use, and when it last changed.  */
+  uint8_t path;
+  struct galena_clock path_since;
   /* While a move is on its way: id of the flow that is opened elsewhere.  */
   bool moving;
   struct galena_flow_id next_id;
@@ -95,6 +98,9 @@
 
 struct galena_caller
 {
+  /* Newest source port, and when it came into use.  */
+  uint8_t path;
+  struct galena_clock path_since;
   struct galena_table *flows;
   struct galena_map *flows_by_id;
   struct galena_table *closings;
@@ -183,6 +189,12 @@
 void galena_caller_finish_close (struct galena_world *world,
                                  struct galena_flow_handle handle);
 
+/* caller_path.c */
+
+/* Takes another source port when the flow's path has gone silent.  */
+void galena_caller_check_path (struct galena_world *world,
+                               struct galena_caller_flow *flow);
+
 /* caller_move.c */
 
 /* Begins to open FLOW elsewhere while it goes on where it is.  */
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -18,9 +18,13 @@
   /* A hint not renewed for this long is dropped.  */
   HINT_LIFE_MS = 5000,
   HINT_PERIOD_MS = 1000,
+  /* A path that leaves a question unanswered for so long is given up.  */
+  SILENT_PATH_MS = 500,
   HINTS_MAX = 8192,
   /* A stopping entry waits for its opens this long.  */
   DRAIN_OPENS_MS = 2000,
+  /* Rounds over all candidates, while none of them replies.  */
+  ROUNDS_MAX = 3,
   /* Most retries saved up.  */
   RETRY_TOKENS_MAX = 10
 };
@@ -28,6 +32,9 @@
 /* Retries allowed for each first try.  */
 static const double RETRY_SHARE = 0.1;
 
+/* Retries allowed each second, however few first tries there are.  */
+static const double RETRIES_PER_SECOND = 1;
+
 const struct galena_hint *
 galena_entry_hint (const struct galena_world *world, uint32_t upstream)
 {
@@ -68,6 +75,22 @@
   return hint;
 }
 
+/* Returns the source port for a packet to the agent of HINT that asks for a
+   reply; another one when the last has got none.  */
+static uint8_t
+path_for_question (struct galena_world *world, struct galena_hint *hint)
+{
+  if (hint->asked.ms == 0)
+    hint->asked = world->now;
+  else if (galena_clock_between (hint->asked, world->now) >= SILENT_PATH_MS)
+    {
+      hint->path++;
+      hint->asked = world->now;
+      galena_world_count (world, GALENA_COUNT_PATHS_LEFT);
+    }
+  return hint->path;
+}
+
 static struct galena_pending_open *
 find_pending (const struct galena_world *world, struct galena_flow_id flow,
               struct galena_handle *handle)
@@ -194,7 +217,10 @@
   struct galena_hint *hint = hint_for (world, upstream->number);
 
   if (hint != NULL)
-    hint->unanswered++;
+    {
+      hint->unanswered++;
+      open.path = path_for_question (world, hint);
+    }
   galena_stats_upstream (world, upstream->number)->opens++;
   open.link = GALENA_LINK_PEER;
   open.peer = upstream->agent;
@@ -228,9 +254,9 @@
 }
 
 static void
-earn_retry_tokens (struct galena_entry *entry)
+earn_retry_tokens (struct galena_entry *entry, double tokens)
 {
-  entry->retry_tokens += RETRY_SHARE;
+  entry->retry_tokens += tokens;
   if (entry->retry_tokens > RETRY_TOKENS_MAX)
     entry->retry_tokens = RETRY_TOKENS_MAX;
 }
@@ -259,6 +285,18 @@
          || result == GALENA_REFUSED_NOT_CANDIDATE;
 }
 
+/* Begins another round after one in which no candidate replied: packets may
+   have been lost, or their path silent.  */
+static bool
+try_again (struct galena_world *world, struct galena_pending_open *pending,
+           enum galena_result result)
+{
+  if (result != GALENA_REFUSED_NO_UPSTREAM || ++pending->rounds == ROUNDS_MAX)
+    return false;
+  pending->tried_count = 0;
+  return try_next (world, pending);
+}
+
 /* Retries PENDING, or gives it up with RESULT.  An open that met the wrong
    upstream waits while the budget is spent; one that met a full upstream is
    refused.  */
@@ -272,7 +310,7 @@
 
   if (left && spend_retry_token (world))
     {
-      if (try_next (world, pending))
+      if (try_next (world, pending) || try_again (world, pending, result))
         return;
     }
   else if (left && is_about_place (result))
@@ -304,7 +342,7 @@
   pending->began = world->now;
   pending->deadline = galena_clock_after (world->now, open->deadline_ms);
   galena_map_insert (entry->pending_by_flow, key, galena_handle_pack (handle));
-  earn_retry_tokens (entry);
+  earn_retry_tokens (entry, RETRY_SHARE);
   if (try_next (world, pending))
     return;
   refuse_open (world, open, GALENA_REFUSED_NO_UPSTREAM);
@@ -353,6 +391,24 @@
          && !galena_clock_reached (world->now, hint->suspect_until);
 }
 
+/* Returns the source port for a caller's packet.  Agents reply to requests;
+   what else goes to them follows the same path.  */
+static uint8_t
+path_onward (struct galena_world *world, const struct galena_message *message,
+             uint32_t upstream)
+{
+  const struct galena_hint *known;
+  struct galena_hint *hint;
+
+  if (message->type != GALENA_MESSAGE_REQUEST)
+    {
+      known = galena_entry_hint (world, upstream);
+      return known == NULL ? 0 : known->path;
+    }
+  hint = hint_for (world, upstream);
+  return hint == NULL ? 0 : path_for_question (world, hint);
+}
+
 /* Passes a caller's packet to UPSTREAM with its return path.  */
 static void
 send_onward (struct galena_world *world, const struct galena_message *message,
@@ -367,6 +423,7 @@
   onward.entry = (struct galena_endpoint){ 0, 0 };
   onward.hops = 0;
   onward.generation = service->generation;
+  onward.path = path_onward (world, message, upstream->number);
   galena_world_send (world, &onward);
 }
 
@@ -440,6 +497,7 @@
                                           .upstream = hint->upstream });
   hint->queue = message->queue;
   hint->heard = world->now;
+  hint->asked.ms = 0;
   hint->unanswered = 0;
   hint->suspect_until = world->now;
   if (message->kind >= GALENA_KINDS_MAX)
@@ -582,6 +640,8 @@
   struct galena_handle handle;
   uint32_t cursor = 0;
 
+  earn_retry_tokens (world->entry,
+                     RETRIES_PER_SECOND * RETRY_PERIOD_MS / 1000);
   while (
       (pending = galena_table_next (world->entry->pending, &cursor, &handle))
       != NULL)
@@ -593,6 +653,15 @@
     }
 }
 
+/* Whether HINT tells that an earlier path to a known agent was silent.  */
+static bool
+keeps_path (const struct galena_world *world, const struct galena_hint *hint)
+{
+  return hint->path != 0
+         && galena_config_upstream_numbered (world->config, hint->upstream)
+                != NULL;
+}
+
 static void
 run_expire_hints (struct galena_world *world)
 {
@@ -603,7 +672,8 @@
 
   while ((hint = galena_table_next (entry->hints, &cursor, &handle)) != NULL)
     {
-      if (galena_clock_between (hint->heard, world->now) < HINT_LIFE_MS)
+      if (galena_clock_between (hint->heard, world->now) < HINT_LIFE_MS
+          || keeps_path (world, hint))
         continue;
       galena_map_remove (entry->hints_by_upstream, hint->upstream);
       galena_table_remove (entry->hints, handle);
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -25,6 +25,10 @@
   struct galena_clock suspect_until;
   /* Avoid the upstream until then: it said that it is leaving.  */
   struct galena_clock leaving_until;
+  /* Source port in use towards the agent, and since when packets that ask for
+     a reply have got none; 0 when none is owed.  */
+  uint8_t path;
+  struct galena_clock asked;
   /* Opens sent since the last word from the agent.  */
   uint32_t unanswered;
   /* Overload level of each kind, 0 to 255.  */
@@ -39,6 +43,8 @@
   /* Upstreams tried so far, in order.  */
   uint32_t tried[GALENA_CANDIDATES_MAX];
   uint32_t tried_count;
+  /* How often all candidates have been tried without a reply.  */
+  uint32_t rounds;
   struct galena_clock began;
   struct galena_clock next_try;
   struct galena_clock deadline;
--- a/test/fake/fleet.c
+++ b/test/fake/fleet.c
@@ -17,6 +17,7 @@
   fleet->thinking = g_array_new (FALSE, TRUE, sizeof (uint32_t));
   fleet->feeds = g_array_new (FALSE, TRUE, sizeof (uint32_t));
   fleet->versions = g_array_new (FALSE, TRUE, sizeof (struct fleet_version));
+  fleet->ports = g_new0 (uint16_t, FLEET_NODES_MAX * (FLEET_NODES_MAX + 1));
   fleet->silences = g_array_new (FALSE, TRUE, sizeof (struct fleet_silence));
   fleet->wheel = g_new0 (GArray *, FLEET_WHEEL_MS);
   for (int i = 0; i < FLEET_WHEEL_MS; i++)
@@ -48,6 +49,7 @@
   for (uint32_t i = 0; i < fleet->load_count; i++)
     g_array_free (fleet->loads[i].latencies, TRUE);
   g_free (fleet->wheel);
+  g_free (fleet->ports);
   g_array_free (fleet->jobs, TRUE);
   g_array_free (fleet->runs, TRUE);
   g_array_free (fleet->thinking, TRUE);
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -92,8 +92,6 @@
   uint64_t generations_seen[FLEET_SERVICES_MAX];
   /* Number of starts.  */
   uint32_t lives;
-  /* Highest port in use.  */
-  uint16_t port;
   uint32_t service;
   struct fleet_upstream upstream;
 };
@@ -219,6 +217,9 @@
   GArray **wheel;
   /* Runs in progress at all upstreams.  */
   GArray *runs;
+  /* Highest port from which each node has sent to each other node or to the
+     fabric; 0 when it never did.  */
+  uint16_t *ports;
   /* Silent paths, as struct fleet_silence.  */
   GArray *silences;
   /* Numbers of endless jobs that go on.  */
--- a/test/fake/fleet_life.c
+++ b/test/fake/fleet_life.c
@@ -24,7 +24,6 @@
   node->lives++;
   node->withdrawn_at.ms = INT64_MAX;
   node->stop_limit.ms = INT64_MAX;
-  node->port = FLEET_NODE_PORT;
   node->reachable_at = fleet->now;
   node->accepted_seen = 0;
   memset (node->generations_seen, 0, sizeof node->generations_seen);
--- a/test/fake/fleet_network.c
+++ b/test/fake/fleet_network.c
@@ -73,14 +73,21 @@
       fleet->wheel[(fleet->now.ms + delay_ms) % FLEET_WHEEL_MS], packet);
 }
 
+/* The highest port from which FROM has sent to TO, for reading and change.  */
+static uint16_t *
+port_between (struct fleet *fleet, uint32_t from, uint32_t to)
+{
+  return &fleet->ports[from * (FLEET_NODES_MAX + 1) + to];
+}
+
 void
 fleet_silence (struct fleet *fleet, uint32_t from, uint32_t to)
 {
   struct fleet_silence silence = { { from, to }, { 0, UINT16_MAX } };
 
-  silence.ports[0] = fleet->nodes[from].port;
+  silence.ports[0] = *port_between (fleet, from, to);
   if (to != FLEET_ANY_ENTRY)
-    silence.ports[1] = fleet->nodes[to].port;
+    silence.ports[1] = *port_between (fleet, to, from);
   g_array_append_val (fleet->silences, silence);
 }
 
@@ -123,15 +130,17 @@
 fleet_send_packet (struct fleet *fleet, uint32_t from,
                    const struct galena_message *message)
 {
-  struct fleet_node *sender = &fleet->nodes[from];
   uint16_t source = (uint16_t)(FLEET_NODE_PORT + message->path);
-  int to = message->peer.ip == FLEET_FABRIC_IP
-               ? draw_entry (fleet)
-               : node_at (fleet, message->peer);
+  bool by_fabric = message->peer.ip == FLEET_FABRIC_IP;
+  int to = by_fabric ? draw_entry (fleet) : node_at (fleet, message->peer);
+  uint16_t *used;
 
-  sender->port = MAX (sender->port, source);
-  if (to < 0
-      || !can_pass (fleet, from, source, (uint32_t)to, message->peer.port))
+  if (to < 0)
+    return;
+  used
+      = port_between (fleet, from, by_fabric ? FLEET_ANY_ENTRY : (uint32_t)to);
+  *used = MAX (*used, source);
+  if (!can_pass (fleet, from, source, (uint32_t)to, message->peer.port))
     return;
   if (fleet_happens (fleet, fleet->options.network.drop))
     return;
