Give a feed that moves a deadline of its own, and tell the upstream where it goes on

Cause: an endless request that is opened again went out with no time left, since its deadline had passed long before; the new agent refused it or, when both fell into one tick, ran it. Ruled out: the unknown outcome of the agent's own transfer, which starts the request over. Change: the deadline starts again with the request; the upstream is told the byte to go on from (X-Galena-Resume).

--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -275,7 +275,11 @@
   request->sent = 0;
   request->acknowledged = 0;
   if (request->endless)
-    request->resume = request->delivered;
+    {
+      request->resume = request->delivered;
+      request->deadline
+          = galena_clock_after (world->now, request->deadline_ms);
+    }
   else
     request->delivered_parts = 0;
   galena_stream_release (&request->answer);
@@ -389,6 +393,7 @@
   request->kind = options->kind;
   request->idempotent = options->idempotent;
   request->endless = options->endless;
+  request->deadline_ms = options->deadline_ms;
   request->deadline = galena_clock_after (world->now, options->deadline_ms);
   request->resend = world->now;
   if (copy_body (request, options) != GALENA_OK)
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -89,6 +89,7 @@
   uint32_t sent;
   /* Parts of the answer that came out of order.  */
   struct galena_stream answer;
+  uint32_t deadline_ms;
   struct galena_clock deadline;
   struct galena_clock resend;
 };
--- a/packages/daemon/src/upstream_link.c
+++ b/packages/daemon/src/upstream_link.c
@@ -194,6 +194,12 @@
   snprintf (text, sizeof text, "X-Galena-Deadline-Ms: %u",
             message->deadline_ms);
   add_header (transfer, text);
+  if (message->resume > 0)
+    {
+      snprintf (text, sizeof text, "X-Galena-Resume: %llu",
+                (unsigned long long)message->resume);
+      add_header (transfer, text);
+    }
   add_header (transfer, "Expect:");
 }
 
--- a/test/standins/upstream.c
+++ b/test/standins/upstream.c
@@ -4,10 +4,11 @@
 
    POST /run takes one of SLOTS for RUN_MS and answers with the request's
    body; a body that begins with "feed" is answered without end and takes no
-   slot.  For COLD_MS after the start a run takes three times as long.  A
-   request that finds no slot free is refused as not run.  POST /cancel ends
-   a run.  GET /health and GET /load tell what was true LAG_MS ago.  Each
-   execution adds a line "SERVICE BODY-WORD" to LOG.  */
+   slot, from the event at the byte that X-Galena-Resume names.  For COLD_MS
+   after the start a run takes three times as long.  A request that finds no
+   slot free is refused as not run.  POST /cancel ends a run.  GET /health and
+   GET /load tell what was true LAG_MS ago.  Each execution adds a line
+   "SERVICE BODY-WORD" to LOG.  */
 
 #include <pthread.h>
 #include <stdbool.h>
@@ -28,6 +29,7 @@
   ID_BYTES = 96,
   STEP_MS = 2,
   FEED_MS = 250,
+  EVENT_BYTES = 15,
   LAG_MS = 5000,
   COLD_FACTOR = 3,
   FIRST_WORD_BYTES = 64
@@ -127,7 +129,7 @@
   usleep (FEED_MS * 1000);
   if (is_cancelled (run))
     return MHD_CONTENT_READER_END_OF_STREAM;
-  return snprintf (bytes, room, "event=%u\n", run->events++);
+  return snprintf (bytes, room, "event=%08u\n", run->events++);
 }
 
 static void
@@ -184,6 +186,15 @@
     }
 }
 
+static uint32_t
+resumed_event (struct MHD_Connection *connection)
+{
+  const char *at = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                "X-Galena-Resume");
+
+  return at == NULL ? 0 : (uint32_t)(strtoull (at, NULL, 10) / EVENT_BYTES);
+}
+
 static enum MHD_Result
 execute (struct MHD_Connection *connection, const struct body *body)
 {
@@ -198,6 +209,8 @@
   if (body->size > 0)
     sscanf (body->bytes, "%64s", word);
   log_execution (word);
+  if (feed)
+    run->events = resumed_event (connection);
   if (feed)
     return reply (connection, MHD_HTTP_OK,
                   MHD_create_response_from_callback (
