--- /dev/null
+++ b/test/capacity/agent.c
@@ -0,0 +1,62 @@
+/* Processor time of an agent's periodic systems by the rows they scan.  */
+
+#include <stdbool.h>
+
+#include "capacity.h"
+#include "fill.h"
+#include "sample.h"
+
+enum
+{
+  /* Below the time after which a silent flow ends.  */
+  SPAN_MS = 5000,
+  REPEATS = 5,
+  ROWS_MAX = 131072
+};
+
+/* Returns nanoseconds for each second of virtual time.  */
+static double
+measure_idle (uint32_t size, bool with_requests)
+{
+  struct samples samples = { 0 };
+
+  for (uint32_t i = 0; i < REPEATS; i++)
+    {
+      struct filled filled;
+
+      if (!filled_create (&filled, GALENA_ROLE_AGENT, ROWS_MAX, ROWS_MAX, 1,
+                          1))
+        return -1;
+      filled_open_flows (&filled, size, with_requests);
+      samples_add (&samples,
+                   filled_run_idle (&filled, SPAN_MS) / (SPAN_MS / 1000.0));
+      filled_destroy (&filled);
+    }
+  return samples_median (&samples);
+}
+
+static double
+idle_by_flows (uint32_t size)
+{
+  return measure_idle (size, false);
+}
+
+static double
+idle_by_requests (uint32_t size)
+{
+  return measure_idle (size, true);
+}
+
+const struct slope AGENT_SLOPES[] = {
+  { "agent-systems-by-flows",
+    "flow",
+    "ns/s",
+    { 2048, 4096, 8192, 16384, 65536 },
+    idle_by_flows },
+  { "agent-systems-by-flows-with-a-request",
+    "flow and request",
+    "ns/s",
+    { 1024, 2048, 4096, 8192, 16384 },
+    idle_by_requests },
+  { 0 },
+};
--- /dev/null
+++ b/test/capacity/entry.c
@@ -0,0 +1,145 @@
+/* Processor time of an entry: periodic systems, reports, and opens.  */
+
+#include <galenaford/stats.h>
+
+#include "capacity.h"
+#include "fill.h"
+#include "fixture.h"
+#include "sample.h"
+
+enum
+{
+  REPEATS = 5,
+  /* Below the life of a hint.  */
+  HINT_SPAN_MS = 4000,
+  /* Below the time after which an open is sent again.  */
+  OPEN_SPAN_MS = 90,
+  ROWS_MAX = 65536,
+  UPSTREAMS_MAX = 8192,
+  REPORTS = 20,
+  OPENS = 4096,
+  /* Opens that reach each upstream, about.  */
+  OPENS_EACH = 8,
+  SERVICES = 10
+};
+
+static double
+idle_once (uint32_t size, int64_t span_ms,
+           void (*fill) (struct filled *filled, uint32_t size))
+{
+  struct filled filled;
+  double cost;
+
+  if (!filled_create (&filled, GALENA_ROLE_ENTRY, ROWS_MAX, 1, FLEET_SERVICES,
+                      UPSTREAMS_MAX))
+    return -1;
+  filled_tick (&filled);
+  fill (&filled, size);
+  cost = filled_run_idle (&filled, span_ms) * 1000 / (double)span_ms;
+  filled_destroy (&filled);
+  return cost;
+}
+
+/* Returns nanoseconds for each second of virtual time.  */
+static double
+measure_idle (uint32_t size, int64_t span_ms,
+              void (*fill) (struct filled *filled, uint32_t size))
+{
+  struct samples samples = { 0 };
+
+  for (uint32_t i = 0; i < REPEATS; i++)
+    samples_add (&samples, idle_once (size, span_ms, fill));
+  return samples_median (&samples);
+}
+
+static double
+idle_by_hints (uint32_t size)
+{
+  return measure_idle (size, HINT_SPAN_MS, filled_hint);
+}
+
+static double
+idle_by_opens (uint32_t size)
+{
+  return measure_idle (size, OPEN_SPAN_MS, filled_open);
+}
+
+/* Returns the nanoseconds of one report on SIZE upstreams.  */
+static double
+report_by_upstreams (uint32_t size)
+{
+  struct galena_report_options options = { size, size };
+  struct galena_report *report;
+  struct filled filled;
+  double start_ns;
+  double cost;
+
+  if (galena_report_create (&options, &report) != GALENA_OK)
+    return -1;
+  if (!filled_create (&filled, GALENA_ROLE_ENTRY, ROWS_MAX, 1, FLEET_SERVICES,
+                      size))
+    return -1;
+  filled_tick (&filled);
+  filled_open (&filled, size * OPENS_EACH);
+  start_ns = thread_cpu_ns ();
+  for (uint32_t i = 0; i < REPORTS; i++)
+    galena_world_report (filled.world, report);
+  cost = (thread_cpu_ns () - start_ns) / REPORTS;
+  filled_destroy (&filled);
+  galena_report_destroy (report);
+  return cost;
+}
+
+static double
+open_once (uint32_t size)
+{
+  struct filled filled;
+  double start_ns;
+  double cost;
+
+  if (!filled_create (&filled, GALENA_ROLE_ENTRY, ROWS_MAX, 1, SERVICES,
+                      SERVICES * size))
+    return -1;
+  filled_tick (&filled);
+  filled_hint (&filled, SERVICES * size);
+  start_ns = thread_cpu_ns ();
+  filled_open (&filled, OPENS);
+  cost = (thread_cpu_ns () - start_ns) / OPENS;
+  filled_destroy (&filled);
+  return cost;
+}
+
+/* Returns the nanoseconds of one open in a service of SIZE upstreams.  */
+static double
+open_by_upstreams (uint32_t size)
+{
+  struct samples samples = { 0 };
+
+  for (uint32_t i = 0; i < REPEATS; i++)
+    samples_add (&samples, open_once (size));
+  return samples_median (&samples);
+}
+
+const struct slope ENTRY_SLOPES[] = {
+  { "entry-systems-by-hints",
+    "hint",
+    "ns/s",
+    { 512, 1024, 2048, 4096, 8192 },
+    idle_by_hints },
+  { "entry-systems-by-pending-opens",
+    "open",
+    "ns/s",
+    { 512, 1024, 2048, 4096, 8192 },
+    idle_by_opens },
+  { "entry-report-by-upstreams",
+    "upstream",
+    "ns",
+    { 725, 1450, 2900, 5800 },
+    report_by_upstreams },
+  { "entry-open-by-upstreams-of-the-service",
+    "upstream",
+    "ns",
+    { 4, 8, 16, 64, 256 },
+    open_by_upstreams },
+  { 0 },
+};
--- /dev/null
+++ b/test/capacity/main.c
@@ -0,0 +1,85 @@
+/* Measures every slope and prints its points and fit.
+   Usage: capacity [NAME]  */
+
+#include <malloc.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "capacity.h"
+#include "sample.h"
+
+static const struct slope *const TABLES[]
+    = { MEMORY_SLOPES, AGENT_SLOPES, ENTRY_SLOPES, RECORD_SLOPES };
+
+double
+allocated_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return (double)(info.uordblks + info.hblkhd);
+}
+
+double
+resident_bytes (void)
+{
+  FILE *file = fopen ("/proc/self/statm", "r");
+  long size = 0;
+  long resident = 0;
+
+  if (file == NULL)
+    return 0;
+  if (fscanf (file, "%ld %ld", &size, &resident) != 2)
+    resident = 0;
+  fclose (file);
+  return (double)resident * (double)sysconf (_SC_PAGESIZE);
+}
+
+static bool
+run_slope (const struct slope *slope)
+{
+  struct point points[SLOPE_SIZES_MAX];
+  struct line line;
+  uint32_t count = 0;
+
+  printf ("slope: %s unit=%s points=", slope->name, slope->unit);
+  while (count < SLOPE_SIZES_MAX && slope->sizes[count] != 0)
+    {
+      uint32_t size = slope->sizes[count];
+      double cost = slope->measure (size);
+
+      if (cost < 0)
+        return false;
+      points[count] = (struct point){ size, cost };
+      printf ("%s%u:%.0f", count == 0 ? "" : ",", size, cost);
+      count++;
+    }
+  line = line_fit (points, count);
+  printf (" base=%.0f slope=%.4g per %s error=%.0f%%\n", line.base, line.slope,
+          slope->per, line.error * 100);
+  return true;
+}
+
+int
+main (int argc, char **argv)
+{
+  bool good = true;
+
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  /* Give freed memory back at once, so that sizes don't hide each other.  */
+  mallopt (M_MMAP_THRESHOLD, 64 * 1024);
+  mallopt (M_TRIM_THRESHOLD, 64 * 1024);
+  for (size_t i = 0; i < sizeof TABLES / sizeof TABLES[0]; i++)
+    for (const struct slope *slope = TABLES[i]; slope->name != NULL; slope++)
+      {
+        if (argc > 1 && strstr (slope->name, argv[1]) == NULL)
+          continue;
+        if (run_slope (slope))
+          continue;
+        printf ("failed to run\n");
+        good = false;
+      }
+  return good ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/test/capacity/records.c
@@ -0,0 +1,203 @@
+/* Records and snapshots: time and memory by services and upstreams.  */
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <galenaford/audit.h>
+#include <galenaford/record.h>
+#include <galenaford/records.h>
+
+#include "capacity.h"
+#include "fixture.h"
+#include "sample.h"
+
+enum
+{
+  REPEATS = 9,
+  TEXT_BYTES = 1024 * 1024,
+  AUDIT_ROWS = 16,
+  /* Host in a record, beside the service's own head.  */
+  UPSTREAMS_EACH = 9
+};
+
+static char text[TEXT_BYTES];
+
+/* Writes the record of service NUMBER with COUNT upstreams; returns its
+   bytes.  */
+static size_t
+write_record (uint32_t number, uint32_t count)
+{
+  int at = snprintf (
+      text, sizeof text,
+      "{\"schema\":2,\"service\":\"service-%u\",\"number\":%u,"
+      "\"generation\":1,\"address\":\"127.10.%u.%u:700\",\"kinds\":["
+      "{\"name\":\"feed\",\"number\":0,\"urgency\":0,\"idempotent\":true,"
+      "\"deadline_ms\":1000,\"minimum_share_percent\":20},"
+      "{\"name\":\"event\",\"number\":1,\"urgency\":1,\"idempotent\":false,"
+      "\"deadline_ms\":10000,\"minimum_share_percent\":30},"
+      "{\"name\":\"photo\",\"number\":2,\"urgency\":2,\"idempotent\":true,"
+      "\"deadline_ms\":30000,\"minimum_share_percent\":20}],\"upstreams\":[",
+      number, number, number / 250, number % 250 + 1);
+
+  for (uint32_t i = 0; i < count; i++)
+    at += snprintf (
+        text + at, sizeof text - (size_t)at,
+        "%s{\"number\":%u,\"host\":\"host-%u\",\"zone\":\"zone-a\","
+        "\"agent\":\"127.20.%u.%u:7100\",\"slots\":3,"
+        "\"connections\":2000,\"weight\":1,\"state\":\"active\"}",
+        i == 0 ? "" : ",", number * 1000 + i + 1, i, number % 250, i % 250);
+  at += snprintf (text + at, sizeof text - (size_t)at, "]}");
+  return (size_t)at;
+}
+
+static double
+record_bytes (uint32_t size)
+{
+  return (double)write_record (1, size);
+}
+
+static double
+parse_by_upstreams (uint32_t size)
+{
+  size_t bytes = write_record (1, size);
+  struct samples samples = { 0 };
+
+  for (uint32_t i = 0; i < REPEATS; i++)
+    {
+      struct galena_service_record record;
+      struct galena_faults faults;
+      double start_ns = thread_cpu_ns ();
+
+      if (galena_record_parse (text, bytes, &record, &faults) != GALENA_OK)
+        return -1;
+      samples_add (&samples, thread_cpu_ns () - start_ns);
+      galena_record_release (&record);
+    }
+  return samples_median (&samples);
+}
+
+/* The records of a fleet, all taken into force.  */
+struct taken
+{
+  struct galena_audit *audit;
+  struct galena_records *records;
+};
+
+static bool
+take_one (struct taken *taken, uint32_t number, uint32_t upstreams)
+{
+  size_t bytes = write_record (number, upstreams);
+  struct galena_service_record record;
+  struct galena_faults faults;
+  enum galena_result result;
+
+  if (galena_record_parse (text, bytes, &record, &faults) != GALENA_OK)
+    return false;
+  result = galena_records_take (taken->records, &record,
+                                (struct galena_clock){ 1 });
+  galena_record_release (&record);
+  return result == GALENA_OK;
+}
+
+static bool
+take_all (struct taken *taken, uint32_t services)
+{
+  struct galena_audit_options audit = { AUDIT_ROWS };
+  struct galena_records_options options = { 4096, NULL };
+
+  if (galena_audit_create (&audit, &taken->audit) != GALENA_OK)
+    return false;
+  options.audit = taken->audit;
+  if (galena_records_create (&options, &taken->records) != GALENA_OK)
+    return false;
+  for (uint32_t i = 0; i < services; i++)
+    if (!take_one (taken, i + 1, UPSTREAMS_EACH))
+      return false;
+  return true;
+}
+
+static void
+release (struct taken *taken)
+{
+  galena_records_destroy (taken->records);
+  galena_audit_destroy (taken->audit);
+}
+
+static double
+records_by_services (uint32_t size)
+{
+  struct taken taken = { 0 };
+  double before = allocated_bytes ();
+  bool good = take_all (&taken, size);
+  double bytes = allocated_bytes () - before;
+
+  release (&taken);
+  return good ? bytes : -1;
+}
+
+/* Returns the bytes or the nanoseconds that one snapshot takes.  */
+static double
+measure_snapshot (uint32_t services, bool bytes)
+{
+  struct taken taken = { 0 };
+  struct samples samples = { 0 };
+  bool good = take_all (&taken, services);
+
+  for (uint32_t i = 0; good && i < REPEATS; i++)
+    {
+      double before = allocated_bytes ();
+      double start_ns = thread_cpu_ns ();
+      struct galena_config *config;
+
+      good = galena_records_snapshot (taken.records, &config) == GALENA_OK;
+      if (!good)
+        break;
+      samples_add (&samples, bytes ? allocated_bytes () - before
+                                   : thread_cpu_ns () - start_ns);
+      galena_config_destroy (config);
+    }
+  release (&taken);
+  return good ? samples_median (&samples) : -1;
+}
+
+static double
+snapshot_bytes_by_services (uint32_t size)
+{
+  return measure_snapshot (size, true);
+}
+
+static double
+snapshot_time_by_services (uint32_t size)
+{
+  return measure_snapshot (size, false);
+}
+
+const struct slope RECORD_SLOPES[] = {
+  { "record-text-by-upstreams",
+    "upstream",
+    "bytes",
+    { 9, 30, 100, 300, 1000 },
+    record_bytes },
+  { "record-parse-by-upstreams",
+    "upstream",
+    "ns",
+    { 9, 30, 100, 300, 1000 },
+    parse_by_upstreams },
+  { "records-memory-by-services-of-9",
+    "service",
+    "bytes",
+    { 41, 82, 165, 330, 660 },
+    records_by_services },
+  { "snapshot-memory-by-services-of-9",
+    "service",
+    "bytes",
+    { 41, 82, 165, 330, 660 },
+    snapshot_bytes_by_services },
+  { "snapshot-time-by-services-of-9",
+    "service",
+    "ns",
+    { 41, 82, 165, 330, 660 },
+    snapshot_time_by_services },
+  { 0 },
+};
