Measure how records spread; leave room for a process's own links

Cause: the measurement at 500 processes did not end. A process whose table of links was full of peers' links looked for one of its own for ever: the loop over wanted links ended only when there was no peer left to try.

Ruled out: the fake's watches and the lookup of records (samples of the stuck run all stood in the search for a peer to connect to).

Change: peers can take all but 8 places of the table, and the loop ends when the table is full. The table has 32 places in place of 64, which bounds what a seed process sends. Records are found by number through a map. make propagation prints the figures; SIZES="5 50" picks others.

Before: /sync/crowded fails, 32 links taken by peers.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	liburcu-dev libmsgpack-dev libglib2.0-dev libinih-dev libjansson-dev \
 	libcurl4-openssl-dev libxxhash-dev libmicrohttpd-dev
 
-.PHONY: all setup packages demo test bench clean
+.PHONY: all setup packages demo test bench propagation clean
 
 all:
 	cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
@@ -24,5 +24,8 @@
 test: all
 	ctest --test-dir $(BUILD) --output-on-failure
 
+propagation: all
+	$(BUILD)/test/propagation/propagation $(SIZES)
+
 clean:
 	rm -rf $(BUILD)
--- a/packages/core/include/galenaford/sync.h
+++ b/packages/core/include/galenaford/sync.h
@@ -18,7 +18,7 @@
   /* Most addresses in one message between peers.  */
   GALENA_SYNC_PEERS_MAX = 8,
   /* Most links to peers at once, those that peers opened too.  */
-  GALENA_SYNC_LINKS_MAX = 64
+  GALENA_SYNC_LINKS_MAX = 32
 };
 
 struct galena_peer_handle
--- a/packages/core/src/records.c
+++ b/packages/core/src/records.c
@@ -17,6 +17,8 @@
 {
   struct galena_table *services;
   uint32_t capacity;
+  /* Number to handle of the service.  */
+  struct galena_map *by_number;
   /* Numbers of the upstreams that the list of instances calls leaving.  */
   struct galena_map *leaving;
   struct galena_audit *audit;
@@ -28,6 +30,7 @@
 {
   struct galena_table_options table
       = { sizeof (struct galena_service_record), options->services };
+  struct galena_map_options by_number = { options->services, 0 };
   struct galena_map_options leaving = { LEAVING_MAX, 0 };
   struct galena_records *records = calloc (1, sizeof *records);
   enum galena_result result;
@@ -37,6 +40,9 @@
   records->audit = options->audit;
   records->capacity = options->services;
   result = galena_table_create (&table, &records->services);
+  if (result != GALENA_OK)
+    goto fail;
+  result = galena_map_create (&by_number, &records->by_number);
   if (result != GALENA_OK)
     goto fail;
   result = galena_map_create (&leaving, &records->leaving);
@@ -64,6 +70,7 @@
                 != NULL)
     free (record->upstreams);
   galena_table_destroy (records->services);
+  galena_map_destroy (records->by_number);
   galena_map_destroy (records->leaving);
   free (records);
 }
@@ -79,15 +86,11 @@
 static struct galena_service_record *
 find_record (const struct galena_records *records, uint32_t number)
 {
-  struct galena_service_record *record;
-  struct galena_handle handle;
-  uint32_t cursor = 0;
+  uint64_t packed;
 
-  while ((record = galena_table_next (records->services, &cursor, &handle))
-         != NULL)
-    if (record->service.number == number)
-      return record;
-  return NULL;
+  if (!galena_map_find (records->by_number, number, &packed))
+    return NULL;
+  return galena_table_get (records->services, galena_handle_unpack (packed));
 }
 
 const struct galena_service_record *
@@ -294,7 +297,11 @@
   note_clashes (records, record, now);
   note_changes (records, present, &after, now);
   if (present == NULL)
-    present = galena_table_insert (records->services, &handle);
+    {
+      present = galena_table_insert (records->services, &handle);
+      galena_map_insert (records->by_number, record->service.number,
+                         galena_handle_pack (handle));
+    }
   free (present->upstreams);
   *present = after;
   return GALENA_OK;
--- a/packages/core/src/sync_links.c
+++ b/packages/core/src/sync_links.c
@@ -9,6 +9,8 @@
   /* Links that an agent opens to entries, and to agents of its service.  */
   AGENT_ENTRY_LINKS = 2,
   AGENT_AGENT_LINKS = 1,
+  /* Links that peers can't take: room for those opened here.  */
+  OWN_LINKS_ROOM = 8,
   /* Least wait before a peer that failed is tried again, and the random
      part that is added.  */
   RETRY_MS = 2000,
@@ -274,7 +276,8 @@
       {
         const struct sync_peer *peer = draw_peer (sync, ROLES[i]);
 
-        if (peer == NULL)
+        if (peer == NULL
+            || galena_table_count (sync->links) == GALENA_SYNC_LINKS_MAX)
           break;
         connect_to (sync, peer);
       }
@@ -311,13 +314,27 @@
     }
 }
 
+static uint32_t
+count_accepted (const struct galena_sync *sync)
+{
+  const struct sync_link *link;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+
+  while ((link = galena_table_next (sync->links, &cursor, &handle)) != NULL)
+    count += !link->outgoing;
+  return count;
+}
+
 enum galena_result
 galena_sync_accept (struct galena_sync *sync, struct galena_clock now,
                     struct galena_peer_handle *peer)
 {
   if (sync->now.ms == INT64_MIN)
     galena_sync_tick (sync, now);
-  if (add_link (sync, &peer->row) == NULL)
+  if (count_accepted (sync) >= GALENA_SYNC_LINKS_MAX - OWN_LINKS_ROOM
+      || add_link (sync, &peer->row) == NULL)
     return GALENA_ERR_FULL;
   sync_ask_peer (sync, peer->row);
   return GALENA_OK;
--- a/test/unit/test_sync.c
+++ b/test/unit/test_sync.c
@@ -524,11 +524,54 @@
     run_seed (data, seed);
 }
 
+/* More peers than there is room for: the process still opens its own links,
+   which it needs to hear of records at all.  */
+static void
+run_crowded (void)
+{
+  struct galena_audit_options audit = { 8 };
+  struct galena_sync_options options
+      = { .self = { address_of (1), GALENA_ROLE_ENTRY },
+          .readers = PROCESSES,
+          .reads_per_second = 100 };
+  struct galena_sync_message known
+      = { .type = GALENA_SYNC_PEERS,
+          .peer_count = 1,
+          .peers = { { address_of (0), GALENA_ROLE_ENTRY } } };
+  struct galena_sync_event event
+      = { .type = GALENA_SYNC_RECEIVED, .message = &known };
+  struct galena_sync_action action;
+  struct galena_peer_handle peer;
+  struct galena_sync *sync;
+  uint32_t accepted = 0;
+  uint32_t connects = 0;
+
+  g_assert_cmpint (galena_audit_create (&audit, &options.audit), ==,
+                   GALENA_OK);
+  g_assert_cmpint (galena_sync_create (&options, &sync), ==, GALENA_OK);
+  while (accepted < 2 * GALENA_SYNC_LINKS_MAX
+         && galena_sync_accept (sync, (struct galena_clock){ 1 }, &peer)
+                == GALENA_OK)
+    {
+      event.peer = peer;
+      accepted++;
+    }
+  g_assert_cmpuint (accepted, <, GALENA_SYNC_LINKS_MAX);
+  galena_sync_take (sync, &event, (struct galena_clock){ 100 });
+  galena_sync_tick (sync, (struct galena_clock){ 200 });
+  while (galena_sync_next (sync, &action))
+    connects += action.type == GALENA_SYNC_DO_CONNECT;
+  g_assert_cmpuint (connects, ==, 1);
+  galena_sync_destroy (sync);
+  galena_audit_destroy (options.audit);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
     g_test_add_data_func (CASES[i].name, &CASES[i], run_case);
+  g_test_add_func ("/sync/crowded", run_crowded);
   return g_test_run ();
 }
