--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	liburcu-dev libmsgpack-dev libglib2.0-dev libinih-dev libjansson-dev \
 	libcurl4-openssl-dev libxxhash-dev libmicrohttpd-dev
 
-.PHONY: all setup packages demo test bench propagation clean
+.PHONY: all setup packages demo test bench measure propagation clean
 
 all:
 	cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
@@ -22,10 +22,17 @@
 	test/demo.sh $(BUILD) $(DEPLOYMENT)
 
 test: all
-	ctest --test-dir $(BUILD) --output-on-failure
+	ctest --test-dir $(BUILD) --output-on-failure -j $(shell nproc)
+
+# Prints the tables that docs/MEASUREMENTS.md quotes.
+measure: all
+	$(BUILD)/test/measure/measure
 
 propagation: all
 	$(BUILD)/test/propagation/propagation $(SIZES)
 
 clean:
 	rm -rf $(BUILD)
+
+bench: all
+	$(BUILD)/test/bench/bench
--- a/packages/core/include/galenaford/counters.h
+++ b/packages/core/include/galenaford/counters.h
@@ -10,7 +10,8 @@
   X (GALENA_COUNT_TICKS, "ticks", "Ticks run.")                               \
   X (GALENA_COUNT_RECEIVED, "received", "Messages received.")                 \
   X (GALENA_COUNT_SENT, "sent", "Messages sent.")                             \
-  X (GALENA_COUNT_UNSENT, "unsent", "Messages dropped: the outbox was full.") \
+  X (GALENA_COUNT_UNSENT, "unsent",                                           \
+     "Messages dropped: the outbox or the socket was full.")                  \
   X (GALENA_COUNT_UNEXPECTED, "unexpected", "Messages of a wrong type.")      \
   X (GALENA_COUNT_MALFORMED, "malformed", "Datagrams that did not decode.")   \
   X (GALENA_COUNT_NO_ROUTE, "no_route", "Packets whose tag has no upstream.") \
@@ -35,7 +36,10 @@
   X (GALENA_COUNT_ANSWERED, "answered", "Requests answered in full.")         \
   X (GALENA_COUNT_UNKNOWN, "unknown", "Requests whose outcome is unknown.")   \
   X (GALENA_COUNT_CANCELLED, "cancelled", "Requests cancelled.")              \
+  X (GALENA_COUNT_TRIED_ELSEWHERE, "tried_elsewhere",                         \
+     "Refused requests that a caller sent to another upstream.")              \
   X (GALENA_COUNT_REOPENED, "reopened", "Flows opened again by a caller.")    \
+  X (GALENA_COUNT_MOVED, "moved", "Flows moved from a leaving upstream.")     \
   X (GALENA_COUNT_RESENT, "resent", "Parts sent again.")
 
 enum galena_counter
--- a/packages/core/include/galenaford/message.h
+++ b/packages/core/include/galenaford/message.h
@@ -116,6 +116,8 @@
   uint32_t deadline_ms;
   /* Expected wait at the sending agent in milliseconds.  */
   uint32_t wait_ms;
+  /* Requests queued and running at the sending agent.  */
+  uint32_t queue;
   /* Request row that a run message speaks of, in the sender's world.  */
   struct galena_request_handle run;
   /* Caller's application link only: see galena_caller_set_user.  */
@@ -146,6 +148,9 @@
 {
   /* Most messages held at once.  */
   uint32_t capacity;
+  /* Whether bodies stay where they are; their owner then keeps them until
+     the mailbox is cleared.  */
+  bool borrow_bodies;
 };
 
 struct galena_mailbox;
@@ -159,7 +164,7 @@
 /* Destroys MAILBOX; accepts NULL.  */
 void galena_mailbox_destroy (struct galena_mailbox *mailbox);
 
-/* Copies MESSAGE and its body into MAILBOX.
+/* Copies MESSAGE, and its body unless bodies are borrowed, into MAILBOX.
    Errors: GALENA_ERR_FULL, GALENA_ERR_TOO_LARGE.  */
 enum galena_result galena_mailbox_push (struct galena_mailbox *mailbox,
                                         const struct galena_message *message);
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -9,6 +9,8 @@
 {
   /* A flow whose accept nobody confirmed ends after this long.  */
   UNCONFIRMED_FLOW_MS = 5000,
+  /* A flow that sent no request for this long counts as idle.  */
+  PROMISE_MS = 1000,
   /* A silent flow ends after this long.  */
   SILENT_FLOW_MS = 120000,
   /* Request numbers remembered one by one above the floor.  */
@@ -40,6 +42,8 @@
   struct galena_flow *flow = galena_agent_flow (world, handle);
   uint64_t key = galena_flow_key (agent->flows_by_id, flow->id);
 
+  galena_agent_end_promise (world, flow);
+  galena_agent_queue (world, flow->kind)->flows--;
   galena_map_remove (agent->flows_by_id, key);
   galena_table_remove (agent->flows, handle.row);
 }
@@ -60,16 +64,14 @@
 
 /* Tells whether this agent may accept OPEN, and why not.  */
 static enum galena_result
-check_open (const struct galena_world *world,
-            const struct galena_message *open)
+check_open (struct galena_world *world, const struct galena_message *open)
 {
-  const struct galena_upstream *self = galena_agent_self (world);
   const struct galena_service *service = galena_agent_service (world);
 
   if (service == NULL
       || !galena_endpoint_equal (service->address, open->service))
     return GALENA_REFUSED_WRONG_SERVICE;
-  if (world->draining || self->state != GALENA_UPSTREAM_ACTIVE)
+  if (galena_agent_is_leaving (world))
     return GALENA_REFUSED_LEAVING;
   if (galena_service_kind (service, open->kind) == NULL)
     return GALENA_REFUSED_KIND;
@@ -77,11 +79,13 @@
       && !galena_agent_is_candidate (
           world, galena_service_bucket (service, open->flow)))
     return GALENA_REFUSED_NOT_CANDIDATE;
-  if (galena_table_count (world->agent->flows) >= self->connections)
+  if (!galena_agent_has_connection (world, open->kind))
     return GALENA_REFUSED_CONNECTIONS;
+  if (!galena_agent_upstream_is_open (world))
+    return GALENA_REFUSED_BY_UPSTREAM;
   if (open->deadline_ms == 0)
     return GALENA_REFUSED_DEADLINE;
-  if (galena_agent_expected_wait_ms (world, open->kind) > open->deadline_ms)
+  if (!galena_agent_has_room (world, open->kind, open->deadline_ms))
     return GALENA_REFUSED_OVERLOAD;
   return GALENA_OK;
 }
@@ -97,6 +101,7 @@
   if (flow == NULL)
     return NULL;
   flow->id = open->flow;
+  flow->kind = open->kind;
   flow->tag
       = galena_tag_make (world->options.upstream, world->options.incarnation,
                          (uint32_t)galena_random_next (&world->random));
@@ -105,7 +110,10 @@
   if (galena_map_insert (agent->flows_by_id, key,
                          galena_handle_pack (handle.row))
       == GALENA_OK)
-    return flow;
+    {
+      galena_agent_queue (world, flow->kind)->flows++;
+      return flow;
+    }
   galena_table_remove (agent->flows, handle.row);
   return NULL;
 }
@@ -149,6 +157,7 @@
       return;
     }
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
+  galena_agent_note_accept (world);
   galena_stats_count (world,
                       galena_agent_service_number (world, message->kind),
                       message->kind, GALENA_KIND_ACCEPTED);
@@ -187,8 +196,16 @@
   return flow;
 }
 
-/* Forgets the requests of FLOW; those that run are cancelled first and go
-   when the upstream has told their end.  */
+/* Whether a request that runs is to be stopped when its flow ends.  Work that
+   must not be doubled is let run to its end, so that it is not lost.  */
+static bool
+is_cancelled_with_flow (const struct galena_request *request)
+{
+  return request->idempotent || request->endless;
+}
+
+/* Forgets the requests of FLOW; those that run go when the upstream has told
+   their end.  */
 static void
 drop_requests_of (struct galena_world *world, struct galena_flow_handle flow)
 {
@@ -203,10 +220,10 @@
       if (galena_handle_pack (request->flow.row)
           != galena_handle_pack (flow.row))
         continue;
-      if (request->state == GALENA_REQUEST_RUNNING)
-        galena_agent_cancel_run (world, handle);
-      else
+      if (request->state != GALENA_REQUEST_RUNNING)
         galena_agent_forget_request (world, handle);
+      else if (is_cancelled_with_flow (request))
+        galena_agent_cancel_run (world, handle);
     }
 }
 
@@ -226,9 +243,12 @@
   struct galena_flow *flow = find_flow (world, message->flow, &handle);
 
   if (flow == NULL || !galena_tag_matches (flow->tag, message->tag))
-    galena_agent_pass_on (world, message);
-  else
-    end_flow (world, handle);
+    {
+      galena_agent_pass_on (world, message);
+      return;
+    }
+  end_flow (world, handle);
+  galena_agent_send_lost (world, message);
 }
 
 static bool
@@ -251,6 +271,8 @@
   while ((flow = galena_table_next (world->agent->flows, &cursor, &handle.row))
          != NULL)
     {
+      if (galena_clock_between (flow->heard, world->now) >= PROMISE_MS)
+        galena_agent_end_promise (world, flow);
       if (!is_expired (world, flow))
         continue;
       galena_world_count (world, GALENA_COUNT_EXPIRED_FLOWS);
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -12,7 +12,9 @@
   SEND_WINDOW_PARTS = 32,
   /* A flow whose owner gave no sign for so long, while it was asked, is
      opened again elsewhere.  */
-  OWNER_SILENT_MS = 3000
+  OWNER_SILENT_MS = 3000,
+  /* An idle flow tells its owner this often that it goes on.  */
+  HEARTBEAT_MS = 30000
 };
 
 struct galena_message
@@ -69,6 +71,7 @@
   message.part = part;
   message.total = request->total;
   message.deadline_ms = galena_clock_left (world->now, request->deadline);
+  message.resume = request->resume;
   message.body = request->body == NULL ? NULL : request->body + at;
   message.body_size = left < GALENA_PART_BYTES ? left : GALENA_PART_BYTES;
   galena_world_send (world, &message);
@@ -133,7 +136,7 @@
 is_out_of_time (const struct galena_world *world,
                 const struct galena_caller_request *request)
 {
-  bool answered = request->answer.base > 0;
+  bool answered = request->delivered > 0;
 
   if (request->endless && answered)
     return false;
@@ -149,8 +152,8 @@
       = galena_caller_request_row (world, handle);
 
   galena_caller_end (world, handle,
-                     request->sent == 0 ? GALENA_REFUSED_DEADLINE
-                                        : GALENA_UNKNOWN_OUTCOME);
+                     request->sent < request->total ? GALENA_REFUSED_DEADLINE
+                                                    : GALENA_UNKNOWN_OUTCOME);
 }
 
 static void
@@ -197,6 +200,42 @@
   return flow->open_requests > 0 && silent_ms >= OWNER_SILENT_MS;
 }
 
+/* Keeps an idle flow from being ended as silent; an owner that does not know
+   the flow replies that it is lost.  */
+static void
+run_idle (struct galena_world *world, struct galena_caller_flow *flow)
+{
+  struct galena_message heartbeat
+      = galena_caller_message (world, flow, GALENA_MESSAGE_ACK_ANSWER);
+
+  flow->heard = world->now;
+  if (!galena_clock_reached (world->now, flow->heartbeat))
+    return;
+  flow->heartbeat = galena_clock_after (world->now, HEARTBEAT_MS);
+  galena_world_send (world, &heartbeat);
+}
+
+/* Does what FLOW needs by its state; may remove the row.  */
+static void
+run_flow (struct galena_world *world, struct galena_caller_flow *flow,
+          struct galena_flow_handle handle)
+{
+  bool is_past = !galena_handle_is_none (flow->successor.row);
+
+  if (flow->state == GALENA_CALLER_FLOW_OPENING)
+    run_opening (world, handle);
+  else if (flow->state == GALENA_CALLER_FLOW_CLOSING
+           || (is_past && flow->open_requests == 0))
+    galena_caller_finish_close (world, handle);
+  else if (flow->open_requests == 0)
+    run_idle (world, flow);
+  else if (owner_is_silent (world, flow))
+    {
+      galena_world_count (world, GALENA_COUNT_REOPENED);
+      galena_caller_reopen (world, handle);
+    }
+}
+
 void
 galena_caller_run_send (struct galena_world *world)
 {
@@ -208,14 +247,9 @@
       (flow = galena_table_next (world->caller->flows, &cursor, &handle.row))
       != NULL)
     {
-      if (flow->state == GALENA_CALLER_FLOW_OPENING)
-        run_opening (world, handle);
-      else if (flow->state == GALENA_CALLER_FLOW_CLOSING)
-        galena_caller_finish_close (world, handle);
-      else if (flow->open_requests == 0)
-        flow->heard = world->now;
-      else if (owner_is_silent (world, flow))
-        galena_caller_reopen (world, handle);
+      if (flow->moving)
+        galena_caller_run_move (world, handle);
+      run_flow (world, flow, handle);
     }
   run_requests (world);
 }
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -122,18 +122,48 @@
   return false;
 }
 
+/* Draws the candidates of FLOW from all active upstreams of SERVICE.  */
+static uint32_t
+draw_candidates (struct galena_world *world,
+                 const struct galena_service *service,
+                 uint32_t chosen[GALENA_CANDIDATES_MAX])
+{
+  uint32_t end = service->first_upstream + service->upstream_count;
+  uint32_t seen = 0;
+
+  for (uint32_t i = service->first_upstream; i < end; i++)
+    {
+      uint32_t at;
+
+      if (galena_config_upstream (world->config, i)->state
+          != GALENA_UPSTREAM_ACTIVE)
+        continue;
+      seen++;
+      at = galena_random_below (&world->random, seen);
+      if (seen <= GALENA_CANDIDATES_MAX)
+        chosen[seen - 1] = i;
+      else if (at < GALENA_CANDIDATES_MAX)
+        chosen[at] = i;
+    }
+  return seen < GALENA_CANDIDATES_MAX ? seen : GALENA_CANDIDATES_MAX;
+}
+
 /* Stores the candidates of PENDING that were not tried; returns how many. */
 static uint32_t
-untried_candidates (const struct galena_world *world,
+untried_candidates (struct galena_world *world,
                     const struct galena_service *service,
                     const struct galena_pending_open *pending,
                     uint32_t untried[GALENA_CANDIDATES_MAX])
 {
   uint32_t all[GALENA_CANDIDATES_MAX];
-  uint32_t total = galena_config_candidates (world->config, service,
-                                             pending->open.flow, all);
+  uint32_t total;
   uint32_t count = 0;
 
+  if (world->entry->choice->any_upstream)
+    total = draw_candidates (world, service, all);
+  else
+    total = galena_config_candidates (world->config, service,
+                                      pending->open.flow, all);
   if (pending->open.unrouted && total > GALENA_UNROUTED_CANDIDATES)
     total = GALENA_UNROUTED_CANDIDATES;
   for (uint32_t i = 0; i < total; i++)
@@ -180,7 +210,8 @@
   count = untried_candidates (world, service, pending, untried);
   if (count == 0)
     return false;
-  chosen = world->entry->choice->choose (world, untried, count);
+  chosen = world->entry->choice->choose (world, pending->open.kind, untried,
+                                         count);
   send_open (world, pending, service,
              galena_config_upstream (world->config, untried[chosen]));
   return true;
@@ -369,12 +400,15 @@
     galena_world_note (
         world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
                                           .upstream = hint->upstream });
-  hint->wait_ms = message->wait_ms;
+  hint->queue = message->queue;
   hint->heard = world->now;
   hint->unanswered = 0;
   hint->suspect_until = world->now;
-  if (message->kind < GALENA_KINDS_MAX)
-    hint->overload[message->kind] = message->overload;
+  if (message->kind >= GALENA_KINDS_MAX)
+    return;
+  hint->overload[message->kind] = message->overload;
+  hint->wait_ms[message->kind] = message->wait_ms;
+  hint->told[message->kind] = world->now;
 }
 
 static void
@@ -600,7 +634,9 @@
 
   if (hint == NULL)
     return;
-  row->wait_ms = hint->wait_ms;
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    if (hint->wait_ms[i] > row->wait_ms)
+      row->wait_ms = hint->wait_ms[i];
   row->suspect = !galena_clock_reached (world->now, hint->suspect_until);
 }
 
--- /dev/null
+++ b/test/bench/path.c
@@ -0,0 +1,385 @@
+/* Time per packet of the entry beside that of a bare relay, over loopback.
+
+   Each thread sends a batch to a subject, times the step that passes it on,
+   and drains it on the far side; then the same for the way back.  Subjects
+   take turns batch by batch.  The figure is the processor time of their steps
+   alone, so other load on the machine counts only through shared caches.  */
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <urcu.h>
+
+#include <galenaford/datagrams.h>
+#include <galenaford/random.h>
+#include <galenaford/tag.h>
+#include <galenaford/wire.h>
+
+#include "bench.h"
+#include "fixture.h"
+#include "sample.h"
+#include "subject.h"
+
+enum
+{
+  ROUNDS = 400,
+  REPEATS = 9,
+  THREADS_MAX = 4,
+  PENDING_OPENS = 4096,
+  ENTRY_PORT = 47000,
+  AGENT_PORT = 48000
+};
+
+struct path_case
+{
+  uint32_t threads;
+  uint32_t body_bytes;
+};
+
+static const struct path_case CASES[] = {
+  { 1, 64 }, { 1, 256 }, { 1, 1024 }, { 2, 256 }, { 4, 256 },
+};
+
+static const struct subject_operations *const SUBJECTS[]
+    = { &subject_relay, &subject_entry };
+
+enum
+{
+  CASE_COUNT = sizeof CASES / sizeof CASES[0],
+  SUBJECT_COUNT = sizeof SUBJECTS / sizeof SUBJECTS[0]
+};
+
+/* One subject of a thread, with the time it took.  */
+struct path_side
+{
+  const struct subject_operations *operations;
+  void *subject;
+  /* Shares the snapshot with the other sides; the port is its own.  */
+  struct process process;
+  /* Peer address of the subject that last reached the agent.  */
+  struct galena_endpoint peer;
+  double busy_ns;
+  uint64_t packets;
+};
+
+/* One thread with a side for each subject, which take turns.  */
+struct path_thread
+{
+  const struct path_case *test;
+  const struct galena_config *config;
+  uint32_t index;
+  pthread_t thread;
+  struct galena_random random;
+  struct galena_datagrams *caller;
+  struct galena_datagrams *agent;
+  struct path_side sides[SUBJECT_COUNT];
+};
+
+/* Least rate of the entry as a share of the relay's.  */
+static const double TARGET_RATIO = 0.85;
+
+static const uint8_t body[GALENA_PART_BYTES];
+
+static void
+add_datagram (struct path_thread *thread, struct galena_datagrams *from,
+              enum galena_message_type type, struct galena_endpoint to)
+{
+  uint32_t index
+      = galena_random_below (&thread->random, FLEET_UPSTREAMS / THREADS_MAX)
+            * THREADS_MAX
+        + thread->index;
+  const struct galena_upstream *upstream
+      = galena_config_upstream (thread->config, index);
+  struct galena_message message = { .type = type, .request = 1, .total = 1 };
+  uint8_t *room = galena_datagrams_next (from);
+  size_t size;
+
+  message.service = fixture_service_address (upstream->service);
+  message.caller = galena_datagrams_address (thread->caller);
+  message.flow = fixture_flow (&thread->random);
+  message.tag = galena_tag_make (upstream->number, 1, 1);
+  message.generation = 1;
+  message.deadline_ms = 5000;
+  message.body = body;
+  message.body_size = thread->test->body_bytes;
+  galena_wire_encode (&message, room, GALENA_DATAGRAM_BYTES_MAX, &size);
+  galena_datagrams_add (from, size, to);
+}
+
+static void
+send_batch (struct path_thread *thread, struct galena_datagrams *from,
+            enum galena_message_type type, struct galena_endpoint to)
+{
+  for (uint32_t i = 0; i < GALENA_BATCH_MAX; i++)
+    add_datagram (thread, from, type, to);
+  galena_datagrams_flush (from);
+}
+
+static uint32_t
+drain (struct galena_datagrams *socket, struct galena_endpoint *source)
+{
+  uint32_t total = 0;
+  uint32_t count;
+  size_t size;
+
+  while ((count = galena_datagrams_receive (socket)) > 0)
+    {
+      total += count;
+      galena_datagrams_get (socket, count - 1, &size, source);
+    }
+  return total;
+}
+
+/* Where a batch comes from and where it comes out.  */
+struct path_way
+{
+  enum galena_message_type type;
+  struct galena_datagrams *from;
+  struct galena_endpoint to;
+  struct galena_datagrams *far;
+};
+
+/* Sends one batch to a subject and times its way through.  */
+static struct galena_endpoint
+run_batch (struct path_thread *thread, struct path_side *side,
+           const struct path_way *way)
+{
+  struct galena_endpoint source = { 0 };
+  double start_ns;
+
+  send_batch (thread, way->from, way->type, way->to);
+  start_ns = thread_cpu_ns ();
+  side->operations->step (side->subject);
+  side->busy_ns += thread_cpu_ns () - start_ns;
+  side->packets += drain (way->far, &source);
+  return source;
+}
+
+static void
+run_round (struct path_thread *thread, struct path_side *side)
+{
+  struct path_way there
+      = { GALENA_MESSAGE_REQUEST, thread->caller,
+          side->process.settings.entry_address, thread->agent };
+  struct path_way back
+      = { GALENA_MESSAGE_ANSWER, thread->agent, { 0 }, thread->caller };
+
+  back.to = run_batch (thread, side, &there);
+  if (back.to.ip != 0)
+    run_batch (thread, side, &back);
+}
+
+static void *
+run_thread (void *data)
+{
+  struct path_thread *thread = data;
+
+  rcu_register_thread ();
+  for (uint32_t round = 0; round < ROUNDS; round++)
+    for (uint32_t i = 0; i < SUBJECT_COUNT; i++)
+      run_round (thread, &thread->sides[i]);
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+/* An address of this process alone, so that runs side by side don't meet.  */
+static uint32_t
+bench_ip (void)
+{
+  return 0x7f5b0000 | ((uint32_t)getpid () & 0xffff);
+}
+
+static void
+fill_process (struct process *process, struct snapshot *snapshot,
+              uint32_t number)
+{
+  struct galena_settings *settings = &process->settings;
+
+  process->snapshot = snapshot;
+  process->seed = number;
+  process_init (process);
+  settings->entry_address.ip = bench_ip ();
+  settings->entry_address.port = (uint16_t)(ENTRY_PORT + number);
+  settings->entry_pending_opens = PENDING_OPENS;
+  snprintf (settings->choice, sizeof settings->choice, "two-wait");
+}
+
+static enum galena_result
+create_side (struct path_thread *thread, uint32_t number,
+             struct snapshot *snapshot)
+{
+  struct path_side *side = &thread->sides[number];
+  struct subject_options options
+      = { &side->process, thread->index,
+          galena_datagrams_address (thread->agent) };
+
+  side->operations = SUBJECTS[number];
+  fill_process (&side->process, snapshot,
+                thread->index * SUBJECT_COUNT + number);
+  return side->operations->create (&options, &side->subject);
+}
+
+static enum galena_result
+create_thread (struct path_thread *thread, const struct path_case *test,
+               uint32_t index, struct snapshot *snapshot)
+{
+  struct galena_datagrams_options caller = { { bench_ip (), 0 }, false };
+  struct galena_datagrams_options agent
+      = { { bench_ip (), (uint16_t)(AGENT_PORT + index) }, false };
+  enum galena_result result;
+
+  thread->test = test;
+  thread->index = index;
+  thread->random.seed = index;
+  thread->config = snapshot_read (snapshot);
+  result = galena_datagrams_create (&caller, &thread->caller);
+  if (result == GALENA_OK)
+    result = galena_datagrams_create (&agent, &thread->agent);
+  for (uint32_t i = 0; result == GALENA_OK && i < SUBJECT_COUNT; i++)
+    result = create_side (thread, i, snapshot);
+  return result;
+}
+
+static void
+destroy_thread (struct path_thread *thread)
+{
+  for (uint32_t i = 0; i < SUBJECT_COUNT; i++)
+    {
+      struct path_side *side = &thread->sides[i];
+
+      if (side->subject == NULL)
+        continue;
+      side->operations->destroy (side->subject);
+      process_release (&side->process);
+    }
+  galena_datagrams_destroy (thread->caller);
+  galena_datagrams_destroy (thread->agent);
+}
+
+/* Figures of one subject in one run of a case.  */
+struct path_run
+{
+  double ns_per_packet;
+  /* Sum over the threads, each at its own busy time.  */
+  double packets_per_s;
+  /* Share of the packets that came out.  */
+  double passed;
+};
+
+static struct path_run
+sum_run (const struct path_thread *threads, uint32_t count, uint32_t number)
+{
+  struct path_run run = { 0 };
+  double busy_ns = 0;
+  double packets = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct path_side *side = &threads[i].sides[number];
+
+      busy_ns += side->busy_ns;
+      packets += (double)side->packets;
+      run.packets_per_s += (double)side->packets * 1e9 / side->busy_ns;
+    }
+  run.ns_per_packet = busy_ns / packets;
+  run.passed = packets / (2.0 * ROUNDS * GALENA_BATCH_MAX * count);
+  return run;
+}
+
+static bool
+run_case (const struct path_case *test, struct snapshot *snapshot,
+          struct path_run runs[SUBJECT_COUNT])
+{
+  struct path_thread threads[THREADS_MAX] = { 0 };
+  uint32_t started = 0;
+  bool good = true;
+
+  for (uint32_t i = 0; good && i < test->threads; i++)
+    good = create_thread (&threads[i], test, i, snapshot) == GALENA_OK;
+  while (good && started < test->threads
+         && pthread_create (&threads[started].thread, NULL, run_thread,
+                            &threads[started])
+                == 0)
+    started++;
+  for (uint32_t i = 0; i < started; i++)
+    pthread_join (threads[i].thread, NULL);
+  for (uint32_t i = 0; i < SUBJECT_COUNT; i++)
+    runs[i] = sum_run (threads, started, i);
+  for (uint32_t i = 0; i < test->threads; i++)
+    destroy_thread (&threads[i]);
+  return good && started == test->threads;
+}
+
+static void
+print_subject (const struct path_case *test, const char *name,
+               const struct samples *ns, const struct samples *rate)
+{
+  printf ("path: subject=%-5s threads=%u body_bytes=%u ns_per_packet=%.0f "
+          "min=%.0f max=%.0f packets_per_busy_s=%.0f\n",
+          name, test->threads, test->body_bytes, samples_median (ns),
+          samples_min (ns), samples_max (ns), samples_median (rate));
+}
+
+static void
+print_ratio (const struct samples *ratio, double passed)
+{
+  double median = samples_median (ratio);
+
+  printf ("path: entry/relay=%.2f min=%.2f max=%.2f passed=%.4f target=%.2f "
+          "%s\n",
+          median, samples_min (ratio), samples_max (ratio), passed,
+          TARGET_RATIO, median >= TARGET_RATIO ? "met" : "missed");
+}
+
+static bool
+run_repeats (const struct path_case *test, struct snapshot *snapshot)
+{
+  struct samples ns[SUBJECT_COUNT] = { 0 };
+  struct samples rate[SUBJECT_COUNT] = { 0 };
+  struct samples ratio = { 0 };
+  double passed = 1;
+
+  for (uint32_t repeat = 0; repeat < REPEATS; repeat++)
+    {
+      struct path_run runs[SUBJECT_COUNT];
+
+      if (!run_case (test, snapshot, runs))
+        return false;
+      for (uint32_t i = 0; i < SUBJECT_COUNT; i++)
+        {
+          samples_add (&ns[i], runs[i].ns_per_packet);
+          samples_add (&rate[i], runs[i].packets_per_s);
+          passed = runs[i].passed < passed ? runs[i].passed : passed;
+        }
+      samples_add (&ratio, runs[1].packets_per_s / runs[0].packets_per_s);
+    }
+  for (uint32_t i = 0; i < SUBJECT_COUNT; i++)
+    print_subject (test, SUBJECTS[i]->name, &ns[i], &rate[i]);
+  print_ratio (&ratio, passed);
+  return true;
+}
+
+bool
+bench_path (void)
+{
+  struct fixture_options fleet = {
+    FLEET_SERVICES, FLEET_UPSTREAMS, { bench_ip (), AGENT_PORT }, THREADS_MAX
+  };
+  struct galena_config *config;
+  struct snapshot *snapshot;
+  bool good = true;
+
+  rcu_register_thread ();
+  if (snapshot_create (&snapshot) != GALENA_OK)
+    return false;
+  if (fixture_config (&fleet, &config) != GALENA_OK)
+    return false;
+  snapshot_replace (snapshot, config);
+  for (uint32_t i = 0; good && i < CASE_COUNT; i++)
+    good = run_repeats (&CASES[i], snapshot);
+  snapshot_destroy (snapshot);
+  rcu_unregister_thread ();
+  return good;
+}
