--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -85,6 +85,7 @@
     return NULL;
   request->flow = flow;
   request->number = message->request;
+  request->resume = message->resume;
   request->arrived = world->now;
   request->kind = kind->number;
   request->idempotent = kind->idempotent;
@@ -96,6 +97,7 @@
       == GALENA_OK)
     {
       galena_agent_flow (world, flow)->open_requests++;
+      galena_agent_end_promise (world, galena_agent_flow (world, flow));
       return request;
     }
   galena_table_remove (agent->requests, handle->row);
