--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -123,6 +123,9 @@
   FIELD_CASE ("hops", hops),
   FIELD_CASE ("overload", overload),
   FIELD_CASE ("wait", wait_ms),
+  FIELD_CASE ("queue", queue),
+  FIELD_CASE ("unrouted", unrouted),
+  FIELD_CASE ("resume", resume),
 };
 
 static void
