Name the service of an accepted flow by number, not by address

Change: the accept tells the service's number; the caller's later packets, reopenings, moves and closes carry it, and entries and agents go by it. Ruled out: dropping packets to an old address, which breaks established flows.

--- a/packages/core/include/galenaford/config.h
+++ b/packages/core/include/galenaford/config.h
@@ -142,6 +142,11 @@
 galena_config_service_at (const struct galena_config *config,
                           struct galena_endpoint address);
 
+/* Returns the service with NUMBER, or NULL.  */
+const struct galena_service *
+galena_config_service_numbered (const struct galena_config *config,
+                                uint32_t number);
+
 /* Returns the upstream with NUMBER, or NULL.  */
 const struct galena_upstream *
 galena_config_upstream_numbered (const struct galena_config *config,
--- a/packages/core/include/galenaford/message.h
+++ b/packages/core/include/galenaford/message.h
@@ -83,6 +83,10 @@
   struct galena_endpoint peer;
   /* The service's address as the caller used it.  */
   struct galena_endpoint service;
+  /* Number of the service that the flow was accepted for; 0 while only its
+     address is known.  Goes before the address, which may come to belong to
+     another service.  */
+  uint32_t service_number;
   /* Return path to the caller, filled in by the entry.  */
   struct galena_endpoint caller;
   /* Entry that sent the message, filled in when agents pass it on.  */
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -56,6 +56,7 @@
   reply.peer = message->entry.ip != 0 ? message->entry : message->peer;
   reply.caller = message->caller;
   reply.service = message->service;
+  reply.service_number = message->service_number;
   reply.flow = message->flow;
   reply.request = message->request;
   reply.kind = message->kind;
--- a/packages/core/src/agent_answer.c
+++ b/packages/core/src/agent_answer.c
@@ -53,7 +53,10 @@
   message.result = request->result;
   galena_agent_tell_load (world, &message);
   if (service != NULL)
-    message.service = service->address;
+    {
+      message.service = service->address;
+      message.service_number = service->number;
+    }
   return message;
 }
 
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -62,14 +62,22 @@
   galena_world_send (world, &refusal);
 }
 
+static bool
+is_meant_for (const struct galena_service *service,
+              const struct galena_message *open)
+{
+  if (open->service_number != 0)
+    return service->number == open->service_number;
+  return galena_endpoint_equal (service->address, open->service);
+}
+
 /* Tells whether this agent may accept OPEN, and why not.  */
 static enum galena_result
 check_open (struct galena_world *world, const struct galena_message *open)
 {
   const struct galena_service *service = galena_agent_service (world);
 
-  if (service == NULL
-      || !galena_endpoint_equal (service->address, open->service))
+  if (service == NULL || !is_meant_for (service, open))
     return GALENA_REFUSED_WRONG_SERVICE;
   if (galena_agent_is_leaving (world))
     return GALENA_REFUSED_LEAVING;
@@ -128,6 +136,7 @@
   flow->caller = open->caller;
   flow->entry = accept.peer;
   accept.tag = flow->tag;
+  accept.service_number = galena_agent_service (world)->number;
   galena_world_send (world, &accept);
 }
 
--- a/packages/core/src/agent_move.c
+++ b/packages/core/src/agent_move.c
@@ -34,7 +34,10 @@
   const struct galena_service *service = galena_agent_service (world);
 
   if (service != NULL)
-    move.service = service->address;
+    {
+      move.service = service->address;
+      move.service_number = service->number;
+    }
   galena_world_send (world, &move);
 }
 
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -250,8 +250,9 @@
                             struct galena_flow_handle handle)
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
-
-  galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
+  struct galena_message close
+      = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
+  galena_caller_tell_close (world, &close);
   galena_caller_abandon_move (world, handle);
   galena_caller_unindex (world, flow->id);
   galena_table_remove (world->caller->flows, handle.row);
@@ -336,6 +337,7 @@
                       struct galena_flow_handle handle)
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+  struct galena_message close;
 
   if (!galena_handle_is_none (flow->successor.row))
     {
@@ -345,7 +347,8 @@
   galena_caller_abandon_move (world, handle);
   galena_caller_for_each_request (world, handle, start_over_or_end,
                                   GALENA_UNKNOWN_OUTCOME);
-  galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
+  close = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
+  galena_caller_tell_close (world, &close);
   galena_caller_unindex (world, flow->id);
   galena_caller_draw_id (world, &flow->id);
   flow->state = GALENA_CALLER_FLOW_OPENING;
--- a/packages/core/src/caller_close.c
+++ b/packages/core/src/caller_close.c
@@ -53,6 +53,7 @@
                                   .peer = world->options.fabric,
                                   .path = world->caller->path,
                                   .service = closing->service,
+                                  .service_number = closing->service_number,
                                   .flow = closing->id,
                                   .tag = closing->tag };
 
@@ -60,26 +61,28 @@
 }
 
 void
-galena_caller_tell_close (struct galena_world *world, struct galena_flow_id id,
-                          struct galena_endpoint service, uint64_t tag)
+galena_caller_tell_close (struct galena_world *world,
+                          const struct galena_message *what)
 {
   struct galena_caller *caller = world->caller;
   struct galena_caller_closing closing
-      = { .id = id,
-          .service = service,
-          .tag = tag,
+      = { .id = what->flow,
+          .service = what->service,
+          .service_number = what->service_number,
+          .tag = what->tag,
           .resend = galena_clock_after (world->now, FIRST_RESEND_MS) };
   struct galena_caller_closing *row;
   struct galena_handle handle;
 
-  if (tag == 0)
+  if (what->tag == 0)
     return;
   send_close (world, &closing);
   row = galena_table_insert (caller->closings, &handle);
   if (row == NULL)
     return;
   *row = closing;
-  if (galena_map_insert (caller->closings_by_id, closing_key (world, id, tag),
+  if (galena_map_insert (caller->closings_by_id,
+                         closing_key (world, what->flow, what->tag),
                          galena_handle_pack (handle))
       != GALENA_OK)
     galena_table_remove (caller->closings, handle);
--- a/packages/core/src/caller_move.c
+++ b/packages/core/src/caller_move.c
@@ -114,19 +114,19 @@
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
   struct galena_flow_handle past;
-  uint64_t tag = accept->tag;
+  struct galena_message surplus = *accept;
 
   if (flow->unrouted)
-    tag = galena_tag_without_route (tag);
+    surplus.tag = galena_tag_without_route (accept->tag);
   if (galena_table_insert (world->caller->flows, &past.row) == NULL)
     {
       galena_caller_abandon_move (world, handle);
-      galena_caller_tell_close (world, accept->flow, accept->service, tag);
+      galena_caller_tell_close (world, &surplus);
       return;
     }
   split_flow (world, handle, past);
   galena_caller_for_each_request (world, handle, leave_behind, GALENA_OK);
-  flow->tag = tag;
+  flow->tag = surplus.tag;
   flow->heard = world->now;
   galena_world_count (world, GALENA_COUNT_MOVED);
 }
--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -35,11 +35,11 @@
 close_surplus (struct galena_world *world, const struct galena_message *accept,
                const struct galena_caller_flow *flow)
 {
-  uint64_t tag = accept->tag;
+  struct galena_message close = *accept;
 
   if (flow != NULL && flow->unrouted)
-    tag = galena_tag_without_route (tag);
-  galena_caller_tell_close (world, accept->flow, accept->service, tag);
+    close.tag = galena_tag_without_route (accept->tag);
+  galena_caller_tell_close (world, &close);
 }
 
 static void
@@ -64,6 +64,7 @@
     flow->state = GALENA_CALLER_FLOW_OPEN;
   flow->tag = flow->unrouted ? galena_tag_without_route (message->tag)
                              : message->tag;
+  flow->service_number = message->service_number;
   flow->heard = world->now;
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
 }
@@ -230,8 +231,7 @@
          struct galena_flow_handle handle)
 {
   if (flow == NULL)
-    galena_caller_tell_close (world, message->flow, message->service,
-                              message->tag);
+    galena_caller_tell_close (world, message);
   else if (flow->state == GALENA_CALLER_FLOW_OPEN
            && galena_tag_matches (message->tag, flow->tag))
     galena_caller_move (world, handle);
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -29,6 +29,7 @@
   message.peer = world->options.fabric;
   message.path = flow->path;
   message.service = flow->service;
+  message.service_number = flow->service_number;
   message.flow = flow->id;
   message.tag = flow->tag;
   message.kind = flow->kind;
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -22,6 +22,8 @@
 {
   struct galena_flow_id id;
   struct galena_endpoint service;
+  /* Service that first accepted the flow; 0 before.  */
+  uint32_t service_number;
   enum galena_caller_flow_state state;
   /* As the flow's packets carry it; 0 while the flow has none.  */
   uint64_t tag;
@@ -57,6 +59,7 @@
 {
   struct galena_flow_id id;
   struct galena_endpoint service;
+  uint32_t service_number;
   uint64_t tag;
   uint32_t tries;
   struct galena_clock resend;
@@ -225,11 +228,10 @@
 /* Creates the table of closings.  Errors: GALENA_ERR_MEMORY.  */
 enum galena_result galena_caller_create_closings (struct galena_world *world);
 
-/* Tells the agent that gave TAG that flow ID is over, until it replies or
-   the tries are spent.  */
+/* Tells the agent that accepted the flow that WHAT speaks of that it is
+   over, until the agent replies or the tries are spent.  */
 void galena_caller_tell_close (struct galena_world *world,
-                               struct galena_flow_id id,
-                               struct galena_endpoint service, uint64_t tag);
+                               const struct galena_message *what);
 
 /* Notes that an agent no longer holds the flow of MESSAGE.  */
 void galena_caller_on_closed (struct galena_world *world,
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -159,6 +159,16 @@
   return &config->services[index];
 }
 
+const struct galena_service *
+galena_config_service_numbered (const struct galena_config *config,
+                                uint32_t number)
+{
+  for (uint32_t i = 0; i < config->service_count; i++)
+    if (config->services[i].number == number)
+      return &config->services[i];
+  return NULL;
+}
+
 const struct galena_upstream *
 galena_config_upstream_numbered (const struct galena_config *config,
                                  uint32_t number)
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -54,6 +54,18 @@
          || !galena_clock_reached (world->now, hint->leaving_until);
 }
 
+/* Returns the service that MESSAGE is meant for: by the number that its flow
+   was accepted under, or by address while it has none.  */
+static const struct galena_service *
+service_of (const struct galena_world *world,
+            const struct galena_message *message)
+{
+  if (message->service_number != 0)
+    return galena_config_service_numbered (world->config,
+                                           message->service_number);
+  return galena_config_service_at (world->config, message->service);
+}
+
 /* Returns the hint on UPSTREAM, made when there is none; NULL when full.  */
 static struct galena_hint *
 hint_for (struct galena_world *world, uint32_t upstream)
@@ -122,8 +134,7 @@
 count_refusal (struct galena_world *world, const struct galena_message *open,
                enum galena_result result)
 {
-  const struct galena_service *service
-      = galena_config_service_at (world->config, open->service);
+  const struct galena_service *service = service_of (world, open);
   bool known
       = service != NULL && galena_service_kind (service, open->kind) != NULL;
 
@@ -235,8 +246,7 @@
 static bool
 try_next (struct galena_world *world, struct galena_pending_open *pending)
 {
-  const struct galena_service *service
-      = galena_config_service_at (world->config, pending->open.service);
+  const struct galena_service *service = service_of (world, &pending->open);
   uint32_t untried[GALENA_CANDIDATES_MAX];
   uint32_t count;
   uint32_t chosen;
@@ -371,7 +381,7 @@
       return;
     }
   galena_world_count (world, GALENA_COUNT_OPENS);
-  service = galena_config_service_at (world->config, open.service);
+  service = service_of (world, &open);
   if (service == NULL)
     {
       refuse_open (world, &open, GALENA_REFUSED_NO_SERVICE);
@@ -455,6 +465,15 @@
     send_onward (world, message, service, upstream);
 }
 
+static bool
+is_meant_for (const struct galena_service *service,
+              const struct galena_message *message)
+{
+  if (message->service_number != 0)
+    return service->number == message->service_number;
+  return galena_endpoint_equal (service->address, message->service);
+}
+
 /* Sends a caller's packet to the agent that its tag names.  */
 static void
 on_caller_data (struct galena_world *world,
@@ -475,7 +494,7 @@
       return;
     }
   service = galena_config_service (world->config, upstream->service);
-  if (!galena_endpoint_equal (service->address, message->service))
+  if (!is_meant_for (service, message))
     {
       galena_world_count (world, GALENA_COUNT_WRONG_SERVICE);
       return;
@@ -523,8 +542,7 @@
                   const struct galena_pending_open *pending, uint32_t upstream)
 {
   const struct galena_message *open = &pending->open;
-  const struct galena_service *service
-      = galena_config_service_at (world->config, open->service);
+  const struct galena_service *service = service_of (world, open);
 
   galena_stats_upstream (world, upstream)->accepted++;
   if (service == NULL || galena_service_kind (service, open->kind) == NULL)
--- a/packages/wire/src/wire.c
+++ b/packages/wire/src/wire.c
@@ -36,13 +36,16 @@
 /* In the order of the array, after the schema version, the type and the set
    of fields present.  A field that is not present is 0.  */
 static const struct wire_field FIELDS[] = {
-  WIRE_ENDPOINT (service),  WIRE_FIELD (flow.high),  WIRE_FIELD (flow.low),
-  WIRE_FIELD (tag),         WIRE_FIELD (generation), WIRE_FIELD (request),
-  WIRE_FIELD (kind),        WIRE_FIELD (part),       WIRE_FIELD (total),
-  WIRE_FIELD (deadline_ms), WIRE_FIELD (result),     WIRE_ENDPOINT (caller),
-  WIRE_ENDPOINT (entry),    WIRE_FIELD (hops),       WIRE_FIELD (overload),
-  WIRE_FIELD (wait_ms),     WIRE_FIELD (queue),      WIRE_FIELD (unrouted),
-  WIRE_FIELD (resume),
+  WIRE_ENDPOINT (service), WIRE_FIELD (flow.high),
+  WIRE_FIELD (flow.low),   WIRE_FIELD (tag),
+  WIRE_FIELD (generation), WIRE_FIELD (request),
+  WIRE_FIELD (kind),       WIRE_FIELD (part),
+  WIRE_FIELD (total),      WIRE_FIELD (deadline_ms),
+  WIRE_FIELD (result),     WIRE_ENDPOINT (caller),
+  WIRE_ENDPOINT (entry),   WIRE_FIELD (hops),
+  WIRE_FIELD (overload),   WIRE_FIELD (wait_ms),
+  WIRE_FIELD (queue),      WIRE_FIELD (unrouted),
+  WIRE_FIELD (resume),     WIRE_FIELD (service_number),
 };
 
 enum
@@ -211,7 +214,7 @@
   if (result != GALENA_OK)
     return result;
 /* Unrolled, each field's offset and size are constants.  */
-#pragma GCC unroll 20
+#pragma GCC unroll 24
   for (uint32_t i = 0; i < FIELD_COUNT; i++)
     {
       uint64_t value;
@@ -271,7 +274,7 @@
   uint64_t present = 0;
   uint32_t count = 0;
 
-#pragma GCC unroll 20
+#pragma GCC unroll 24
   for (uint32_t i = 0; i < FIELD_COUNT; i++)
     {
       uint64_t value = load_field (message, &FIELDS[i]);
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -126,6 +126,7 @@
   FIELD_CASE ("queue", queue),
   FIELD_CASE ("unrouted", unrouted),
   FIELD_CASE ("resume", resume),
+  FIELD_CASE ("service-number", service_number),
 };
 
 static void
