Renew the records after a pause before new flows are taken

Cause: an agent that was paused woke up with the records of before and took new flows for an upstream that had meanwhile been published as leaving. Ruled out: a generation in the open; with ordinary skew every agent that is a little behind would refuse. The watch of the fake had also blamed flows taken just before a pause on the wake-up; it now looks at paused nodes too, and a node that wakes or starts takes the platform's lag to read. Change: after a gap of 2 s between ticks an agent refuses new flows for 2 s, within which records are read; callers and agents give their flows the time of the pause back before they call them silent.

--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -247,6 +247,7 @@
   .name = "agent",
   .create = create_agent,
   .destroy = destroy_agent,
+  .wake = galena_agent_wake,
   .usage = report_usage,
   .report_kind = report_kind,
   .systems = SYSTEMS,
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -167,6 +167,9 @@
   uint64_t generation;
   struct galena_clock generation_since;
   const struct galena_admission_policy *admission;
+  /* Takes no new flows before then: the process was paused, and its records
+     may be old.  */
+  struct galena_clock renewed;
   struct galena_known_entry known_entries[GALENA_KNOWN_ENTRIES];
   /* Place in the flow table up to which this round of moves has come, and
      when the next round may begin.  */
@@ -213,6 +216,10 @@
                                           const struct galena_message *message,
                                           struct galena_flow_handle *handle);
 
+/* Gives flows the time back in which this agent could not hear them, and has
+   the records renewed before new flows are taken.  */
+void galena_agent_wake (struct galena_world *world, int64_t gap_ms);
+
 /* Ends flows that have been silent too long.  */
 void galena_agent_run_expire_flows (struct galena_world *world);
 
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -11,6 +11,8 @@
   UNCONFIRMED_FLOW_MS = 5000,
   /* A flow that sent no request for this long counts as idle.  */
   PROMISE_MS = 1000,
+  /* After a pause, records are read again within this time.  */
+  RENEW_RECORDS_MS = 2000,
   /* A silent flow ends after this long.  */
   SILENT_FLOW_MS = 120000,
   /* Request numbers remembered one by one above the floor.  */
@@ -79,7 +81,8 @@
 
   if (service == NULL || !is_meant_for (service, open))
     return GALENA_REFUSED_WRONG_SERVICE;
-  if (galena_agent_is_leaving (world))
+  if (galena_agent_is_leaving (world)
+      || !galena_clock_reached (world->now, world->agent->renewed))
     return GALENA_REFUSED_LEAVING;
   if (galena_service_kind (service, open->kind) == NULL)
     return GALENA_REFUSED_KIND;
@@ -261,6 +264,20 @@
   galena_agent_send_lost (world, message);
 }
 
+void
+galena_agent_wake (struct galena_world *world, int64_t gap_ms)
+{
+  struct galena_flow *flow;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((flow = galena_table_next (world->agent->flows, &cursor, &handle))
+         != NULL)
+    flow->heard = galena_clock_after (flow->heard, gap_ms);
+  world->agent->renewed
+      = galena_clock_after (world->now, gap_ms + RENEW_RECORDS_MS);
+}
+
 static bool
 is_expired (const struct galena_world *world, const struct galena_flow *flow)
 {
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -445,6 +445,19 @@
   return flow == NULL ? 0 : flow->tag;
 }
 
+/* Gives flows the time back in which this caller could not hear them.  */
+static void
+wake_caller (struct galena_world *world, int64_t gap_ms)
+{
+  struct galena_caller_flow *flow;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((flow = galena_table_next (world->caller->flows, &cursor, &handle))
+         != NULL)
+    flow->heard = galena_clock_after (flow->heard, gap_ms);
+}
+
 static const struct galena_system SYSTEMS[] = {
   { "receive", 0, galena_caller_run_receive },
   { "send", SEND_PERIOD_MS, galena_caller_run_send },
@@ -522,6 +535,7 @@
   .name = "caller",
   .create = create_caller,
   .destroy = destroy_caller,
+  .wake = wake_caller,
   .usage = report_usage,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -95,8 +95,10 @@
   return world->outbox;
 }
 
+/* Notes a late tick.  What the world holds then speaks of an old state of the
+   others.  */
 static void
-note_pause (struct galena_world *world, struct galena_clock now)
+wake_after_pause (struct galena_world *world, struct galena_clock now)
 {
   int64_t gap_ms = galena_clock_between (world->now, now);
 
@@ -105,6 +107,8 @@
   galena_world_note (
       world, (struct galena_audit_row){ .event = GALENA_AUDIT_PAUSED,
                                         .generation = (uint64_t)gap_ms });
+  if (world->role->wake != NULL)
+    world->role->wake (world, gap_ms);
 }
 
 static void
@@ -125,7 +129,7 @@
 galena_world_tick (struct galena_world *world, struct galena_clock now,
                    const struct galena_config *config)
 {
-  note_pause (world, now);
+  wake_after_pause (world, now);
   world->now = now;
   world->config = config;
   galena_mailbox_clear (world->outbox);
--- a/packages/core/src/world_private.h
+++ b/packages/core/src/world_private.h
@@ -29,6 +29,8 @@
   const char *name;
   enum galena_result (*create) (struct galena_world *world);
   void (*destroy) (struct galena_world *world);
+  /* Takes note that no tick ran for GAP_MS; may be NULL.  */
+  void (*wake) (struct galena_world *world, int64_t gap_ms);
   void (*usage) (const struct galena_world *world,
                  struct galena_world_usage *usage);
   /* Tells whether a stop would cut nothing; NULL when that is so without
--- a/test/fake/fleet_platform.c
+++ b/test/fake/fleet_platform.c
@@ -55,6 +55,17 @@
          == GALENA_OK;
 }
 
+/* Whether NODE has had the time to read since it started or woke up.  */
+static bool
+can_read (const struct fleet *fleet, const struct fleet_node *node)
+{
+  int64_t since_ms = galena_clock_between (node->reachable_at, fleet->now);
+
+  return fleet_node_is_up (fleet, node) && !fleet->platform_down
+         && !node->cut_from_platform
+         && since_ms >= fleet->options.platform_lag_ms;
+}
+
 void
 fleet_run_platform (struct fleet *fleet)
 {
@@ -63,8 +74,7 @@
       struct fleet_node *node = &fleet->nodes[i];
       bool changed = false;
 
-      if (!fleet_node_is_up (fleet, node) || node->kind == FLEET_CALLER
-          || fleet->platform_down || node->cut_from_platform)
+      if (node->kind == FLEET_CALLER || !can_read (fleet, node))
         continue;
       for (guint v = 0; v < fleet->versions->len; v++)
         changed |= take_version (
--- a/test/fake/fleet_watch.c
+++ b/test/fake/fleet_watch.c
@@ -84,9 +84,10 @@
         {
           struct fleet_node *node = &fleet->nodes[i];
 
-          if (!fleet_node_is_up (fleet, node) || node->kind == FLEET_CALLER)
+          if (node->world == NULL || node->kind == FLEET_CALLER)
             continue;
-          watch_generation (fleet, node, newest);
+          if (fleet_node_is_up (fleet, node))
+            watch_generation (fleet, node, newest);
           if (node->kind == FLEET_AGENT && node->service == service)
             watch_leaving (fleet, node, newest);
         }
