Count refusals in one place, and late packets not as refusals

Cause: on a running deployment galenactl counters showed the reason outcome-unknown among the refusals of an agent that had refused nothing: a late packet of a request that was done with was counted as one. Requests refused after they were queued were in the count by reason and not in the total. galena_stats_refuse now counts both, and a late packet is a duplicate.

Test: /stats/late-request, which failed with 1 refusal before.

--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -56,7 +56,6 @@
       = galena_agent_reply (world, open, GALENA_MESSAGE_REFUSE);
 
   refusal.result = result;
-  galena_world_count (world, GALENA_COUNT_REFUSED);
   galena_stats_refuse (world, galena_agent_service_number (world, open->kind),
                        open->kind, result);
   galena_world_send (world, &refusal);
--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -41,6 +41,20 @@
   return galena_agent_request (world, *handle);
 }
 
+/* An unknown outcome is told for a request that is done with.  */
+static void
+count_result (struct galena_world *world, uint16_t kind,
+              enum galena_result result)
+{
+  if (!galena_result_is_refusal (result))
+    {
+      galena_world_count (world, GALENA_COUNT_DUPLICATES);
+      return;
+    }
+  galena_stats_refuse (world, galena_agent_service_number (world, kind), kind,
+                       result);
+}
+
 /* Answers MESSAGE with a refusal or the unknown outcome.  */
 static void
 send_result (struct galena_world *world, const struct galena_message *message,
@@ -51,10 +65,7 @@
 
   refusal.tag = message->tag;
   refusal.result = result;
-  galena_world_count (world, GALENA_COUNT_REFUSED);
-  galena_stats_refuse (world,
-                       galena_agent_service_number (world, message->kind),
-                       message->kind, result);
+  count_result (world, message->kind, result);
   galena_world_send (world, &refusal);
 }
 
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -118,7 +118,6 @@
   refusal.peer = open->caller;
   refusal.result = result;
   refusal.body_size = 0;
-  galena_world_count (world, GALENA_COUNT_REFUSED);
   count_refusal (world, open, result);
   galena_world_send (world, &refusal);
 }
--- a/packages/core/src/stats.c
+++ b/packages/core/src/stats.c
@@ -171,6 +171,7 @@
 {
   struct galena_kind_stats *row;
 
+  galena_world_count (world, GALENA_COUNT_REFUSED);
   world->stats->refused[result % GALENA_RESULT_LIMIT]++;
   if (service == 0 || kind >= GALENA_KINDS_MAX)
     return;
--- a/test/unit/test_stats.c
+++ b/test/unit/test_stats.c
@@ -143,6 +143,75 @@
   galena_config_destroy (config);
 }
 
+/* Pushes MESSAGE into WORLD, runs a tick, and returns the first message sent
+   of TYPE.  */
+static const struct galena_message *
+exchange_message (struct galena_world *world,
+                  const struct galena_config *config,
+                  const struct galena_message *message,
+                  enum galena_message_type type)
+{
+  const struct galena_mailbox *outbox = galena_world_outbox (world);
+
+  galena_mailbox_push (galena_world_inbox (world), message);
+  galena_world_tick (world, galena_clock_after (galena_world_now (world), 10),
+                     config);
+  for (uint32_t i = 0; i < galena_mailbox_count (outbox); i++)
+    if (galena_mailbox_get (outbox, i)->type == type)
+      return galena_mailbox_get (outbox, i);
+  return NULL;
+}
+
+/* A late packet of a request that is done with is a duplicate and no
+   refusal, though its outcome is no longer known.  */
+static void
+check_late_request (void)
+{
+  struct galena_world_options options = { .role = GALENA_ROLE_AGENT,
+                                          .upstream = 9,
+                                          .flows = 100,
+                                          .requests = 16,
+                                          .messages = 16 };
+  struct galena_report_options room = { 8, 8 };
+  struct galena_message message = { .type = GALENA_MESSAGE_OPEN,
+                                    .link = GALENA_LINK_PEER,
+                                    .service = SERVICE,
+                                    .kind = 2,
+                                    .flow = { 1, 1 },
+                                    .deadline_ms = 1000 };
+  struct galena_message end
+      = { .type = GALENA_MESSAGE_RUN_END, .link = GALENA_LINK_APPLICATION };
+  struct galena_config *config = make_config (10);
+  const struct galena_message *sent;
+  struct galena_world *world;
+  struct galena_report *report;
+
+  g_assert_cmpint (galena_world_create (&options, &world), ==, GALENA_OK);
+  g_assert_cmpint (galena_report_create (&room, &report), ==, GALENA_OK);
+  sent = exchange_message (world, config, &message, GALENA_MESSAGE_ACCEPT);
+  message.tag = sent->tag;
+  message.type = GALENA_MESSAGE_REQUEST;
+  message.request = 1;
+  message.total = 1;
+  sent = exchange_message (world, config, &message, GALENA_MESSAGE_RUN);
+  end.run = sent->run;
+  exchange_message (world, config, &end, GALENA_MESSAGE_ANSWER);
+  message.type = GALENA_MESSAGE_ACK_ANSWER;
+  message.part = 1;
+  exchange_message (world, config, &message, GALENA_MESSAGE_ANSWER);
+  message.type = GALENA_MESSAGE_REQUEST;
+  message.part = 0;
+  sent = exchange_message (world, config, &message, GALENA_MESSAGE_REFUSE);
+  g_assert_cmpint (sent->result, ==, GALENA_UNKNOWN_OUTCOME);
+  galena_world_report (world, report);
+  g_assert_cmpuint (report->counters.values[GALENA_COUNT_REFUSED], ==, 0);
+  g_assert_cmpuint (report->counters.values[GALENA_COUNT_DUPLICATES], ==, 1);
+  g_assert_cmpuint (report->refused[GALENA_UNKNOWN_OUTCOME], ==, 0);
+  galena_report_destroy (report);
+  galena_world_destroy (world);
+  galena_config_destroy (config);
+}
+
 /* A report takes the newest rows of a trail that holds more.  */
 static void
 check_audit_copy (void)
@@ -175,6 +244,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (REFUSAL_CASES); i++)
     g_test_add_data_func (REFUSAL_CASES[i].name, &REFUSAL_CASES[i],
                           run_refusal_case);
+  g_test_add_func ("/stats/late-request", check_late_request);
   g_test_add_func ("/stats/audit-copy", check_audit_copy);
   return g_test_run ();
 }
