Repair an upload's gaps one round trip at a time

Cause: acknowledgements name the next part expected; after a loss the caller sent one missing part and then waited 250 ms for the next gap. Ruled out: sending the whole window again, which doubles the load of an entry that is short of room. Change: while parts that were sent before the last resend are missing, an acknowledgement that leaves a gap behind it has the next part sent at once.

--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -274,6 +274,7 @@
   drop_number (world, request);
   request->sent = 0;
   request->acknowledged = 0;
+  request->recovery_end = 0;
   if (request->endless)
     {
       request->resume = request->delivered;
--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -160,8 +160,11 @@
 
   if (request == NULL || message->part > request->total)
     return;
-  if (message->part > request->acknowledged)
-    request->acknowledged = message->part;
+  if (message->part <= request->acknowledged)
+    return;
+  request->acknowledged = message->part;
+  if (message->part < request->recovery_end)
+    request->resend = world->now;
 }
 
 /* Passes the parts that are in order to the application.  */
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -128,6 +128,7 @@
   if (request->sent > request->acknowledged)
     {
       galena_world_count (world, GALENA_COUNT_RESENT);
+      request->recovery_end = request->sent;
       send_part (world, flow, request, request->acknowledged);
     }
 }
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -87,6 +87,10 @@
   uint32_t total;
   uint32_t acknowledged;
   uint32_t sent;
+  /* Parts before this one were sent before the last resend; while some of them
+     are not acknowledged, each acknowledgement that leaves a gap behind it
+     has the next missing part sent at once.  */
+  uint32_t recovery_end;
   /* Parts of the answer that came out of order.  */
   struct galena_stream answer;
   uint32_t deadline_ms;
--- a/test/unit/test_path.c
+++ b/test/unit/test_path.c
@@ -11,21 +11,31 @@
   uint32_t answer_bytes;
   uint32_t flow_requests;
   bool idempotent;
+  uint32_t deadline_ms;
   /* Node that dies after a second and starts again a second later.  */
   const char *kill;
 };
 
 static const struct path_case CASES[] = {
-  { "/path/plain", { .delay_ms = 1 }, 100, 100, 1, false, NULL },
-  { "/path/long-flows", { .delay_ms = 1 }, 100, 100, 10, false, NULL },
-  { "/path/large", { .delay_ms = 1 }, 150000, 90000, 1, false, NULL },
-  { "/path/empty-answer", { .delay_ms = 1 }, 100, 0, 1, false, NULL },
+  { "/path/plain", { .delay_ms = 1 }, 100, 100, 1, false, 10000, NULL },
+  { "/path/long-flows", { .delay_ms = 1 }, 100, 100, 10, false, 10000, NULL },
+  { "/path/large", { .delay_ms = 1 }, 150000, 90000, 1, false, 10000, NULL },
+  { "/path/empty-answer", { .delay_ms = 1 }, 100, 0, 1, false, 10000, NULL },
   { "/path/lossy",
     { .delay_ms = 1, .drop = 0.05 },
     3000,
     3000,
     2,
     false,
+    10000,
+    NULL },
+  { "/path/lossy-upload",
+    { .delay_ms = 1, .drop = 0.05 },
+    150000,
+    100,
+    1,
+    false,
+    3000,
     NULL },
   { "/path/crossed",
     { .delay_ms = 1, .duplicate = 0.3, .reorder = 0.3, .reorder_ms = 40 },
@@ -33,9 +43,24 @@
     9000,
     2,
     false,
+    10000,
     NULL },
-  { "/path/entry-dies", { .delay_ms = 1 }, 3000, 3000, 5, false, "entry-1" },
-  { "/path/agent-dies", { .delay_ms = 1 }, 3000, 3000, 5, false, "agent-1" },
+  { "/path/entry-dies",
+    { .delay_ms = 1 },
+    3000,
+    3000,
+    5,
+    false,
+    10000,
+    "entry-1" },
+  { "/path/agent-dies",
+    { .delay_ms = 1 },
+    3000,
+    3000,
+    5,
+    false,
+    10000,
+    "agent-1" },
 };
 
 static const struct galena_kind KINDS[] = {
@@ -56,7 +81,7 @@
                              .body_bytes = test->body_bytes,
                              .answer_bytes = test->answer_bytes,
                              .work_ms = 20,
-                             .deadline_ms = 10000,
+                             .deadline_ms = test->deadline_ms,
                              .idempotent = test->idempotent,
                              .until = { 4000 } };
   struct fleet *fleet = fleet_create (&options);
