--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -610,6 +610,12 @@
     }
 }
 
+static bool
+has_pending (const struct galena_world *world)
+{
+  return galena_table_count (world->entry->pending) > 0;
+}
+
 static const struct galena_system SYSTEMS[] = {
   { "receive", 0, run_receive },
   { "retry", RETRY_PERIOD_MS, run_retry },
@@ -711,6 +717,7 @@
   .usage = report_usage,
   .is_idle = is_idle,
   .report_upstream = report_upstream,
+  .busy = has_pending,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
 };
