Drive the daemon's control thread by the sync; relay records to peers

Cause: the control thread blocked in one read at a time and knew no peers.

Change: control.c carries out the sync's actions: reads by libcurl's multi interface, framed TCP links to peers in relay.c, the texts of the records in force in texts.c for peers that fetch them. One thread, which waits for all of them at once.

--- a/packages/daemon/src/control.c
+++ b/packages/daemon/src/control.c
@@ -1,22 +1,20 @@
-/* Watches the index record and reads each service record that it announces
-   as newer than the one in force.  */
+/* The front end of a process's sync: reads of the platform over HTTP, links
+   to peers over TCP, parsing, and the snapshot.  */
 
-#include <errno.h>
-#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include <urcu.h>
 
-#include <galenaford/http.h>
+#include <galenaford/instances.h>
 #include <galenaford/log.h>
 #include <galenaford/monotonic.h>
-#include <galenaford/random.h>
+#include <galenaford/reads.h>
 #include <galenaford/record.h>
 
 #include "control.h"
+#include "relay.h"
 
 enum
 {
@@ -24,32 +22,25 @@
   AUDIT_ROWS = 1024,
   PATH_BYTES = 128,
   READ_TIMEOUT_MS = 2000,
-  /* Least and most wait after a failed read.  */
-  RETRY_MIN_MS = 200,
-  RETRY_MAX_MS = 2000
+  READS_MAX = 8,
+  WAIT_FDS_MAX = 64
 };
 
 struct control
 {
   struct process *process;
   pthread_t thread;
-  struct galena_http *http;
+  struct galena_reads *reads;
   struct galena_audit *audit;
-  struct galena_records *records;
-  struct galena_random random;
-  /* Generation of the last index read in full.  */
-  uint64_t index_generation;
-  /* Wait after the next failed read.  */
-  uint32_t retry_ms;
+  struct galena_sync *sync;
+  struct texts *texts;
+  struct relay *relay;
+  /* Type of each read in progress, by the index of its handle.  */
+  enum galena_sync_read_type types[READS_MAX];
+  /* Audit rows handed over so far.  */
+  uint64_t reported;
 };
 
-/* Hands the audit trail to the console, which logs it.  */
-static void
-report_audit (struct control *control)
-{
-  process_report_audit (control->process, control->audit);
-}
-
 static void
 log_faults (const char *name, const struct galena_faults *faults)
 {
@@ -60,59 +51,172 @@
         galena_result_word (faults->rows[i].result), faults->rows[i].allowed);
 }
 
-static enum galena_result
-read_service (struct control *control, const struct galena_index_row *row)
+/* Keeps TEXT for peers if RECORD, which was made from it, is in force.  */
+static void
+keep_text (struct control *control, const struct galena_service_record *record,
+           const char *text, size_t size)
+{
+  const struct galena_service_record *held = galena_records_find (
+      galena_sync_records (control->sync), record->service.number);
+
+  if (held != NULL && held->service.digest == record->service.digest)
+    texts_put (control->texts, record->service.number, record->service.digest,
+               text, size);
+}
+
+/* Hands a record that a peer sent to the sync.  */
+static void
+take_relayed (void *data, struct galena_sync_event *event,
+              struct galena_sync_message *message, const char *text,
+              size_t size)
 {
+  struct control *control = data;
   struct galena_service_record record;
   struct galena_faults faults;
-  char path[PATH_BYTES];
-  const char *text;
-  size_t size;
-  enum galena_result result;
+  bool valid = galena_record_parse (text, size, &record, &faults) == GALENA_OK;
 
-  snprintf (path, sizeof path, "/services/%s", row->name);
-  result
-      = galena_http_get (control->http, path, READ_TIMEOUT_MS, &text, &size);
-  if (result != GALENA_OK)
-    return result;
-  result = galena_record_parse (text, size, &record, &faults);
-  if (result != GALENA_OK)
-    {
-      log_faults (row->name, &faults);
-      return GALENA_OK;
-    }
-  galena_records_take (control->records, &record, galena_monotonic_now ());
+  if (valid)
+    message->record = &record;
+  else
+    log_faults ("relayed", &faults);
+  galena_sync_take (control->sync, event, galena_monotonic_now ());
+  if (!valid)
+    return;
+  keep_text (control, &record, text, size);
   galena_record_release (&record);
-  report_audit (control);
-  return GALENA_OK;
 }
 
-static bool
-is_newer (const struct control *control, const struct galena_index_row *row)
+static void
+take_index (struct control *control, struct galena_sync_event *event,
+            const struct galena_read_end *end)
+{
+  struct galena_index_record index;
+  struct galena_faults faults;
+
+  event->result = galena_index_parse (end->text, end->size, &index, &faults);
+  if (event->result != GALENA_OK)
+    log_faults ("index", &faults);
+  event->index = &index;
+  galena_sync_take (control->sync, event, galena_monotonic_now ());
+  galena_index_release (&index);
+}
+
+static void
+take_service (struct control *control, struct galena_sync_event *event,
+              const struct galena_read_end *end)
 {
-  const struct galena_service_record *present
-      = galena_records_find (control->records, row->number);
+  struct galena_service_record record;
+  struct galena_faults faults;
 
-  return present == NULL || row->generation > present->service.generation;
+  event->result = galena_record_parse (end->text, end->size, &record, &faults);
+  if (event->result != GALENA_OK)
+    log_faults ("read", &faults);
+  event->record = &record;
+  galena_sync_take (control->sync, event, galena_monotonic_now ());
+  if (event->result != GALENA_OK)
+    return;
+  keep_text (control, &record, end->text, end->size);
+  galena_record_release (&record);
 }
 
-static enum galena_result
-read_newer_services (struct control *control,
-                     const struct galena_index_record *index)
+static void
+take_instances (struct control *control, struct galena_sync_event *event,
+                const struct galena_read_end *end)
+{
+  struct galena_instance_list list;
+
+  event->result = galena_instances_parse (end->text, end->size, &list);
+  event->instances = &list;
+  galena_sync_take (control->sync, event, galena_monotonic_now ());
+  galena_instances_release (&list);
+}
+
+struct read_kind
+{
+  /* Path of the read; the formats take what read_path gives.  */
+  const char *path;
+  void (*take) (struct control *, struct galena_sync_event *,
+                const struct galena_read_end *);
+};
+
+static const struct read_kind READ_KINDS[GALENA_SYNC_READ_COUNT] = {
+  [GALENA_SYNC_READ_INDEX] = { "/index", take_index },
+  [GALENA_SYNC_READ_SERVICE] = { "/services/", take_service },
+  [GALENA_SYNC_READ_LEAVING] = { "/instances?state=leaving", take_instances },
+  [GALENA_SYNC_READ_INSTANCES] = { "/instances", take_instances },
+};
+
+static void
+make_path (const struct galena_sync_read *what, char *path)
+{
+  const char *start = READ_KINDS[what->type].path;
+
+  if (what->type == GALENA_SYNC_READ_INDEX)
+    snprintf (path, PATH_BYTES, "%s?after=%llu&wait_ms=%u", start,
+              (unsigned long long)what->after, what->wait_ms);
+  else
+    snprintf (path, PATH_BYTES, "%s%s", start, what->name);
+}
+
+static void
+take_failure (struct control *control, struct galena_sync_event *event,
+              enum galena_sync_read_type type)
+{
+  bool list
+      = type == GALENA_SYNC_READ_LEAVING || type == GALENA_SYNC_READ_INSTANCES;
+
+  if (!list || event->result != GALENA_ERR_NOT_FOUND)
+    galena_log (LOG_WARNING, "platform-read-failed", "result=%s",
+                galena_result_word (event->result));
+  galena_sync_take (control->sync, event, galena_monotonic_now ());
+}
+
+static void
+take_ended (struct control *control)
 {
-  enum galena_result first_error = GALENA_OK;
+  struct galena_read_end end;
 
-  for (uint32_t i = 0; i < index->count; i++)
+  while (galena_reads_next (control->reads, &end))
     {
-      enum galena_result result;
+      struct galena_sync_event event
+          = { .type = GALENA_SYNC_READ_ENDED, .result = end.result };
+      enum galena_sync_read_type type;
 
-      if (!is_newer (control, &index->rows[i]))
-        continue;
-      result = read_service (control, &index->rows[i]);
-      if (result != GALENA_OK && first_error == GALENA_OK)
-        first_error = result;
+      event.read.row = galena_handle_unpack (end.user);
+      type = control->types[event.read.row.index % READS_MAX];
+      if (end.result == GALENA_OK)
+        READ_KINDS[type].take (control, &event, &end);
+      else
+        take_failure (control, &event, type);
     }
-  return first_error;
+}
+
+static void
+start_read (struct control *control, const struct galena_sync_action *action)
+{
+  struct galena_sync_event event
+      = { .type = GALENA_SYNC_READ_ENDED, .read = action->read };
+  char path[PATH_BYTES];
+
+  make_path (&action->what, path);
+  control->types[action->read.row.index % READS_MAX] = action->what.type;
+  event.result = galena_reads_start (control->reads, path,
+                                     action->what.wait_ms + READ_TIMEOUT_MS,
+                                     galena_handle_pack (action->read.row));
+  if (event.result != GALENA_OK)
+    galena_sync_take (control->sync, &event, galena_monotonic_now ());
+}
+
+static void
+run_actions (struct control *control)
+{
+  struct galena_sync_action action;
+
+  while (galena_sync_next (control->sync, &action))
+    if (action.type == GALENA_SYNC_DO_READ)
+      start_read (control, &action);
+    else
+      relay_act (control->relay, &action);
 }
 
 static void
@@ -120,59 +224,47 @@
 {
   struct galena_config *config;
 
-  if (galena_records_snapshot (control->records, &config) != GALENA_OK)
+  if (galena_sync_snapshot (control->sync, &config) == GALENA_OK)
+    snapshot_replace (control->process->snapshot, config);
+}
+
+/* Hands new rows of the audit trail to the console, which logs them.  */
+static void
+report_audit (struct control *control)
+{
+  uint64_t newest = galena_audit_newest (control->audit);
+
+  if (newest == control->reported)
     return;
-  snapshot_replace (control->process->snapshot, config);
+  control->reported = newest;
+  process_report_audit (control->process, control->audit);
 }
 
-/* Waits for a newer index and brings what it announces into force.  */
-static enum galena_result
-watch_once (struct control *control)
+static void
+wait_for_work (struct control *control)
 {
-  uint32_t wait_ms = control->process->settings.platform_wait_ms;
-  struct galena_index_record index;
-  struct galena_faults faults;
-  char path[PATH_BYTES];
-  const char *text;
-  size_t size;
-  enum galena_result result;
+  struct pollfd fds[WAIT_FDS_MAX]
+      = { { control->process->stop_fd, POLLIN, 0 } };
+  uint32_t count = 1 + relay_fds (control->relay, fds + 1, WAIT_FDS_MAX - 1);
+  uint32_t left_ms = galena_clock_left (galena_monotonic_now (),
+                                        galena_sync_due (control->sync));
 
-  snprintf (path, sizeof path, "/index?after=%llu&wait_ms=%u",
-            (unsigned long long)control->index_generation, wait_ms);
-  result = galena_http_get (control->http, path, wait_ms + READ_TIMEOUT_MS,
-                            &text, &size);
-  if (result != GALENA_OK)
-    return result;
-  result = galena_index_parse (text, size, &index, &faults);
-  if (result != GALENA_OK)
-    {
-      log_faults ("index", &faults);
-      return result;
-    }
-  if (index.generation > control->index_generation)
-    {
-      result = read_newer_services (control, &index);
-      publish_snapshot (control);
-      if (result == GALENA_OK)
-        control->index_generation = index.generation;
-    }
-  galena_index_release (&index);
-  return result;
+  galena_reads_wait (control->reads, fds, count, left_ms);
 }
 
-/* Waits a random part of the retry time; the time doubles up to its limit.  */
 static void
-wait_before_retry (struct control *control)
+run_once (struct control *control)
 {
-  uint32_t wait_ms
-      = RETRY_MIN_MS
-        + galena_random_below (&control->random, control->retry_ms);
-  struct pollfd stop = { control->process->stop_fd, POLLIN, 0 };
-
-  poll (&stop, 1, (int)wait_ms);
-  control->retry_ms *= 2;
-  if (control->retry_ms > RETRY_MAX_MS)
-    control->retry_ms = RETRY_MAX_MS;
+  struct galena_clock now = galena_monotonic_now ();
+
+  if (galena_clock_reached (now, galena_sync_due (control->sync)))
+    galena_sync_tick (control->sync, now);
+  take_ended (control);
+  relay_run (control->relay, now);
+  run_actions (control);
+  if (galena_sync_changed (control->sync))
+    publish_snapshot (control);
+  report_audit (control);
 }
 
 static void *
@@ -181,20 +273,11 @@
   struct control *control = data;
 
   rcu_register_thread ();
+  galena_sync_tick (control->sync, galena_monotonic_now ());
   while (!atomic_load (&control->process->stopping))
     {
-      enum galena_result result = watch_once (control);
-
-      if (result == GALENA_OK)
-        {
-          control->retry_ms = RETRY_MIN_MS;
-          continue;
-        }
-      if (atomic_load (&control->process->stopping))
-        break;
-      galena_log (LOG_WARNING, "platform-read-failed", "result=%s",
-                  galena_result_word (result));
-      wait_before_retry (control);
+      run_once (control);
+      wait_for_work (control);
     }
   rcu_unregister_thread ();
   return NULL;
@@ -203,29 +286,60 @@
 static void
 destroy_control (struct control *control)
 {
-  galena_http_destroy (control->http);
-  galena_records_destroy (control->records);
+  relay_destroy (control->relay);
+  galena_sync_destroy (control->sync);
+  texts_destroy (control->texts);
+  galena_reads_destroy (control->reads);
   galena_audit_destroy (control->audit);
   free (control);
 }
 
+static enum galena_result
+create_sync (struct control *control)
+{
+  const struct galena_settings *settings = &control->process->settings;
+  struct galena_sync_options options
+      = { .self = { settings->peers_address, settings->role },
+          .service = settings->agent_service,
+          .seed = control->process->seed,
+          .readers = settings->platform_readers,
+          .reads_per_second = settings->platform_reads_per_second,
+          .wait_ms = settings->platform_wait_ms,
+          .instances = true,
+          .audit = control->audit };
+
+  options.seed_count = settings->peers_seeds.count;
+  for (uint32_t i = 0; i < options.seed_count; i++)
+    options.seeds[i] = settings->peers_seeds.rows[i];
+  return galena_sync_create (&options, &control->sync);
+}
+
 static enum galena_result
 create_parts (struct control *control)
 {
   const struct galena_settings *settings = &control->process->settings;
-  struct galena_http_options http
-      = { settings->platform_url, GALENA_RECORD_BYTES_MAX };
+  struct galena_reads_options reads
+      = { settings->platform_url, GALENA_RECORD_BYTES_MAX, READS_MAX };
   struct galena_audit_options audit = { AUDIT_ROWS };
-  struct galena_records_options records = { SERVICES_MAX, NULL };
-  enum galena_result result = galena_http_create (&http, &control->http);
+  struct relay_options relay = { .address = settings->peers_address,
+                                 .take_record = take_relayed,
+                                 .data = control };
+  enum galena_result result = galena_reads_create (&reads, &control->reads);
 
   if (result != GALENA_OK)
     return result;
   result = galena_audit_create (&audit, &control->audit);
   if (result != GALENA_OK)
     return result;
-  records.audit = control->audit;
-  return galena_records_create (&records, &control->records);
+  result = texts_create (SERVICES_MAX, &control->texts);
+  if (result != GALENA_OK)
+    return result;
+  result = create_sync (control);
+  if (result != GALENA_OK)
+    return result;
+  relay.sync = control->sync;
+  relay.texts = control->texts;
+  return relay_create (&relay, &control->relay);
 }
 
 enum galena_result
@@ -237,8 +351,6 @@
   if (control == NULL)
     return GALENA_ERR_MEMORY;
   control->process = process;
-  control->random.seed = process->seed;
-  control->retry_ms = RETRY_MIN_MS;
   result = create_parts (control);
   if (result != GALENA_OK)
     goto fail;
@@ -260,7 +372,6 @@
 {
   if (control == NULL)
     return;
-  galena_http_abort (control->http);
   pthread_join (control->thread, NULL);
   destroy_control (control);
 }
--- /dev/null
+++ b/packages/daemon/src/relay.c
@@ -0,0 +1,309 @@
+/* A table of connections, one row a link of the sync.  */
+
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <galenaford/framing.h>
+#include <galenaford/relay.h>
+#include <galenaford/table.h>
+
+#include "relay.h"
+
+enum
+{
+  /* Most bytes that wait to be sent to one peer.  */
+  SEND_MAX = GALENA_RELAY_BYTES_MAX + 256 * 1024
+};
+
+struct connection
+{
+  struct galena_peer_handle peer;
+  int fd;
+  struct galena_framing *framing;
+  /* Set when the connection failed; it is ended in the next run.  */
+  bool failed;
+};
+
+struct relay
+{
+  struct relay_options options;
+  int listener;
+  struct galena_table *connections;
+  /* Room for one message with a record.  */
+  uint8_t *bytes;
+};
+
+enum galena_result
+relay_create (const struct relay_options *options, struct relay **out)
+{
+  struct galena_table_options connections
+      = { sizeof (struct connection), 2 * GALENA_SYNC_LINKS_MAX };
+  struct relay *relay = calloc (1, sizeof *relay);
+  enum galena_result result = GALENA_ERR_MEMORY;
+
+  if (relay == NULL)
+    return GALENA_ERR_MEMORY;
+  relay->options = *options;
+  relay->listener = -1;
+  relay->bytes = malloc (GALENA_RELAY_BYTES_MAX);
+  if (relay->bytes == NULL)
+    goto fail;
+  result = galena_table_create (&connections, &relay->connections);
+  if (result != GALENA_OK)
+    goto fail;
+  if (options->address.ip != 0)
+    result = galena_tcp_listen (options->address, &relay->listener);
+  if (result != GALENA_OK)
+    goto fail;
+  *out = relay;
+  return GALENA_OK;
+
+fail:
+  relay_destroy (relay);
+  return result;
+}
+
+static void
+close_connection (struct relay *relay, struct connection *connection,
+                  struct galena_handle handle)
+{
+  close (connection->fd);
+  galena_framing_destroy (connection->framing);
+  galena_table_remove (relay->connections, handle);
+}
+
+void
+relay_destroy (struct relay *relay)
+{
+  struct connection *connection;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  if (relay == NULL)
+    return;
+  while (relay->connections != NULL
+         && (connection
+             = galena_table_next (relay->connections, &cursor, &handle))
+                != NULL)
+    close_connection (relay, connection, handle);
+  galena_table_destroy (relay->connections);
+  if (relay->listener >= 0)
+    close (relay->listener);
+  free (relay->bytes);
+  free (relay);
+}
+
+static struct connection *
+find_connection (const struct relay *relay, struct galena_peer_handle peer,
+                 struct galena_handle *handle)
+{
+  uint64_t packed = galena_handle_pack (peer.row);
+  struct connection *connection;
+  uint32_t cursor = 0;
+
+  while ((connection = galena_table_next (relay->connections, &cursor, handle))
+         != NULL)
+    if (galena_handle_pack (connection->peer.row) == packed)
+      return connection;
+  return NULL;
+}
+
+static void
+end_link (struct relay *relay, struct galena_peer_handle peer,
+          struct galena_clock now)
+{
+  struct galena_sync_event event
+      = { .type = GALENA_SYNC_LINK_ENDED, .peer = peer };
+
+  galena_sync_take (relay->options.sync, &event, now);
+}
+
+/* Adds a connection on FD; closes FD when that fails.  A row without a socket
+   is marked as failed, so that the sync hears of it.  */
+static void
+add_connection (struct relay *relay, struct galena_peer_handle peer, int fd)
+{
+  struct galena_framing_options options = { GALENA_RELAY_BYTES_MAX, SEND_MAX };
+  struct galena_handle handle;
+  struct connection *connection
+      = galena_table_insert (relay->connections, &handle);
+
+  if (connection == NULL)
+    {
+      if (fd >= 0)
+        close (fd);
+      return;
+    }
+  connection->peer = peer;
+  connection->fd = fd;
+  connection->failed
+      = fd < 0
+        || galena_framing_create (&options, &connection->framing) != GALENA_OK;
+}
+
+static void
+act_connect (struct relay *relay, const struct galena_sync_action *action)
+{
+  int fd = -1;
+
+  if (galena_tcp_connect (action->address, &fd) != GALENA_OK)
+    fd = -1;
+  add_connection (relay, action->peer, fd);
+}
+
+static void
+act_close (struct relay *relay, const struct galena_sync_action *action)
+{
+  struct galena_handle handle;
+  struct connection *connection
+      = find_connection (relay, action->peer, &handle);
+
+  if (connection != NULL)
+    close_connection (relay, connection, handle);
+}
+
+static void
+act_send (struct relay *relay, const struct galena_sync_action *action)
+{
+  const struct galena_sync_message *message = &action->message;
+  struct galena_handle handle;
+  struct connection *connection
+      = find_connection (relay, action->peer, &handle);
+  const char *text = NULL;
+  size_t text_size = 0;
+  size_t size;
+
+  if (connection == NULL || connection->failed)
+    return;
+  if (message->type == GALENA_SYNC_RECORD)
+    {
+      text = texts_find (relay->options.texts, message->number,
+                         message->digest, &text_size);
+      if (text == NULL)
+        return;
+    }
+  if (galena_relay_encode (message, text, text_size, relay->bytes,
+                           GALENA_RELAY_BYTES_MAX, &size)
+          != GALENA_OK
+      || galena_framing_add (connection->framing, relay->bytes, (uint32_t)size)
+             != GALENA_OK)
+    connection->failed = true;
+}
+
+/* Actions that concern peers.  */
+static void (*const ACTIONS[GALENA_SYNC_ACTION_COUNT]) (
+    struct relay *, const struct galena_sync_action *)
+    = {
+        [GALENA_SYNC_DO_CONNECT] = act_connect,
+        [GALENA_SYNC_DO_CLOSE] = act_close,
+        [GALENA_SYNC_DO_SEND] = act_send,
+      };
+
+void
+relay_act (struct relay *relay, const struct galena_sync_action *action)
+{
+  if (ACTIONS[action->type] != NULL)
+    ACTIONS[action->type](relay, action);
+}
+
+uint32_t
+relay_fds (const struct relay *relay, struct pollfd *fds, uint32_t max)
+{
+  const struct connection *connection;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+
+  if (relay->listener >= 0)
+    fds[count++] = (struct pollfd){ relay->listener, POLLIN, 0 };
+  while (count < max
+         && (connection
+             = galena_table_next (relay->connections, &cursor, &handle))
+                != NULL)
+    {
+      bool sends = !connection->failed
+                   && galena_framing_waiting (connection->framing) > 0;
+
+      if (connection->fd < 0)
+        continue;
+      fds[count++]
+          = (struct pollfd){ connection->fd,
+                             (short)(POLLIN | (sends ? POLLOUT : 0)), 0 };
+    }
+  return count;
+}
+
+static void
+accept_peers (struct relay *relay, struct galena_clock now)
+{
+  struct galena_peer_handle peer;
+  int fd;
+
+  while (relay->listener >= 0
+         && (fd = galena_tcp_accept (relay->listener)) >= 0)
+    if (galena_sync_accept (relay->options.sync, now, &peer) == GALENA_OK)
+      add_connection (relay, peer, fd);
+    else
+      close (fd);
+}
+
+static void
+take_message (struct relay *relay, struct connection *connection,
+              const uint8_t *bytes, uint32_t size, struct galena_clock now)
+{
+  struct galena_sync_message message;
+  struct galena_sync_event event = { .type = GALENA_SYNC_RECEIVED,
+                                     .peer = connection->peer,
+                                     .message = &message };
+  const char *text;
+  size_t text_size;
+
+  if (galena_relay_decode (bytes, size, &message, &text, &text_size)
+      != GALENA_OK)
+    connection->failed = true;
+  else if (message.type == GALENA_SYNC_RECORD)
+    relay->options.take_record (relay->options.data, &event, &message, text,
+                                text_size);
+  else
+    galena_sync_take (relay->options.sync, &event, now);
+}
+
+static void
+receive (struct relay *relay, struct connection *connection,
+         struct galena_clock now)
+{
+  const uint8_t *bytes;
+  uint32_t size;
+
+  if (galena_framing_receive (connection->framing, connection->fd)
+      != GALENA_OK)
+    connection->failed = true;
+  while (!connection->failed
+         && (bytes = galena_framing_next (connection->framing, &size)) != NULL)
+    take_message (relay, connection, bytes, size, now);
+}
+
+void
+relay_run (struct relay *relay, struct galena_clock now)
+{
+  struct connection *connection;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  accept_peers (relay, now);
+  while (
+      (connection = galena_table_next (relay->connections, &cursor, &handle))
+      != NULL)
+    {
+      if (!connection->failed)
+        receive (relay, connection, now);
+      if (!connection->failed
+          && galena_framing_send (connection->framing, connection->fd)
+                 != GALENA_OK)
+        connection->failed = true;
+      if (!connection->failed)
+        continue;
+      end_link (relay, connection->peer, now);
+      close_connection (relay, connection, handle);
+    }
+}
--- a/packages/platform/include/galenaford/settings.h
+++ b/packages/platform/include/galenaford/settings.h
@@ -6,6 +6,7 @@
 #include <stdio.h>
 
 #include <galenaford/config.h>
+#include <galenaford/sync.h>
 #include <galenaford/world.h>
 
 enum
@@ -13,6 +14,12 @@
   GALENA_SETTING_BYTES = 256
 };
 
+struct galena_addresses
+{
+  uint32_t count;
+  struct galena_endpoint rows[GALENA_SYNC_SEEDS_MAX];
+};
+
 struct galena_settings
 {
   /* [process] */
@@ -28,9 +35,16 @@
   uint32_t agent_upstream;
   char agent_upstream_url[GALENA_SETTING_BYTES];
   uint32_t agent_requests;
+  /* 0 keeps the records of all services.  */
+  uint32_t agent_service;
   /* [platform] */
   char platform_url[GALENA_SETTING_BYTES];
   uint32_t platform_wait_ms;
+  uint32_t platform_readers;
+  uint32_t platform_reads_per_second;
+  /* [peers]; no address, no links.  */
+  struct galena_endpoint peers_address;
+  struct galena_addresses peers_seeds;
   /* [policy] */
   char choice[GALENA_NAME_BYTES];
   char admission[GALENA_NAME_BYTES];
--- a/packages/platform/src/settings.c
+++ b/packages/platform/src/settings.c
@@ -74,6 +74,27 @@
   return true;
 }
 
+static bool
+read_addresses (const struct setting_row *row, const char *text, void *at)
+{
+  struct galena_addresses *addresses = at;
+  char copy[GALENA_SETTING_BYTES];
+  char *rest = NULL;
+
+  (void)row;
+  addresses->count = 0;
+  if (strlen (text) >= sizeof copy)
+    return false;
+  memcpy (copy, text, strlen (text) + 1);
+  for (const char *word = strtok_r (copy, ", ", &rest); word != NULL;
+       word = strtok_r (NULL, ", ", &rest))
+    if (addresses->count == GALENA_SYNC_SEEDS_MAX
+        || galena_endpoint_parse (word, &addresses->rows[addresses->count++])
+               != GALENA_OK)
+      return false;
+  return true;
+}
+
 static bool
 read_url (const struct setting_row *row, const char *text, void *at)
 {
@@ -185,6 +206,13 @@
     16,
     65536,
     GALENA_ROLE_AGENT },
+  { { "agent", "service", "0", "0 to 1000000",
+      "Number of the service whose record is kept; 0 keeps all.", NULL },
+    read_number,
+    PLACE (agent_service),
+    0,
+    1000000,
+    GALENA_ROLE_AGENT },
   { { "platform", "url", NULL, "http://A.B.C.D:PORT",
       "The platform's configuration service.", NULL },
     read_url,
@@ -199,6 +227,34 @@
     100,
     60000,
     GALENA_ROLE_COUNT },
+  { { "platform", "readers", "64", "1 to 100000",
+      "Processes that read the platform, at least.", NULL },
+    read_number,
+    PLACE (platform_readers),
+    1,
+    100000,
+    GALENA_ROLE_COUNT },
+  { { "platform", "reads_per_second", "1500", "1 to 100000",
+      "Reads a second by all processes together, at most.", NULL },
+    read_number,
+    PLACE (platform_reads_per_second),
+    1,
+    100000,
+    GALENA_ROLE_COUNT },
+  { { "peers", "address", "none", "A.B.C.D:PORT or none",
+      "Where peers connect by TCP; an agent's is as in the record.", NULL },
+    read_optional_address,
+    PLACE (peers_address),
+    0,
+    0,
+    GALENA_ROLE_COUNT },
+  { { "peers", "seeds", "", "up to 8 of A.B.C.D:PORT, with commas between",
+      "Peers to begin with.", NULL },
+    read_addresses,
+    PLACE (peers_seeds),
+    0,
+    0,
+    GALENA_ROLE_COUNT },
   { { "policy", "choice", "two-wait", "one of",
       "How an entry chooses an upstream.", galena_choice_name },
     read_name,
