--- a/packages/core/src/caller_receive.c
+++ b/packages/core/src/caller_receive.c
@@ -79,6 +79,7 @@
 
   if (flow != NULL && flow->unrouted)
     ack.tag = galena_tag_without_route (message->tag);
+  ack.path = flow == NULL ? 0 : flow->path;
   ack.type = GALENA_MESSAGE_ACK_ANSWER;
   ack.peer = world->options.fabric;
   ack.part = part;
@@ -160,8 +161,11 @@
 
   if (request == NULL || message->part > request->total)
     return;
-  if (message->part > request->acknowledged)
-    request->acknowledged = message->part;
+  if (message->part <= request->acknowledged)
+    return;
+  request->acknowledged = message->part;
+  if (message->part < request->recovery_end)
+    request->resend = world->now;
 }
 
 /* Passes the parts that are in order to the application.  */
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -35,6 +35,9 @@
   struct galena_clock resend;
   /* When the owner last gave a sign of life.  */
   struct galena_clock heard;
+  /* Source port in use, and when it last changed.  */
+  uint8_t path;
+  struct galena_clock path_since;
   /* While a move is on its way: id of the flow that is opened elsewhere.  */
   bool moving;
   struct galena_flow_id next_id;
@@ -87,6 +90,10 @@
   uint32_t total;
   uint32_t acknowledged;
   uint32_t sent;
+  /* Parts before this one were sent before the last resend; while some of them
+     are not acknowledged, each acknowledgement that leaves a gap behind it
+     has the next missing part sent at once.  */
+  uint32_t recovery_end;
   /* Parts of the answer that came out of order.  */
   struct galena_stream answer;
   uint32_t deadline_ms;
@@ -96,6 +103,9 @@
 
 struct galena_caller
 {
+  /* Newest source port, and when it came into use.  */
+  uint8_t path;
+  struct galena_clock path_since;
   struct galena_table *flows;
   struct galena_map *flows_by_id;
   struct galena_table *closings;
@@ -184,6 +194,12 @@
 void galena_caller_finish_close (struct galena_world *world,
                                  struct galena_flow_handle handle);
 
+/* caller_path.c */
+
+/* Takes another source port when the flow's path has gone silent.  */
+void galena_caller_check_path (struct galena_world *world,
+                               struct galena_caller_flow *flow);
+
 /* caller_move.c */
 
 /* Begins to open FLOW elsewhere while it goes on where it is.  */
