Tell agents that keep one service from those that lag

Agents that keep only their own service were shown as missing the others. status tells which service an agent keeps, and generation asks for it first. Processes without a reply are named once per command.

--- a/packages/ctl/src/audit.c
+++ b/packages/ctl/src/audit.c
@@ -25,7 +25,7 @@
 {
   struct view_report report;
   struct targets *targets;
-  uint32_t failed;
+  uint32_t failed = 0;
   bool first = true;
 
   if (view_report_create (arguments, &report) != GALENA_OK)
@@ -40,7 +40,9 @@
       if (!first)
         poll (NULL, 0, FOLLOW_PERIOD_MS);
       sheet_clear (report.sheet);
-      failed = targets_ask (targets, report.type, view_report_take, &report);
+      targets_ask (targets, report.type, view_report_take, &report);
+      if (first)
+        failed = targets_print_failed (targets);
       sheet_sort (report.sheet, sheet_column (report.sheet, "age_ms"));
       print_report (&report, first);
       first = false;
--- a/packages/ctl/src/generation.c
+++ b/packages/ctl/src/generation.c
@@ -19,6 +19,9 @@
   struct held *rows;
   size_t count;
   size_t capacity;
+  const struct targets *targets;
+  /* Number of the only service that each target keeps, or 0; owned.  */
+  uint64_t *keeps;
 };
 
 static const char *const COLUMNS[]
@@ -31,6 +34,21 @@
   FIRST_ROWS = 64
 };
 
+static size_t
+index_of (const struct holdings *holdings, const struct target *target)
+{
+  return (size_t)(target - targets_get (holdings->targets, 0));
+}
+
+static void
+take_status (void *data, const struct target *target,
+             const struct galena_operator_row *row)
+{
+  struct holdings *holdings = data;
+
+  holdings->keeps[index_of (holdings, target)] = row->as.status.keeps;
+}
+
 static void
 take_row (void *data, const struct target *target,
           const struct galena_operator_row *row)
@@ -145,10 +163,21 @@
   add_held (sheet, &none, newest);
 }
 
+/* Tells whether TARGET should hold the service NUMBER.  */
+static bool
+should_hold (const struct holdings *holdings, const struct target *target,
+             uint64_t number)
+{
+  uint64_t keeps = holdings->keeps[index_of (holdings, target)];
+
+  return keeps == 0 || keeps == number;
+}
+
 static void
-add_group (struct sheet *sheet, const struct targets *targets,
+add_group (struct sheet *sheet, const struct holdings *holdings,
            const struct group *group, const struct arguments *arguments)
 {
+  const struct targets *targets = holdings->targets;
   size_t next = 0;
 
   for (uint32_t i = 0; i < targets_count (targets); i++)
@@ -162,6 +191,8 @@
         continue;
       if (held != NULL)
         add_held (sheet, held, group->newest);
+      else if (!should_hold (holdings, target, group->rows->row.number))
+        continue;
       else
         add_missing (sheet, target, group->newest);
       sheet_filter_row (sheet, arguments->filters, arguments->filter_count);
@@ -169,8 +200,8 @@
 }
 
 static void
-fill_sheet (struct sheet *sheet, const struct targets *targets,
-            struct holdings *holdings, const struct arguments *arguments)
+fill_sheet (struct sheet *sheet, struct holdings *holdings,
+            const struct arguments *arguments)
 {
   struct group group;
 
@@ -180,7 +211,7 @@
   for (size_t first = 0; first < holdings->count; first += group.count)
     {
       group = group_at (holdings, first);
-      add_group (sheet, targets, &group, arguments);
+      add_group (sheet, holdings, &group, arguments);
     }
 }
 
@@ -206,8 +237,15 @@
     }
   if (targets_create (arguments, &targets) != GALENA_OK)
     goto done;
-  failed = targets_ask (targets, GALENA_ROW_GENERATION, take_row, &holdings);
-  fill_sheet (sheet, targets, &holdings, arguments);
+  holdings.targets = targets;
+  holdings.keeps
+      = calloc (targets_count (targets) + 1, sizeof *holdings.keeps);
+  if (holdings.keeps == NULL)
+    goto done;
+  targets_ask (targets, GALENA_ROW_STATUS, take_status, &holdings);
+  targets_ask (targets, GALENA_ROW_GENERATION, take_row, &holdings);
+  failed = targets_print_failed (targets);
+  fill_sheet (sheet, &holdings, arguments);
   if (arguments->json)
     sheet_print_json (sheet, false, stdout);
   else
@@ -217,6 +255,7 @@
 done:
   targets_destroy (targets);
   free (holdings.rows);
+  free (holdings.keeps);
   sheet_destroy (sheet);
   return status;
 }
--- a/packages/ctl/src/target.c
+++ b/packages/ctl/src/target.c
@@ -303,18 +303,23 @@
     continue;
 }
 
-uint32_t
+void
 targets_ask (struct targets *targets, enum galena_operator_type view,
              target_reader *read, void *data)
 {
-  uint32_t failed = 0;
-
   for (uint32_t i = 0; i < targets->count; i += BATCH)
     {
       uint32_t left = targets->count - i;
       ask_batch (&targets->rows[i], left < BATCH ? left : BATCH, view, read,
                  data);
     }
+}
+
+uint32_t
+targets_print_failed (const struct targets *targets)
+{
+  uint32_t failed = 0;
+
   for (uint32_t i = 0; i < targets->count; i++)
     {
       const struct target *target = &targets->rows[i];
--- a/packages/ctl/src/target.h
+++ b/packages/ctl/src/target.h
@@ -41,10 +41,13 @@
 /* Destroys TARGETS; accepts NULL.  */
 void targets_destroy (struct targets *targets);
 
-/* Asks all for VIEW and passes each row to READ with DATA.  Those without a
-   whole reply are printed on standard error; returns how many.  */
-uint32_t targets_ask (struct targets *targets, enum galena_operator_type view,
-                      target_reader *read, void *data);
+/* Asks all for VIEW and passes each row to READ with DATA.  */
+void targets_ask (struct targets *targets, enum galena_operator_type view,
+                  target_reader *read, void *data);
+
+/* Prints those without a whole reply to the last query on standard error;
+   returns how many.  */
+uint32_t targets_print_failed (const struct targets *targets);
 
 /* Returns the number of targets.  */
 uint32_t targets_count (const struct targets *targets);
--- a/packages/ctl/src/view.c
+++ b/packages/ctl/src/view.c
@@ -124,7 +124,8 @@
       sheet_destroy (report.sheet);
       return EXIT_USAGE;
     }
-  failed = targets_ask (targets, report.type, view_report_take, &report);
+  targets_ask (targets, report.type, view_report_take, &report);
+  failed = targets_print_failed (targets);
   sheet_sort (report.sheet, 0);
   if (arguments->json)
     sheet_print_json (report.sheet, false, stdout);
--- a/packages/daemon/src/console_view.c
+++ b/packages/daemon/src/console_view.c
@@ -119,6 +119,7 @@
   snprintf (status->incarnation, sizeof status->incarnation, "%08x",
             process_incarnation (process));
   status->upstream = settings->agent_upstream;
+  status->keeps = settings->agent_service;
   status->uptime_ms = (uint64_t)uptime_ms;
   status->threads = threads_of (source);
   status->audit_rows
--- a/packages/wire/include/galenaford/operator.h
+++ b/packages/wire/include/galenaford/operator.h
@@ -51,6 +51,8 @@
   T (R, record, "Agent: state of its upstream in the record, or none.")       \
   T (R, incarnation, "Drawn at each start.")                                  \
   N (R, upstream, "Agent: number of its upstream.")                           \
+  N (R, keeps,                                                                \
+     "Agent: number of the service whose record is kept; 0 for all.")         \
   N (R, uptime_ms, "Milliseconds since the start.")                           \
   N (R, stop_left_ms, "Milliseconds left of a graceful shutdown.")            \
   N (R, report_age_ms, "Age of the oldest thread's report.")                  \
