--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -6,6 +6,8 @@
 {
   OPEN_RESEND_MS = 250,
   PART_RESEND_MS = 250,
+  /* The same while parts of an earlier window are known to be missing.  */
+  RECOVERY_RESEND_MS = 60,
   /* A complete request asks for its answer this often.  */
   PROBE_MS = 500,
   /* Most parts on their way at once.  */
@@ -110,6 +112,17 @@
   send_part (world, flow, request, request->total - 1);
 }
 
+/* Returns how long after a resend the next one is due.  */
+static int64_t
+resend_delay_ms (const struct galena_caller_request *request)
+{
+  if (request->acknowledged == request->total)
+    return PROBE_MS;
+  if (request->acknowledged < request->recovery_end)
+    return RECOVERY_RESEND_MS;
+  return PART_RESEND_MS;
+}
+
 static void
 resend_request (struct galena_world *world,
                 const struct galena_caller_flow *flow,
@@ -118,7 +131,7 @@
   bool complete = request->acknowledged == request->total;
 
   request->resend
-      = galena_clock_after (world->now, complete ? PROBE_MS : PART_RESEND_MS);
+      = galena_clock_after (world->now, resend_delay_ms (request));
   if (request->cancelled)
     send_cancel (world, flow, request);
   if (complete)
