Note a pause at the wake-up

Cause: galenactl audit showed a pause of 10 s as an event of 12 s ago, two seconds after the wake-up: the row was noted before the clock of the world moved on, so it had the time of the last tick before the pause.

Test: /stats/pause, which failed with 1000 instead of 9000.

--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -95,18 +95,27 @@
   return world->outbox;
 }
 
+/* Notes a pause of GAP_MS since the last tick.  */
 static void
-note_pause (struct galena_world *world, struct galena_clock now)
+note_pause (struct galena_world *world, int64_t gap_ms)
 {
-  int64_t gap_ms = galena_clock_between (world->now, now);
-
-  if (world->now.ms == 0 || gap_ms <= PAUSE_MS)
-    return;
   galena_world_note (
       world, (struct galena_audit_row){ .event = GALENA_AUDIT_PAUSED,
                                         .generation = (uint64_t)gap_ms });
 }
 
+/* Sets the time of the tick.  */
+static void
+move_clock (struct galena_world *world, struct galena_clock now)
+{
+  int64_t gap_ms = galena_clock_between (world->now, now);
+  bool first = world->now.ms == 0;
+
+  world->now = now;
+  if (!first && gap_ms > PAUSE_MS)
+    note_pause (world, gap_ms);
+}
+
 static void
 run_due_systems (struct galena_world *world)
 {
@@ -125,8 +134,7 @@
 galena_world_tick (struct galena_world *world, struct galena_clock now,
                    const struct galena_config *config)
 {
-  note_pause (world, now);
-  world->now = now;
+  move_clock (world, now);
   world->config = config;
   galena_mailbox_clear (world->outbox);
   galena_world_count (world, GALENA_COUNT_TICKS);
--- a/test/unit/test_stats.c
+++ b/test/unit/test_stats.c
@@ -212,6 +212,28 @@
   galena_config_destroy (config);
 }
 
+/* A pause is noted at the time of the wake-up, with its length.  */
+static void
+check_pause (void)
+{
+  struct galena_world_options options
+      = { .role = GALENA_ROLE_ENTRY, .flows = 16, .messages = 16 };
+  struct galena_config *config = make_config (10);
+  struct galena_world *world;
+  const struct galena_audit_row *row;
+
+  g_assert_cmpint (galena_world_create (&options, &world), ==, GALENA_OK);
+  galena_world_tick (world, (struct galena_clock){ 1000 }, config);
+  galena_world_tick (world, (struct galena_clock){ 9000 }, config);
+  row = galena_audit_find (galena_world_audit (world), 1);
+  g_assert_nonnull (row);
+  g_assert_cmpint (row->event, ==, GALENA_AUDIT_PAUSED);
+  g_assert_cmpint (row->at.ms, ==, 9000);
+  g_assert_cmpuint (row->generation, ==, 8000);
+  galena_world_destroy (world);
+  galena_config_destroy (config);
+}
+
 /* A report takes the newest rows of a trail that holds more.  */
 static void
 check_audit_copy (void)
@@ -245,6 +267,7 @@
     g_test_add_data_func (REFUSAL_CASES[i].name, &REFUSAL_CASES[i],
                           run_refusal_case);
   g_test_add_func ("/stats/late-request", check_late_request);
+  g_test_add_func ("/stats/pause", check_pause);
   g_test_add_func ("/stats/audit-copy", check_audit_copy);
   return g_test_run ();
 }
