Run the fake fleet on real syncs; an agent that slept renews first

Cause: the fake gave every node what was published at once, so no scenario could show how records arrive. Shown by the first one that could: an agent that slept through a record in which it leaves accepted new flows 4,010 ms after that record, with the view it had fallen asleep with.

Ruled out: a slow sync (the record was in force within 300 ms of waking; the flows were accepted in the tick that woke).

Change: scenarios begin with `records synced' to get their records by the sync; `list NODES leaving' changes the list of instances.

--- a/packages/core/include/galenaford/result.h
+++ b/packages/core/include/galenaford/result.h
@@ -47,6 +47,8 @@
   X (GALENA_REFUSED_BODY, 51, "body", "Not run: the body exceeds its limit.") \
   X (GALENA_REFUSED_NOT_CANDIDATE, 52, "not-candidate",                       \
      "Not run: packets without a route would not find this upstream.")        \
+  X (GALENA_REFUSED_RENEWING, 53, "renewing",                                 \
+     "Not run: the agent slept and renews its records first.")                \
   X (GALENA_UNKNOWN_OUTCOME, 60, "outcome-unknown",                           \
      "The request may have run; its answer is lost.")                         \
   X (GALENA_UNKNOWN_FLOW, 61, "flow-lost",                                    \
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -73,6 +73,8 @@
     return GALENA_REFUSED_WRONG_SERVICE;
   if (galena_agent_is_leaving (world))
     return GALENA_REFUSED_LEAVING;
+  if (galena_world_is_renewing (world))
+    return GALENA_REFUSED_RENEWING;
   if (galena_service_kind (service, open->kind) == NULL)
     return GALENA_REFUSED_KIND;
   if (open->unrouted
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -11,7 +11,9 @@
 {
   AUDIT_ROWS = 1024,
   /* A gap between ticks beyond this is noted as a pause.  */
-  PAUSE_MS = 2000
+  PAUSE_MS = 2000,
+  /* Longest wait for renewed records after a pause.  */
+  RENEWAL_LIMIT_MS = 10000
 };
 
 static const struct galena_role_operations *const ROLES[GALENA_ROLE_COUNT] = {
@@ -102,6 +104,7 @@
 
   if (world->now.ms == 0 || gap_ms <= PAUSE_MS)
     return;
+  world->woke = now;
   galena_world_note (
       world, (struct galena_audit_row){ .event = GALENA_AUDIT_PAUSED,
                                         .generation = (uint64_t)gap_ms });
@@ -121,6 +124,15 @@
     }
 }
 
+bool
+galena_world_is_renewing (const struct galena_world *world)
+{
+  struct galena_clock renewed = galena_config_renewed (world->config);
+
+  return world->woke.ms != 0 && renewed.ms != 0 && renewed.ms < world->woke.ms
+         && galena_clock_between (world->woke, world->now) < RENEWAL_LIMIT_MS;
+}
+
 void
 galena_world_tick (struct galena_world *world, struct galena_clock now,
                    const struct galena_config *config)
--- a/packages/core/src/world_private.h
+++ b/packages/core/src/world_private.h
@@ -55,6 +55,8 @@
   struct galena_world_options options;
   const struct galena_role_operations *role;
   struct galena_clock now;
+  /* End of the last pause; 0 when there was none.  */
+  struct galena_clock woke;
   /* The records; set during a tick only.  */
   const struct galena_config *config;
   struct galena_random random;
@@ -108,4 +110,8 @@
 uint64_t galena_flow_key (const struct galena_map *map,
                           struct galena_flow_id flow);
 
+/* Tells whether the world slept and its records may be older than those of
+   the fleet.  */
+bool galena_world_is_renewing (const struct galena_world *world);
+
 #endif
--- a/test/fake/fleet.c
+++ b/test/fake/fleet.c
@@ -53,6 +53,8 @@
   g_array_free (fleet->thinking, TRUE);
   g_array_free (fleet->feeds, TRUE);
   g_array_free (fleet->versions, TRUE);
+  if (fleet->syncs != NULL)
+    syncs_destroy (fleet->syncs);
   g_array_free (fleet->silences, TRUE);
   g_free (fleet);
 }
--- a/test/fake/fleet.h
+++ b/test/fake/fleet.h
@@ -13,6 +13,8 @@
 #include <galenaford/random.h>
 #include <galenaford/records.h>
 
+#include "syncs.h"
+
 enum
 {
   FLEET_NODES_MAX = 1024,
@@ -65,7 +67,9 @@
   struct galena_world_options options;
   /* Records in force at the node and the snapshot made of them.  */
   struct galena_audit *audit;
-  struct galena_records *records;
+  const struct galena_records *records;
+  /* The node's own ones when it is not synced; else they stay empty.  */
+  struct galena_records *taken;
   struct galena_config *config;
   /* The node neither ticks nor receives before this instant.  */
   struct galena_clock frozen_until;
@@ -176,6 +180,9 @@
   const char *admission;
   /* Milliseconds until a node has read what the platform published.  */
   uint32_t platform_lag_ms;
+  /* Whether nodes get the records by the sync of a process; else they have
+     at once what the platform shows.  */
+  bool synced;
   /* Milliseconds until the fabric no longer sends to a stopped entry.  */
   uint32_t fabric_lag_ms;
 };
@@ -209,6 +216,8 @@
   /* Everything published so far, as struct fleet_version.  */
   GArray *versions;
   bool platform_down;
+  /* The syncs of the nodes, by their index; NULL when not synced.  */
+  struct syncs *syncs;
   struct fleet_load loads[FLEET_LOADS_MAX];
   uint32_t load_count;
   /* Every job so far, as struct fleet_job; its index is its number.  */
@@ -258,6 +267,9 @@
 void fleet_set_address (struct fleet *fleet, uint32_t service,
                         uint32_t number);
 
+/* Says in the list of instances that a node is leaving, or not.  */
+void fleet_list (struct fleet *fleet, uint32_t node, bool leaving);
+
 /* Publishes the record of SERVICE under the next generation.  */
 void fleet_publish (struct fleet *fleet, uint32_t service);
 
--- a/test/fake/fleet_life.c
+++ b/test/fake/fleet_life.c
@@ -9,7 +9,7 @@
 
   galena_world_destroy (node->world);
   node->world = NULL;
-  fleet_platform_stop (node);
+  fleet_platform_stop (fleet, index);
   node->upstream.running = 0;
   node->stop_limit.ms = INT64_MAX;
   if (node->withdrawn_at.ms > fleet->now.ms)
@@ -33,7 +33,7 @@
   node->read_at.ms = -1;
   g_assert_cmpint (galena_world_create (&node->options, &node->world), ==,
                    GALENA_OK);
-  fleet_platform_start (node);
+  fleet_platform_start (fleet, index);
 }
 
 void
--- a/test/fake/fleet_platform.c
+++ b/test/fake/fleet_platform.c
@@ -4,7 +4,13 @@
 
 enum
 {
-  AUDIT_ROWS = 256
+  AUDIT_ROWS = 256,
+  RECORD_BYTES = 2000,
+  SYNC_LINK_MS = 2,
+  SYNC_READ_MS = 5,
+  SYNC_WAIT_MS = 20000,
+  SYNC_READS_PER_SECOND = 1500,
+  SYNC_SEEDS = 2
 };
 
 static void
@@ -14,29 +20,138 @@
   galena_records_snapshot (node->records, &node->config);
 }
 
+/* Returns the index of the first node from *CURSOR on that is an entry and
+   moves on; -1 at the end.  */
+static int
+next_entry (const struct fleet *fleet, uint32_t *cursor)
+{
+  while (*cursor < fleet->node_count)
+    if (fleet->nodes[(*cursor)++].kind == FLEET_ENTRY)
+      return (int)*cursor - 1;
+  return -1;
+}
+
+static void
+fill_seeds (const struct fleet *fleet, struct galena_sync_options *options)
+{
+  uint32_t cursor = 0;
+  int entry;
+
+  while (options->seed_count < SYNC_SEEDS
+         && (entry = next_entry (fleet, &cursor)) >= 0)
+    options->seeds[options->seed_count++] = fleet->nodes[entry].address;
+}
+
+/* Creates what stands for the platform and the links between peers, with
+   what was published before.  */
+static void
+create_syncs (struct fleet *fleet)
+{
+  struct syncs_options options
+      = { fleet->options.seed, SYNC_LINK_MS, SYNC_READ_MS };
+
+  fleet->syncs = syncs_create (&options, FLEET_NODES_MAX);
+  fleet->syncs->now = fleet->now;
+  fleet->syncs->list_generation = 1;
+}
+
+static void
+add_to_list (struct fleet *fleet, uint32_t index)
+{
+  const struct fleet_node *node = &fleet->nodes[index];
+  struct galena_instance *row;
+
+  if (fleet->syncs->instances->len <= index)
+    g_array_set_size (fleet->syncs->instances, index + 1);
+  row = &g_array_index (fleet->syncs->instances, struct galena_instance,
+                        index);
+  row->peer.address = node->address;
+  row->peer.role = node->options.role;
+  row->upstream = node->options.upstream;
+  fleet->syncs->list_generation++;
+}
+
+static void
+start_sync (struct fleet *fleet, uint32_t index)
+{
+  const struct fleet_node *node = &fleet->nodes[index];
+  struct galena_sync_options options
+      = { .self = { node->address, node->options.role },
+          .readers = FLEET_SERVICES_MAX,
+          .reads_per_second = SYNC_READS_PER_SECOND,
+          .wait_ms = SYNC_WAIT_MS,
+          .instances = true };
+
+  if (fleet->syncs == NULL)
+    create_syncs (fleet);
+  if (node->kind == FLEET_AGENT)
+    options.service = node->service + 1;
+  fill_seeds (fleet, &options);
+  add_to_list (fleet, index);
+  syncs_start (fleet->syncs, index, &options);
+}
+
+static bool
+is_synced (const struct fleet *fleet, const struct fleet_node *node)
+{
+  return fleet->options.synced && node->kind != FLEET_CALLER;
+}
+
 void
-fleet_platform_start (struct fleet_node *node)
+fleet_platform_start (struct fleet *fleet, uint32_t index)
 {
+  struct fleet_node *node = &fleet->nodes[index];
   struct galena_audit_options audit = { AUDIT_ROWS };
-  struct galena_records_options records = { FLEET_SERVICES_MAX, NULL };
+  struct galena_records_options options = { FLEET_SERVICES_MAX, NULL };
+  struct galena_records *records;
 
   galena_audit_create (&audit, &node->audit);
-  records.audit = node->audit;
-  galena_records_create (&records, &node->records);
+  options.audit = node->audit;
+  galena_records_create (&options, &records);
+  node->taken = records;
+  node->records = records;
   renew_config (node);
+  if (!is_synced (fleet, node))
+    return;
+  start_sync (fleet, index);
+  node->records = galena_sync_records (fleet->syncs->processes[index].sync);
 }
 
 void
-fleet_platform_stop (struct fleet_node *node)
+fleet_platform_stop (struct fleet *fleet, uint32_t index)
 {
-  galena_records_destroy (node->records);
+  struct fleet_node *node = &fleet->nodes[index];
+
+  if (fleet->syncs != NULL)
+    syncs_kill (fleet->syncs, index);
+  galena_records_destroy (node->taken);
   galena_audit_destroy (node->audit);
   galena_config_destroy (node->config);
+  node->taken = NULL;
   node->records = NULL;
   node->audit = NULL;
   node->config = NULL;
 }
 
+void
+fleet_list (struct fleet *fleet, uint32_t node, bool leaving)
+{
+  if (fleet->syncs == NULL)
+    return;
+  g_array_index (fleet->syncs->instances, struct galena_instance, node).leaving
+      = leaving;
+  fleet->syncs->list_generation++;
+}
+
+bool
+fleet_is_listed_leaving (const struct fleet *fleet, uint32_t node)
+{
+  return fleet->syncs != NULL
+         && g_array_index (fleet->syncs->instances, struct galena_instance,
+                           node)
+                .leaving;
+}
+
 /* Takes VERSION into force at NODE if it is newer than what it has.  */
 static bool
 take_version (struct fleet *fleet, struct fleet_node *node,
@@ -51,26 +166,85 @@
   if (present != NULL
       && present->service.generation >= version->record.service.generation)
     return false;
-  return galena_records_take (node->records, &version->record, fleet->now)
+  return galena_records_take (node->taken, &version->record, fleet->now)
          == GALENA_OK;
 }
 
-void
-fleet_run_platform (struct fleet *fleet)
+static void
+read_directly (struct fleet *fleet, struct fleet_node *node)
+{
+  bool changed = false;
+
+  if (!fleet_node_is_up (fleet, node) || node->kind == FLEET_CALLER
+      || fleet->platform_down || node->cut_from_platform)
+    return;
+  for (guint v = 0; v < fleet->versions->len; v++)
+    changed |= take_version (
+        fleet, node,
+        &g_array_index (fleet->versions, struct fleet_version, v));
+  if (changed)
+    renew_config (node);
+}
+
+/* Publishes at the syncs' platform what was published at the fleet.  */
+static void
+publish_versions (struct fleet *fleet)
+{
+  while (fleet->syncs->versions->len < fleet->versions->len)
+    syncs_publish (fleet->syncs,
+                   &g_array_index (fleet->versions, struct fleet_version,
+                                   fleet->syncs->versions->len)
+                        .record,
+                   RECORD_BYTES);
+}
+
+/* Passes what happens to nodes on to their syncs.  */
+static void
+copy_states (struct fleet *fleet)
 {
+  struct syncs *syncs = fleet->syncs;
+
+  syncs->platform_down = fleet->platform_down;
+  for (uint32_t i = 0; i < SYNCS_REPLICAS; i++)
+    if (fleet->options.platform_lag_ms > 0)
+      syncs->stale_at[i] = galena_clock_after (
+          fleet->now, -(int64_t)fleet->options.platform_lag_ms);
   for (uint32_t i = 0; i < fleet->node_count; i++)
     {
+      syncs->processes[i].group = fleet->nodes[i].group;
+      syncs->processes[i].cut_from_platform
+          = fleet->nodes[i].cut_from_platform;
+      syncs->processes[i].frozen_until = fleet->nodes[i].frozen_until;
+    }
+}
+
+static void
+take_snapshots (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->node_count; i++)
+    {
+      struct syncs_process *process = &fleet->syncs->processes[i];
       struct fleet_node *node = &fleet->nodes[i];
-      bool changed = false;
 
-      if (!fleet_node_is_up (fleet, node) || node->kind == FLEET_CALLER
-          || fleet->platform_down || node->cut_from_platform)
+      if (!process->changed || process->sync == NULL)
         continue;
-      for (guint v = 0; v < fleet->versions->len; v++)
-        changed |= take_version (
-            fleet, node,
-            &g_array_index (fleet->versions, struct fleet_version, v));
-      if (changed)
-        renew_config (node);
+      process->changed = false;
+      galena_config_destroy (node->config);
+      galena_sync_snapshot (process->sync, &node->config);
     }
 }
+
+void
+fleet_run_platform (struct fleet *fleet)
+{
+  if (fleet->syncs != NULL)
+    {
+      publish_versions (fleet);
+      copy_states (fleet);
+      syncs_run (fleet->syncs, fleet->now.ms + 1);
+      take_snapshots (fleet);
+      return;
+    }
+  for (uint32_t i = 0; i < fleet->node_count; i++)
+    read_directly (fleet, &fleet->nodes[i]);
+}
--- a/test/fake/fleet_private.h
+++ b/test/fake/fleet_private.h
@@ -57,8 +57,11 @@
 void fleet_run_stops (struct fleet *fleet);
 
 /* fleet_platform.c: what a node reads; its records live and die with it.  */
-void fleet_platform_start (struct fleet_node *node);
-void fleet_platform_stop (struct fleet_node *node);
+void fleet_platform_start (struct fleet *fleet, uint32_t index);
+void fleet_platform_stop (struct fleet *fleet, uint32_t index);
+
+/* Tells whether the list of instances calls NODE leaving.  */
+bool fleet_is_listed_leaving (const struct fleet *fleet, uint32_t node);
 
 /* System: nodes read what the platform has published.  */
 void fleet_run_platform (struct fleet *fleet);
--- a/test/fake/fleet_watch.c
+++ b/test/fake/fleet_watch.c
@@ -60,10 +60,12 @@
   uint64_t accepted
       = galena_world_counters (node->world)->values[GALENA_COUNT_ACCEPTED];
 
-  if (!is_leaving (newest, node->options.upstream))
+  bool leaving = is_leaving (newest, node->options.upstream);
+
+  if (!leaving && !fleet_is_listed_leaving (fleet, node->options.upstream - 1))
     node->leaving_at.ms = INT64_MAX;
   else if (node->leaving_at.ms == INT64_MAX)
-    node->leaving_at = newest->at;
+    node->leaving_at = leaving ? newest->at : fleet->now;
   if (accepted > node->accepted_seen && node->leaving_at.ms < fleet->now.ms)
     fleet->new_work_ms
         = MAX (fleet->new_work_ms,
--- a/test/fake/syncs.c
+++ b/test/fake/syncs.c
@@ -115,6 +115,7 @@
   struct galena_audit_options audit = { AUDIT_ROWS };
   struct syncs_process *process = &syncs->processes[index];
 
+  syncs->used = MAX (syncs->used, index + 1);
   process->lives++;
   process->options = *options;
   process->options.seed = galena_random_next (&syncs->random);
@@ -228,19 +229,19 @@
       = { .type = ARRIVAL_CONNECT, .from = index, .conn = syncs->conns->len };
   uint32_t to = 0;
 
-  while (to < syncs->count
+  while (to < syncs->used
          && (syncs->processes[to].sync == NULL
              || !galena_endpoint_equal (
                  syncs->processes[to].options.self.address, action->address)))
     to++;
-  if (to < syncs->count)
+  if (to < syncs->used)
     {
       conn.ends[1].process = to;
       conn.ends[1].life = syncs->processes[to].lives;
     }
   g_array_append_val (syncs->conns, conn);
   link_process (syncs, arrival.conn, 0);
-  if (to == syncs->count)
+  if (to == syncs->used)
     {
       conn_at (syncs, arrival.conn)->ends[1] = conn.ends[0];
       close_conn (syncs, arrival.conn, 1);
@@ -566,7 +567,7 @@
 static void
 run_ticks (struct syncs *syncs)
 {
-  for (uint32_t i = 0; i < syncs->count; i++)
+  for (uint32_t i = 0; i < syncs->used; i++)
     {
       struct syncs_process *process = &syncs->processes[i];
 
@@ -600,7 +601,7 @@
 {
   uint32_t behind = 0;
 
-  for (uint32_t i = 0; i < syncs->count; i++)
+  for (uint32_t i = 0; i < syncs->used; i++)
     {
       const struct syncs_process *process = &syncs->processes[i];
       const struct galena_service_record *held;
--- a/test/fake/syncs.h
+++ b/test/fake/syncs.h
@@ -74,6 +74,8 @@
   struct galena_random random;
   struct syncs_process *processes;
   uint32_t count;
+  /* Processes from here on were never started.  */
+  uint32_t used;
   /* As struct syncs_version.  */
   GArray *versions;
   /* As struct galena_instance; the list, and its generation.  */
--- a/test/scenario/verbs.c
+++ b/test/scenario/verbs.c
@@ -430,6 +430,22 @@
   return true;
 }
 
+static bool
+list_node (struct scenario *scenario, uint32_t node,
+           const struct scenario_value *values, GError **error)
+{
+  bool leaving = strcmp (values[1].word, "leaving") == 0;
+
+  if (!leaving && strcmp (values[1].word, "live") != 0)
+    {
+      g_set_error (error, scenario_error (), 0,
+                   "\"%s\" is neither leaving nor live", values[1].word);
+      return false;
+    }
+  fleet_list (scenario->fleet, node, leaving);
+  return true;
+}
+
 #define NODE_VERB(name)                                                       \
   static bool each_##name (struct scenario *scenario,                         \
                            const struct scenario_value *values,               \
@@ -439,6 +455,7 @@
   }
 
 NODE_VERB (kill)
+NODE_VERB (list)
 NODE_VERB (start)
 NODE_VERB (restart)
 NODE_VERB (stop)
@@ -533,6 +550,22 @@
   return true;
 }
 
+static bool
+set_records (struct scenario *scenario, const struct scenario_value *values,
+             GError **error)
+{
+  bool synced = strcmp (values[0].word, "synced") == 0;
+
+  if (!synced && strcmp (values[0].word, "direct") != 0)
+    {
+      g_set_error (error, scenario_error (), 0,
+                   "\"%s\" is neither synced nor direct", values[0].word);
+      return false;
+    }
+  scenario->fleet->options.synced = synced;
+  return true;
+}
+
 static bool
 set_window (struct scenario *scenario, const struct scenario_value *values,
             GError **error)
@@ -734,6 +767,7 @@
     2,
     0,
     { NODES, { "WEIGHT", SCENARIO_COUNT, NULL } } },
+  { "list", each_list, 2, 0, { NODES, { "STATE", SCENARIO_WORD, NULL } } },
   { "publish", publish, 1, 0, { SERVICE } },
   { "readdress",
     readdress,
@@ -745,6 +779,7 @@
     2,
     0,
     { SERVICE, { "VERSION", SCENARIO_COUNT, NULL } } },
+  { "records", set_records, 1, 0, { { "HOW", SCENARIO_WORD, NULL } } },
   { "platform", set_platform, 1, 0, { { "STATE", SCENARIO_WORD, NULL } } },
   { "window",
     set_window,
