--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -56,6 +56,7 @@
   row->deadline = galena_clock_after (world->now, options->deadline_ms);
   row->resend = world->now;
   row->heard = world->now;
+  row->path = world->caller->path;
   return galena_caller_index (world, row->id, *flow);
 }
 
@@ -274,6 +275,7 @@
   drop_number (world, request);
   request->sent = 0;
   request->acknowledged = 0;
+  request->recovery_end = 0;
   if (request->endless)
     {
       request->resume = request->delivered;
