--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -11,8 +11,6 @@
   UNCONFIRMED_FLOW_MS = 5000,
   /* A flow that sent no request for this long counts as idle.  */
   PROMISE_MS = 1000,
-  /* After a pause, records are read again within this time.  */
-  RENEW_RECORDS_MS = 2000,
   /* A silent flow ends after this long.  */
   SILENT_FLOW_MS = 120000,
   /* Request numbers remembered one by one above the floor.  */
@@ -58,7 +56,6 @@
       = galena_agent_reply (world, open, GALENA_MESSAGE_REFUSE);
 
   refusal.result = result;
-  galena_world_count (world, GALENA_COUNT_REFUSED);
   galena_stats_refuse (world, galena_agent_service_number (world, open->kind),
                        open->kind, result);
   galena_world_send (world, &refusal);
@@ -81,9 +78,10 @@
 
   if (service == NULL || !is_meant_for (service, open))
     return GALENA_REFUSED_WRONG_SERVICE;
-  if (galena_agent_is_leaving (world)
-      || !galena_clock_reached (world->now, world->agent->renewed))
+  if (galena_agent_is_leaving (world))
     return GALENA_REFUSED_LEAVING;
+  if (galena_world_is_renewing (world))
+    return GALENA_REFUSED_RENEWING;
   if (galena_service_kind (service, open->kind) == NULL)
     return GALENA_REFUSED_KIND;
   if (open->unrouted
@@ -274,8 +272,6 @@
   while ((flow = galena_table_next (world->agent->flows, &cursor, &handle))
          != NULL)
     flow->heard = galena_clock_after (flow->heard, gap_ms);
-  world->agent->renewed
-      = galena_clock_after (world->now, gap_ms + RENEW_RECORDS_MS);
 }
 
 static bool
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -152,7 +152,6 @@
   refusal.peer = open->caller;
   refusal.result = result;
   refusal.body_size = 0;
-  galena_world_count (world, GALENA_COUNT_REFUSED);
   count_refusal (world, open, result);
   galena_world_send (world, &refusal);
 }
@@ -291,7 +290,9 @@
 {
   return result == GALENA_REFUSED_NO_UPSTREAM
          || result == GALENA_REFUSED_LEAVING
+         || result == GALENA_REFUSED_RENEWING
          || result == GALENA_REFUSED_WRONG_SERVICE
+         || result == GALENA_REFUSED_RENEWING
          || result == GALENA_REFUSED_NOT_CANDIDATE;
 }
 
@@ -698,6 +699,12 @@
     }
 }
 
+static bool
+has_pending (const struct galena_world *world)
+{
+  return galena_table_count (world->entry->pending) > 0;
+}
+
 static const struct galena_system SYSTEMS[] = {
   { "receive", 0, run_receive },
   { "retry", RETRY_PERIOD_MS, run_retry },
@@ -799,6 +806,7 @@
   .usage = report_usage,
   .is_idle = is_idle,
   .report_upstream = report_upstream,
+  .busy = has_pending,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
 };
--- a/packages/core/src/world_private.h
+++ b/packages/core/src/world_private.h
@@ -42,10 +42,20 @@
                        struct galena_kind_stats *row);
   void (*report_upstream) (const struct galena_world *world,
                            struct galena_upstream_stats *row);
+  /* Tells whether rows wait for systems of a short period; NULL when they
+     always may.  Else only systems of GALENA_IDLE_PERIOD_MS or more make a
+     tick due.  */
+  bool (*busy) (const struct galena_world *world);
   const struct galena_system *systems;
   uint32_t system_count;
 };
 
+enum
+{
+  /* Least period of the systems that run in an idle world.  */
+  GALENA_IDLE_PERIOD_MS = 1000
+};
+
 enum
 {
   /* Most systems of one role.  */
@@ -57,6 +67,8 @@
   struct galena_world_options options;
   const struct galena_role_operations *role;
   struct galena_clock now;
+  /* End of the last pause; 0 when there was none.  */
+  struct galena_clock woke;
   /* The records; set during a tick only.  */
   const struct galena_config *config;
   struct galena_random random;
@@ -110,4 +122,8 @@
 uint64_t galena_flow_key (const struct galena_map *map,
                           struct galena_flow_id flow);
 
+/* Tells whether the world slept and its records may be older than those of
+   the fleet.  */
+bool galena_world_is_renewing (const struct galena_world *world);
+
 #endif
