--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -290,7 +290,6 @@
 {
   return result == GALENA_REFUSED_NO_UPSTREAM
          || result == GALENA_REFUSED_LEAVING
-         || result == GALENA_REFUSED_RENEWING
          || result == GALENA_REFUSED_WRONG_SERVICE
          || result == GALENA_REFUSED_RENEWING
          || result == GALENA_REFUSED_NOT_CANDIDATE;
