--- /dev/null
+++ b/example/plain_worlds.c
@@ -0,0 +1,180 @@
+/* A caller, an entry and an agent in one process and in virtual time: plain
+   structs go from world to world, without sockets or encoders.  Prints the
+   answer to one request.  */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <galenaford/caller.h>
+
+enum
+{
+  TICK_MS = 5,
+  END_MS = 5000
+};
+
+enum place
+{
+  CALLER,
+  ENTRY,
+  AGENT,
+  PLACE_COUNT
+};
+
+/* Each place has one address; the entry has two sides behind one.  */
+static const struct galena_endpoint ADDRESSES[PLACE_COUNT]
+    = { { 0x7f000001, 1 }, { 0x7f000001, 2 }, { 0x7f000001, 3 } };
+static const struct galena_endpoint SERVICE = { 0x7f000009, 700 };
+
+static enum galena_result
+create_config (struct galena_config **config)
+{
+  struct galena_service service
+      = { .number = 1, .address = SERVICE, .upstream_count = 1 };
+  struct galena_upstream upstream = { .number = 1,
+                                      .agent = ADDRESSES[AGENT],
+                                      .slots = 1,
+                                      .connections = 10,
+                                      .weight = 1 };
+  struct galena_config_options options = { &service, 1, &upstream, 1 };
+
+  service.kind_count = 1;
+  service.kinds[0].deadline_ms = END_MS;
+  return galena_config_create (&options, config);
+}
+
+static enum galena_result
+create_worlds (struct galena_world *worlds[PLACE_COUNT])
+{
+  static const enum galena_role ROLES[PLACE_COUNT]
+      = { GALENA_ROLE_CALLER, GALENA_ROLE_ENTRY, GALENA_ROLE_AGENT };
+  enum galena_result result = GALENA_OK;
+
+  for (int i = 0; i < PLACE_COUNT && result == GALENA_OK; i++)
+    {
+      struct galena_world_options options = { .role = ROLES[i],
+                                              .seed = 1,
+                                              .upstream = 1,
+                                              .incarnation = 1,
+                                              .fabric = ADDRESSES[ENTRY],
+                                              .flows = 16,
+                                              .requests = 16,
+                                              .messages = 64 };
+      result = galena_world_create (&options, &worlds[i]);
+    }
+  return result;
+}
+
+/* The upstream beside the agent: answers each request at once.  */
+static void
+answer (struct galena_world *agent, const struct galena_message *run)
+{
+  static const char TEXT[] = "answer of the upstream";
+  struct galena_message reply = *run;
+
+  reply.type = GALENA_MESSAGE_RUN_DATA;
+  reply.body = (const uint8_t *)TEXT;
+  reply.body_size = sizeof TEXT - 1;
+  galena_mailbox_push (galena_world_inbox (agent), &reply);
+  reply.type = GALENA_MESSAGE_RUN_END;
+  reply.result = GALENA_OK;
+  reply.body_size = 0;
+  galena_mailbox_push (galena_world_inbox (agent), &reply);
+}
+
+/* Puts MESSAGE of the world at FROM into the world that it goes to.  */
+static void
+deliver (struct galena_world *worlds[PLACE_COUNT], enum place from,
+         const struct galena_message *message)
+{
+  struct galena_message arrived = *message;
+
+  arrived.peer = ADDRESSES[from];
+  for (int to = 0; to < PLACE_COUNT; to++)
+    {
+      if (!galena_endpoint_equal (message->peer, ADDRESSES[to]))
+        continue;
+      arrived.link = from == CALLER || to == CALLER ? GALENA_LINK_CALLER
+                                                    : GALENA_LINK_PEER;
+      galena_mailbox_push (galena_world_inbox (worlds[to]), &arrived);
+    }
+}
+
+/* Prints what the caller's application gets; tells whether that is all.  */
+static bool
+print (const struct galena_message *message)
+{
+  if (message->type == GALENA_MESSAGE_RUN_DATA)
+    printf ("%.*s\n", (int)message->body_size, (const char *)message->body);
+  if (message->type != GALENA_MESSAGE_RUN_END)
+    return false;
+  printf ("result=%s\n", galena_result_word (message->result));
+  return true;
+}
+
+/* Moves what the world at FROM sends; tells whether the request has ended.  */
+static bool
+move_messages (struct galena_world *worlds[PLACE_COUNT], enum place from)
+{
+  const struct galena_mailbox *outbox = galena_world_outbox (worlds[from]);
+  bool ended = false;
+
+  for (uint32_t i = 0; i < galena_mailbox_count (outbox); i++)
+    {
+      const struct galena_message *message = galena_mailbox_get (outbox, i);
+
+      if (message->link != GALENA_LINK_APPLICATION)
+        deliver (worlds, from, message);
+      else if (from == CALLER)
+        ended |= print (message);
+      else if (message->type == GALENA_MESSAGE_RUN)
+        answer (worlds[AGENT], message);
+    }
+  return ended;
+}
+
+static enum galena_result
+send_request (struct galena_world *caller)
+{
+  static const char TEXT[] = "question";
+  struct galena_caller_flow_options flow
+      = { .service = SERVICE, .deadline_ms = END_MS };
+  struct galena_caller_request_options request
+      = { .deadline_ms = END_MS,
+          .body = (const uint8_t *)TEXT,
+          .body_size = sizeof TEXT - 1 };
+  struct galena_request_handle handle;
+  enum galena_result result
+      = galena_caller_open (caller, &flow, &request.flow);
+
+  if (result != GALENA_OK)
+    return result;
+  return galena_caller_request (caller, &request, &handle);
+}
+
+int
+main (void)
+{
+  struct galena_world *worlds[PLACE_COUNT] = { NULL };
+  struct galena_config *config = NULL;
+  bool ended = false;
+
+  if (create_config (&config) != GALENA_OK
+      || create_worlds (worlds) != GALENA_OK
+      || send_request (worlds[CALLER]) != GALENA_OK)
+    goto done;
+  for (struct galena_clock now = { TICK_MS }; now.ms < END_MS && !ended;
+       now = galena_clock_after (now, TICK_MS))
+    for (int place = 0; place < PLACE_COUNT; place++)
+      {
+        galena_world_tick (worlds[place], now, config);
+        ended |= move_messages (worlds, (enum place)place);
+      }
+
+done:
+  for (int place = 0; place < PLACE_COUNT; place++)
+    galena_world_destroy (worlds[place]);
+  galena_config_destroy (config);
+  return ended ? EXIT_SUCCESS : EXIT_FAILURE;
+}
