--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -213,6 +213,9 @@
                                           const struct galena_message *message,
                                           struct galena_flow_handle *handle);
 
+/* Gives flows the time back in which this agent could not hear them.  */
+void galena_agent_wake (struct galena_world *world, int64_t gap_ms);
+
 /* Ends flows that have been silent too long.  */
 void galena_agent_run_expire_flows (struct galena_world *world);
 
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -262,6 +262,18 @@
   galena_agent_send_lost (world, message);
 }
 
+void
+galena_agent_wake (struct galena_world *world, int64_t gap_ms)
+{
+  struct galena_flow *flow;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((flow = galena_table_next (world->agent->flows, &cursor, &handle))
+         != NULL)
+    flow->heard = galena_clock_after (flow->heard, gap_ms);
+}
+
 static bool
 is_expired (const struct galena_world *world, const struct galena_flow *flow)
 {
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -131,8 +131,7 @@
 {
   bool complete = request->acknowledged == request->total;
 
-  request->resend
-      = galena_clock_after (world->now, resend_delay_ms (request));
+  request->resend = galena_clock_after (world->now, resend_delay_ms (request));
   if (request->cancelled)
     send_cancel (world, flow, request);
   if (complete)
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -105,6 +105,8 @@
   galena_world_note (
       world, (struct galena_audit_row){ .event = GALENA_AUDIT_PAUSED,
                                         .generation = (uint64_t)gap_ms });
+  if (world->role->wake != NULL)
+    world->role->wake (world, gap_ms);
 }
 
 /* Sets the time of the tick.  */
