--- a/test/standins/platform.c
+++ b/test/standins/platform.c
@@ -4,7 +4,8 @@
 
    GET /services/NAME answers with FOLDER/NAME.json; GET /index answers with
    the index of all of them; with after=G and wait_ms=W it waits up to W for
-   an index newer than G.  */
+   an index newer than G.  GET /instances answers with FOLDER/instances, a
+   list of instances, if there is one.  */
 
 #include <dirent.h>
 #include <stdatomic.h>
@@ -116,17 +117,17 @@
   return text;
 }
 
+/* Returns the text of the file at PATH, or NULL; the caller frees it.  */
 static char *
-read_service (const char *name)
+read_text (const char *path)
 {
-  char path[PATH_BYTES];
   char *text = calloc (1, GALENA_RECORD_BYTES_MAX);
-  FILE *file;
+  FILE *file = fopen (path, "r");
 
-  snprintf (path, sizeof path, "%s/%s.json", folder, name);
-  file = strchr (name, '/') == NULL ? fopen (path, "r") : NULL;
   if (file == NULL || text == NULL)
     {
+      if (file != NULL)
+        fclose (file);
       free (text);
       return NULL;
     }
@@ -135,6 +136,24 @@
   return text;
 }
 
+static char *
+read_service (const char *name)
+{
+  char path[PATH_BYTES];
+
+  snprintf (path, sizeof path, "%s/%s.json", folder, name);
+  return strchr (name, '/') == NULL ? read_text (path) : NULL;
+}
+
+static char *
+read_instances (void)
+{
+  char path[PATH_BYTES];
+
+  snprintf (path, sizeof path, "%s/instances", folder);
+  return read_text (path);
+}
+
 static enum MHD_Result
 answer (void *data, struct MHD_Connection *connection, const char *url,
         const char *method, const char *version, const char *upload,
@@ -151,6 +170,8 @@
   atomic_fetch_add (&reads, 1);
   if (strcmp (url, "/index") == 0)
     text = watch_index (connection);
+  else if (strcmp (url, "/instances") == 0)
+    text = read_instances ();
   else if (strncmp (url, "/services/", 10) == 0)
     text = read_service (url + 10);
   if (text == NULL)
