--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -250,8 +250,9 @@
                             struct galena_flow_handle handle)
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
-
-  galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
+  struct galena_message close
+      = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
+  galena_caller_tell_close (world, &close);
   galena_caller_abandon_move (world, handle);
   galena_caller_unindex (world, flow->id);
   galena_table_remove (world->caller->flows, handle.row);
@@ -337,6 +338,7 @@
                       struct galena_flow_handle handle)
 {
   struct galena_caller_flow *flow = galena_caller_flow (world, handle);
+  struct galena_message close;
 
   if (!galena_handle_is_none (flow->successor.row))
     {
@@ -346,7 +348,8 @@
   galena_caller_abandon_move (world, handle);
   galena_caller_for_each_request (world, handle, start_over_or_end,
                                   GALENA_UNKNOWN_OUTCOME);
-  galena_caller_tell_close (world, flow->id, flow->service, flow->tag);
+  close = galena_caller_message (world, flow, GALENA_MESSAGE_CLOSE);
+  galena_caller_tell_close (world, &close);
   galena_caller_unindex (world, flow->id);
   galena_caller_draw_id (world, &flow->id);
   flow->state = GALENA_CALLER_FLOW_OPENING;
@@ -443,6 +446,19 @@
   return flow == NULL ? 0 : flow->tag;
 }
 
+/* Gives flows the time back in which this caller could not hear them.  */
+static void
+wake_caller (struct galena_world *world, int64_t gap_ms)
+{
+  struct galena_caller_flow *flow;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((flow = galena_table_next (world->caller->flows, &cursor, &handle))
+         != NULL)
+    flow->heard = galena_clock_after (flow->heard, gap_ms);
+}
+
 static const struct galena_system SYSTEMS[] = {
   { "receive", 0, galena_caller_run_receive },
   { "send", SEND_PERIOD_MS, galena_caller_run_send },
@@ -520,6 +536,7 @@
   .name = "caller",
   .create = create_caller,
   .destroy = destroy_caller,
+  .wake = wake_caller,
   .usage = report_usage,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -31,6 +31,7 @@
   message.peer = world->options.fabric;
   message.path = flow->path;
   message.service = flow->service;
+  message.service_number = flow->service_number;
   message.flow = flow->id;
   message.tag = flow->tag;
   message.kind = flow->kind;
@@ -130,8 +131,7 @@
 {
   bool complete = request->acknowledged == request->total;
 
-  request->resend
-      = galena_clock_after (world->now, resend_delay_ms (request));
+  request->resend = galena_clock_after (world->now, resend_delay_ms (request));
   if (request->cancelled)
     send_cancel (world, flow, request);
   if (complete)
