--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -13,10 +13,6 @@
 struct galena_hint
 {
   uint32_t upstream;
-  /* Expected wait of each kind in milliseconds, as the agent last told.  */
-  uint32_t wait_ms[GALENA_KINDS_MAX];
-  /* When that was told.  */
-  struct galena_clock told[GALENA_KINDS_MAX];
   /* Requests queued and running, as the agent last told.  */
   uint32_t queue;
   /* When the agent was last heard.  */
@@ -31,8 +27,13 @@
   struct galena_clock asked;
   /* Opens sent since the last word from the agent.  */
   uint32_t unanswered;
+  /* What follows is by kind; what each packet needs stands before it.  */
   /* Overload level of each kind, 0 to 255.  */
   uint8_t overload[GALENA_KINDS_MAX];
+  /* Expected wait of each kind in milliseconds, as the agent last told.  */
+  uint32_t wait_ms[GALENA_KINDS_MAX];
+  /* When that was told.  */
+  struct galena_clock told[GALENA_KINDS_MAX];
 };
 
 /* An open that no agent has answered yet.  */
