Document the scenario language; test its faults and its page

docs/SCENARIOS.md has a row for each verb and measure, compared with their tables by test_scenario, which also checks what is said of faulty scripts.

--- a/test/scenario/measure.c
+++ b/test/scenario/measure.c
@@ -129,6 +129,16 @@
   return NULL;
 }
 
+const char *
+scenario_measure_name (uint32_t number, bool *of_run, bool *of_load)
+{
+  if (number >= G_N_ELEMENTS (MEASURES))
+    return NULL;
+  *of_run = MEASURES[number].of_run != NULL;
+  *of_load = MEASURES[number].of_load != NULL;
+  return MEASURES[number].name;
+}
+
 bool
 scenario_measure (struct scenario *scenario, const char *name,
                   const char *load_name, double *value, GError **error)
--- a/test/scenario/scenario.h
+++ b/test/scenario/scenario.h
@@ -111,6 +111,9 @@
 struct scenario_script *scenario_read (const char *path, GError **error);
 void scenario_free (struct scenario_script *script);
 
+/* Writes how VERB is called; docs/SCENARIOS.md has the same words.  */
+void scenario_describe (const struct scenario_verb *verb, GString *text);
+
 /* run.c */
 
 /* Runs SCRIPT from SEED.  The caller ends it with scenario_end.  Returns
@@ -127,6 +130,11 @@
 bool scenario_measure (struct scenario *scenario, const char *name,
                        const char *load, double *value, GError **error);
 
+/* Returns the name of measure NUMBER, NULL after the last, and of what it is
+   a measure.  */
+const char *scenario_measure_name (uint32_t number, bool *of_run,
+                                   bool *of_load);
+
 /* Prints a line for each load and one for the whole run.  */
 void scenario_print (struct scenario *scenario);
 
--- a/test/scenario/script.c
+++ b/test/scenario/script.c
@@ -69,6 +69,35 @@
   return false;
 }
 
+static const char *const TYPE_WORDS[] = {
+  [SCENARIO_WORD] = "WORD",     [SCENARIO_COUNT] = "COUNT",
+  [SCENARIO_NUMBER] = "NUMBER", [SCENARIO_TIME] = "TIME",
+  [SCENARIO_SHARE] = "SHARE",   [SCENARIO_NODES] = "NODES",
+  [SCENARIO_ANY] = "NUMBER",    [SCENARIO_FLAG] = "",
+};
+
+void
+scenario_describe (const struct scenario_verb *verb, GString *text)
+{
+  g_string_append (text, verb->name);
+  for (uint32_t i = 0;
+       i < SCENARIO_PARAMETERS_MAX && verb->parameters[i].name != NULL; i++)
+    {
+      const struct scenario_parameter *parameter = &verb->parameters[i];
+      bool skippable = verb->skippable > 0 && i == verb->skippable;
+
+      if (i < verb->positional)
+        g_string_append_printf (text, skippable ? " [%s]" : " %s",
+                                parameter->name);
+      else if (parameter->type == SCENARIO_FLAG)
+        g_string_append_printf (text, " [%s]", parameter->name);
+      else
+        g_string_append_printf (
+            text, parameter->fallback == NULL ? " %s %s" : " [%s %s]",
+            parameter->name, TYPE_WORDS[parameter->type]);
+    }
+}
+
 static int
 find_parameter (const struct scenario_verb *verb, const char *name)
 {
