--- a/test/bench/bench.h
+++ b/test/bench/bench.h
@@ -10,5 +10,6 @@
 bool bench_codec (void);
 bool bench_flow_bytes (void);
 bool bench_path (void);
+bool bench_report (void);
 
 #endif
--- a/test/bench/main.c
+++ b/test/bench/main.c
@@ -13,10 +13,9 @@
 };
 
 static const struct bench BENCHES[] = {
-  { "decisions", bench_decisions },
-  { "codec", bench_codec },
-  { "flow-bytes", bench_flow_bytes },
-  { "path", bench_path },
+  { "decisions", bench_decisions },   { "codec", bench_codec },
+  { "flow-bytes", bench_flow_bytes }, { "path", bench_path },
+  { "report", bench_report },
 };
 
 int
