--- a/packages/daemon/src/collector.c
+++ b/packages/daemon/src/collector.c
@@ -24,6 +24,14 @@
   bool stopping_noted;
 };
 
+/* Events that are logged as warnings; the others are notices.  */
+static const bool IS_WARNING[GALENA_AUDIT_EVENT_COUNT] = {
+  [GALENA_AUDIT_RECORD_REFUSED] = true, [GALENA_AUDIT_RECORD_CONFLICT] = true,
+  [GALENA_AUDIT_RECORD_CLASH] = true,   [GALENA_AUDIT_OVERLOAD_ENTERED] = true,
+  [GALENA_AUDIT_OWNER_LOST] = true,     [GALENA_AUDIT_UPSTREAM_DOWN] = true,
+  [GALENA_AUDIT_PAUSED] = true,
+};
+
 static void
 note_process (struct collector *collector, enum galena_audit_event event,
               struct galena_clock now)
@@ -97,7 +105,9 @@
   while ((row = galena_audit_find (collector->audit, collector->logged + 1))
          != NULL)
     {
-      galena_log (LOG_NOTICE, galena_audit_word (row->event),
+      int severity = IS_WARNING[row->event] ? LOG_WARNING : LOG_NOTICE;
+
+      galena_log (severity, galena_audit_word (row->event),
                   "service=%u upstream=%u kind=%u generation=%llu result=%s",
                   row->service, row->upstream, row->kind,
                   (unsigned long long)row->generation,
