--- a/packages/daemon/src/control.c
+++ b/packages/daemon/src/control.c
@@ -66,20 +66,22 @@
 
 /* Hands a record that a peer sent to the sync.  */
 static void
-take_relayed (void *data, struct galena_sync_event *event,
-              struct galena_sync_message *message, const char *text,
-              size_t size)
+take_relayed (void *data, const struct galena_sync_event *event,
+              const char *text, size_t size)
 {
   struct control *control = data;
+  struct galena_sync_message message = *event->message;
+  struct galena_sync_event taken = *event;
   struct galena_service_record record;
   struct galena_faults faults;
   bool valid = galena_record_parse (text, size, &record, &faults) == GALENA_OK;
 
   if (valid)
-    message->record = &record;
+    message.record = &record;
   else
     log_faults ("relayed", &faults);
-  galena_sync_take (control->sync, event, galena_monotonic_now ());
+  taken.message = &message;
+  galena_sync_take (control->sync, &taken, galena_monotonic_now ());
   if (!valid)
     return;
   keep_text (control, &record, text, size);
@@ -87,47 +89,50 @@
 }
 
 static void
-take_index (struct control *control, struct galena_sync_event *event,
+take_index (struct control *control, const struct galena_sync_event *event,
             const struct galena_read_end *end)
 {
+  struct galena_sync_event taken = *event;
   struct galena_index_record index;
   struct galena_faults faults;
 
-  event->result = galena_index_parse (end->text, end->size, &index, &faults);
-  if (event->result != GALENA_OK)
+  taken.result = galena_index_parse (end->text, end->size, &index, &faults);
+  if (taken.result != GALENA_OK)
     log_faults ("index", &faults);
-  event->index = &index;
-  galena_sync_take (control->sync, event, galena_monotonic_now ());
+  taken.index = &index;
+  galena_sync_take (control->sync, &taken, galena_monotonic_now ());
   galena_index_release (&index);
 }
 
 static void
-take_service (struct control *control, struct galena_sync_event *event,
+take_service (struct control *control, const struct galena_sync_event *event,
               const struct galena_read_end *end)
 {
+  struct galena_sync_event taken = *event;
   struct galena_service_record record;
   struct galena_faults faults;
 
-  event->result = galena_record_parse (end->text, end->size, &record, &faults);
-  if (event->result != GALENA_OK)
+  taken.result = galena_record_parse (end->text, end->size, &record, &faults);
+  if (taken.result != GALENA_OK)
     log_faults ("read", &faults);
-  event->record = &record;
-  galena_sync_take (control->sync, event, galena_monotonic_now ());
-  if (event->result != GALENA_OK)
+  taken.record = &record;
+  galena_sync_take (control->sync, &taken, galena_monotonic_now ());
+  if (taken.result != GALENA_OK)
     return;
   keep_text (control, &record, end->text, end->size);
   galena_record_release (&record);
 }
 
 static void
-take_instances (struct control *control, struct galena_sync_event *event,
+take_instances (struct control *control, const struct galena_sync_event *event,
                 const struct galena_read_end *end)
 {
+  struct galena_sync_event taken = *event;
   struct galena_instance_list list;
 
-  event->result = galena_instances_parse (end->text, end->size, &list);
-  event->instances = &list;
-  galena_sync_take (control->sync, event, galena_monotonic_now ());
+  taken.result = galena_instances_parse (end->text, end->size, &list);
+  taken.instances = &list;
+  galena_sync_take (control->sync, &taken, galena_monotonic_now ());
   galena_instances_release (&list);
 }
 
@@ -135,7 +140,7 @@
 {
   /* Path of the read; the formats take what read_path gives.  */
   const char *path;
-  void (*take) (struct control *, struct galena_sync_event *,
+  void (*take) (struct control *, const struct galena_sync_event *,
                 const struct galena_read_end *);
 };
 
@@ -159,7 +164,7 @@
 }
 
 static void
-take_failure (struct control *control, struct galena_sync_event *event,
+take_failure (struct control *control, const struct galena_sync_event *event,
               enum galena_sync_read_type type)
 {
   bool list
--- a/packages/daemon/src/relay.c
+++ b/packages/daemon/src/relay.c
@@ -262,8 +262,7 @@
       != GALENA_OK)
     connection->failed = true;
   else if (message.type == GALENA_SYNC_RECORD)
-    relay->options.take_record (relay->options.data, &event, &message, text,
-                                text_size);
+    relay->options.take_record (relay->options.data, &event, text, text_size);
   else
     galena_sync_take (relay->options.sync, &event, now);
 }
--- a/packages/daemon/src/relay.h
+++ b/packages/daemon/src/relay.h
@@ -18,9 +18,8 @@
   struct galena_sync *sync;
   struct texts *texts;
   /* Called for each record of a peer, with its text; hands it to the sync. */
-  void (*take_record) (void *data, struct galena_sync_event *event,
-                       struct galena_sync_message *message, const char *text,
-                       size_t size);
+  void (*take_record) (void *data, const struct galena_sync_event *event,
+                       const char *text, size_t size);
   void *data;
 };
 
--- a/test/propagation/propagation.c
+++ b/test/propagation/propagation.c
@@ -163,47 +163,49 @@
   return process->bytes + process->received;
 }
 
+static void
+forget_bytes (struct syncs *syncs)
+{
+  for (uint32_t i = 0; i < syncs->count; i++)
+    syncs->processes[i].bytes = syncs->processes[i].received = 0;
+}
+
 static uint64_t
-most_bytes (const struct syncs *syncs, const uint64_t *before)
+most_bytes (const struct syncs *syncs)
 {
   uint64_t most = 0;
 
   for (uint32_t i = 0; i < syncs->count; i++)
-    most = MAX (most, moved_bytes (&syncs->processes[i]) - before[i]);
+    most = MAX (most, moved_bytes (&syncs->processes[i]));
   return most;
 }
 
 static void
 measure_quiet (struct syncs *syncs, const struct fleet_size *size)
 {
-  uint64_t *before = g_new (uint64_t, syncs->count);
   int64_t began = syncs->now.ms;
   uint64_t sum = 0;
 
-  for (uint32_t i = 0; i < syncs->count; i++)
-    before[i] = moved_bytes (&syncs->processes[i]);
+  forget_bytes (syncs);
   syncs_run (syncs, began + QUIET_MS);
   for (uint32_t i = 0; i < syncs->count; i++)
-    sum += moved_bytes (&syncs->processes[i]) - before[i];
+    sum += moved_bytes (&syncs->processes[i]);
   printf ("processes=%u what=quiet seconds=%d reads_per_second_max=%u "
           "bytes_per_second_mean=%.0f bytes_per_second_max=%.0f\n",
           size->processes, QUIET_MS / 1000, syncs_most_reads (syncs, began),
           (double)sum * 1000 / QUIET_MS / syncs->count,
-          (double)most_bytes (syncs, before) * 1000 / QUIET_MS);
-  g_free (before);
+          (double)most_bytes (syncs) * 1000 / QUIET_MS);
 }
 
 static void
 measure_publish (struct syncs *syncs, const struct fleet_size *size,
                  enum outage outage, uint64_t generation)
 {
-  uint64_t *before = g_new (uint64_t, syncs->count);
   int64_t began = syncs->now.ms;
   int64_t took_ms;
   int64_t early_ms = 0;
 
-  for (uint32_t i = 0; i < syncs->count; i++)
-    before[i] = moved_bytes (&syncs->processes[i]);
+  forget_bytes (syncs);
   syncs->platform_down = outage == OUTAGE_DURING;
   publish (syncs, size, 1, generation);
   if (outage == OUTAGE_DURING)
@@ -224,10 +226,9 @@
           early_ms > 0 && took_ms <= STEP_MS ? "<" : "",
           took_ms < 0 ? -1 : (double)(took_ms + early_ms) / 1000,
           syncs_most_reads (syncs, began),
-          (unsigned long long)most_bytes (syncs, before));
+          (unsigned long long)most_bytes (syncs));
   syncs->platform_down = false;
   syncs_run (syncs, syncs->now.ms + QUIET_MS);
-  g_free (before);
 }
 
 static void
