--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -290,22 +290,24 @@
 {
   return result == GALENA_REFUSED_NO_UPSTREAM
          || result == GALENA_REFUSED_LEAVING
-         || result == GALENA_REFUSED_RENEWING
          || result == GALENA_REFUSED_WRONG_SERVICE
          || result == GALENA_REFUSED_RENEWING
          || result == GALENA_REFUSED_NOT_CANDIDATE;
 }
 
-/* Begins another round after one in which no candidate replied: packets may
-   have been lost, or their path silent.  */
+/* Has another round begin later, when all candidates were the wrong ones or
+   did not reply: packets may have been lost, or upstreams are being replaced.
+   False after the last round.  */
 static bool
-try_again (struct galena_world *world, struct galena_pending_open *pending,
-           enum galena_result result)
+try_again_later (const struct galena_world *world,
+                 struct galena_pending_open *pending,
+                 enum galena_result result)
 {
-  if (result != GALENA_REFUSED_NO_UPSTREAM || ++pending->rounds == ROUNDS_MAX)
+  if (!is_about_place (result) || ++pending->rounds == ROUNDS_MAX)
     return false;
   pending->tried_count = 0;
-  return try_next (world, pending);
+  pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
+  return true;
 }
 
 /* Retries PENDING, or gives it up with RESULT.  An open that met the wrong
@@ -321,7 +323,8 @@
 
   if (left && spend_retry_token (world))
     {
-      if (try_next (world, pending) || try_again (world, pending, result))
+      if (try_next (world, pending)
+          || try_again_later (world, pending, result))
         return;
     }
   else if (left && is_about_place (result))
@@ -639,9 +642,13 @@
 suspect_last_tried (struct galena_world *world,
                     const struct galena_pending_open *pending)
 {
-  uint32_t upstream = pending->tried[pending->tried_count - 1];
-  struct galena_hint *hint = hint_for (world, upstream);
+  uint32_t upstream;
+  struct galena_hint *hint;
 
+  if (pending->tried_count == 0)
+    return;
+  upstream = pending->tried[pending->tried_count - 1];
+  hint = hint_for (world, upstream);
   galena_stats_upstream (world, upstream)->unanswered++;
   if (hint == NULL || hint->unanswered == 0)
     return;
--- a/test/scenario/measure.c
+++ b/test/scenario/measure.c
@@ -64,6 +64,7 @@
 READ_LOAD (unknown)
 READ_LOAD (wrong)
 READ_LOAD (gap_ms)
+READ_LOAD (first_ms)
 
 static double
 load_kept (const struct scenario *scenario, struct fleet_load *load)
@@ -106,6 +107,7 @@
   { "kept", NULL, load_kept },
   { "p50_ms", NULL, load_p50_ms },
   { "p99_ms", NULL, load_p99_ms },
+  { "first_ms", NULL, load_first_ms },
   { "gap_ms", NULL, load_gap_ms },
 };
 
