--- a/test/scenario/measure.c
+++ b/test/scenario/measure.c
@@ -64,6 +64,7 @@
 READ_LOAD (unknown)
 READ_LOAD (wrong)
 READ_LOAD (gap_ms)
+READ_LOAD (first_ms)
 
 static double
 load_kept (const struct scenario *scenario, struct fleet_load *load)
@@ -106,6 +107,7 @@
   { "kept", NULL, load_kept },
   { "p50_ms", NULL, load_p50_ms },
   { "p99_ms", NULL, load_p99_ms },
+  { "first_ms", NULL, load_first_ms },
   { "gap_ms", NULL, load_gap_ms },
 };
 
@@ -129,6 +131,16 @@
   return NULL;
 }
 
+const char *
+scenario_measure_name (uint32_t number, bool *of_run, bool *of_load)
+{
+  if (number >= G_N_ELEMENTS (MEASURES))
+    return NULL;
+  *of_run = MEASURES[number].of_run != NULL;
+  *of_load = MEASURES[number].of_load != NULL;
+  return MEASURES[number].name;
+}
+
 bool
 scenario_measure (struct scenario *scenario, const char *name,
                   const char *load_name, double *value, GError **error)
