Send from another source port when a path is silent

Cause: the world of an entry names a path for each packet to an agent, and the daemon sent all of them from one socket, so a path that something between the two ends had lost track of stayed silent. Change: an entry thread has eight sockets towards agents; the link picks one by the path number. Only readable sockets are read. TICK_MESSAGES grew with them. The caller of galena_link_send passes ports in place of sockets.

--- a/example/open_flow.c
+++ b/example/open_flow.c
@@ -26,15 +26,15 @@
 static void
 run_tick (struct galena_world *world, struct galena_datagrams *socket)
 {
-  struct galena_datagrams *sockets[GALENA_LINK_COUNT]
-      = { [GALENA_LINK_CALLER] = socket };
+  struct galena_link_ports ports[GALENA_LINK_COUNT]
+      = { [GALENA_LINK_CALLER] = { { socket }, 1 } };
   struct pollfd wait = { galena_datagrams_fd (socket), POLLIN, 0 };
   struct galena_clock now = galena_monotonic_now ();
 
   poll (&wait, 1, (int)galena_clock_left (now, galena_world_due (world)));
   galena_link_receive (socket, world, GALENA_LINK_CALLER);
   galena_world_tick (world, galena_monotonic_now (), NULL);
-  galena_link_send (sockets, world);
+  galena_link_send (ports, world);
 }
 
 /* Prints what came for the request; tells whether it has ended.  */
--- a/packages/daemon/src/agent_loop.c
+++ b/packages/daemon/src/agent_loop.c
@@ -22,7 +22,7 @@
   /* Whether a graceful shutdown found nothing in progress.  */
   bool idle;
   struct galena_world *world;
-  struct galena_datagrams *sockets[GALENA_LINK_COUNT];
+  struct galena_link_ports ports[GALENA_LINK_COUNT];
   struct upstream_link *upstream;
 };
 
@@ -53,7 +53,9 @@
   enum galena_result result;
 
   loop->process = process;
-  result = galena_datagrams_create (&peers, &loop->sockets[GALENA_LINK_PEER]);
+  loop->ports[GALENA_LINK_PEER].count = 1;
+  result = galena_datagrams_create (&peers,
+                                    &loop->ports[GALENA_LINK_PEER].sockets[0]);
   if (result != GALENA_OK)
     return result;
   result = create_world (loop);
@@ -69,14 +71,14 @@
   upstream_link_destroy (loop->upstream);
   galena_world_destroy (loop->world);
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
-    galena_datagrams_destroy (loop->sockets[link]);
+    galena_datagrams_destroy (loop->ports[link].sockets[0]);
 }
 
 static void
 wait_for_work (struct agent_loop *loop)
 {
   struct galena_clock due = galena_world_due (loop->world);
-  int fds[] = { galena_datagrams_fd (loop->sockets[GALENA_LINK_PEER]),
+  int fds[] = { galena_datagrams_fd (loop->ports[GALENA_LINK_PEER].sockets[0]),
                 process_wake_fd (loop->process) };
 
   upstream_link_wait (loop->upstream, fds, sizeof fds / sizeof fds[0],
@@ -86,14 +88,14 @@
 static void
 run_tick (struct agent_loop *loop)
 {
-  galena_link_receive (loop->sockets[GALENA_LINK_PEER], loop->world,
+  galena_link_receive (loop->ports[GALENA_LINK_PEER].sockets[0], loop->world,
                        GALENA_LINK_PEER);
   upstream_link_receive (loop->upstream);
   rcu_read_lock ();
   galena_world_tick (loop->world, galena_monotonic_now (),
                      snapshot_read (loop->process->snapshot));
   rcu_read_unlock ();
-  galena_link_send (loop->sockets, loop->world);
+  galena_link_send (loop->ports, loop->world);
   upstream_link_send (loop->upstream);
   process_report (loop->process, 0, loop->world);
 }
--- a/packages/daemon/src/entry_thread.c
+++ b/packages/daemon/src/entry_thread.c
@@ -12,7 +12,8 @@
 
 enum
 {
-  TICK_MESSAGES = 4 * GALENA_BATCH_MAX
+  /* A batch from each socket, and as much again for opens sent again.  */
+  TICK_MESSAGES = 2 * (1 + GALENA_PORTS_MAX) * GALENA_BATCH_MAX
 };
 
 struct entry_thread
@@ -22,9 +23,26 @@
   /* Whether a graceful shutdown found nothing in progress.  */
   bool idle;
   struct galena_world *world;
-  struct galena_datagrams *sockets[GALENA_LINK_COUNT];
+  struct galena_link_ports ports[GALENA_LINK_COUNT];
+  /* One for each socket of the two links, then the wake-up.  */
+  struct pollfd fds[1 + GALENA_PORTS_MAX + 1];
 };
 
+static enum galena_result
+create_ports (const struct galena_datagrams_options *options, uint32_t count,
+              struct galena_link_ports *ports)
+{
+  for (; ports->count < count; ports->count++)
+    {
+      enum galena_result result
+          = galena_datagrams_create (options, &ports->sockets[ports->count]);
+
+      if (result != GALENA_OK)
+        return result;
+    }
+  return GALENA_OK;
+}
+
 static enum galena_result
 create_sockets (struct entry_thread *thread)
 {
@@ -32,12 +50,13 @@
   struct galena_datagrams_options callers = { settings->entry_address, true };
   struct galena_datagrams_options peers
       = { { settings->entry_address.ip, 0 }, false };
-  enum galena_result result = galena_datagrams_create (
-      &callers, &thread->sockets[GALENA_LINK_CALLER]);
+  enum galena_result result
+      = create_ports (&callers, 1, &thread->ports[GALENA_LINK_CALLER]);
 
   if (result != GALENA_OK)
     return result;
-  return galena_datagrams_create (&peers, &thread->sockets[GALENA_LINK_PEER]);
+  return create_ports (&peers, GALENA_PORTS_MAX,
+                       &thread->ports[GALENA_LINK_PEER]);
 }
 
 static enum galena_result
@@ -87,36 +106,64 @@
     return;
   galena_world_destroy (thread->world);
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
-    galena_datagrams_destroy (thread->sockets[link]);
+    for (uint32_t i = 0; i < thread->ports[link].count; i++)
+      galena_datagrams_destroy (thread->ports[link].sockets[i]);
   free (thread);
 }
 
+/* Calls VISIT for each socket with its link and its place in the poll set.  */
+static uint32_t
+visit_sockets (struct entry_thread *thread,
+               void (*visit) (struct entry_thread *thread, uint32_t link,
+                              uint32_t port, struct pollfd *fd))
+{
+  uint32_t count = 0;
+
+  for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
+    for (uint32_t port = 0; port < thread->ports[link].count; port++)
+      visit (thread, link, port, &thread->fds[count++]);
+  return count;
+}
+
+static void
+watch_socket (struct entry_thread *thread, uint32_t link, uint32_t port,
+              struct pollfd *fd)
+{
+  fd->fd = galena_datagrams_fd (thread->ports[link].sockets[port]);
+  fd->events = POLLIN;
+  fd->revents = 0;
+}
+
+static void
+receive_socket (struct entry_thread *thread, uint32_t link, uint32_t port,
+                struct pollfd *fd)
+{
+  if (fd->revents != 0)
+    galena_link_receive (thread->ports[link].sockets[port], thread->world,
+                         (enum galena_link)link);
+}
+
 static void
 wait_for_work (struct entry_thread *thread)
 {
   struct galena_clock due = galena_world_due (thread->world);
   uint32_t left_ms = galena_clock_left (galena_monotonic_now (), due);
-  struct pollfd fds[] = {
-    { galena_datagrams_fd (thread->sockets[GALENA_LINK_CALLER]), POLLIN, 0 },
-    { galena_datagrams_fd (thread->sockets[GALENA_LINK_PEER]), POLLIN, 0 },
-    { process_wake_fd (thread->process), POLLIN, 0 },
-  };
+  uint32_t count = visit_sockets (thread, watch_socket);
 
-  poll (fds, sizeof fds / sizeof fds[0], (int)left_ms);
+  thread->fds[count]
+      = (struct pollfd){ process_wake_fd (thread->process), POLLIN, 0 };
+  poll (thread->fds, count + 1, (int)left_ms);
 }
 
 static void
 run_tick (struct entry_thread *thread)
 {
-  galena_link_receive (thread->sockets[GALENA_LINK_CALLER], thread->world,
-                       GALENA_LINK_CALLER);
-  galena_link_receive (thread->sockets[GALENA_LINK_PEER], thread->world,
-                       GALENA_LINK_PEER);
+  visit_sockets (thread, receive_socket);
   rcu_read_lock ();
   galena_world_tick (thread->world, galena_monotonic_now (),
                      snapshot_read (thread->process->snapshot));
   rcu_read_unlock ();
-  galena_link_send (thread->sockets, thread->world);
+  galena_link_send (thread->ports, thread->world);
   process_report (thread->process, thread->index, thread->world);
 }
 
--- a/packages/platform/include/galenaford/link.h
+++ b/packages/platform/include/galenaford/link.h
@@ -12,9 +12,24 @@
 void galena_link_receive (struct galena_datagrams *socket,
                           struct galena_world *world, enum galena_link link);
 
-/* Sends the outbox of WORLD; SOCKETS has one socket for each link, or NULL
-   where the link has none.  What the system does not take is counted.  */
-void galena_link_send (struct galena_datagrams *const sockets[],
+enum
+{
+  /* Most source ports of one link.  */
+  GALENA_PORTS_MAX = 8
+};
+
+/* The sockets of one link; a message goes out of the one that its path number
+   modulo the count names.  */
+struct galena_link_ports
+{
+  struct galena_datagrams *sockets[GALENA_PORTS_MAX];
+  /* 0 where the process has no such link.  */
+  uint32_t count;
+};
+
+/* Sends the outbox of WORLD over PORTS.  What the system does not take is
+   counted.  */
+void galena_link_send (const struct galena_link_ports ports[GALENA_LINK_COUNT],
                        struct galena_world *world);
 
 #endif
--- a/packages/platform/src/link.c
+++ b/packages/platform/src/link.c
@@ -43,8 +43,18 @@
   return true;
 }
 
+static uint32_t
+flush_ports (const struct galena_link_ports *ports)
+{
+  uint32_t unsent = 0;
+
+  for (uint32_t i = 0; i < ports->count; i++)
+    unsent += galena_datagrams_flush (ports->sockets[i]);
+  return unsent;
+}
+
 void
-galena_link_send (struct galena_datagrams *const sockets[],
+galena_link_send (const struct galena_link_ports ports[GALENA_LINK_COUNT],
                   struct galena_world *world)
 {
   const struct galena_mailbox *outbox = galena_world_outbox (world);
@@ -54,14 +64,14 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const struct galena_message *message = galena_mailbox_get (outbox, i);
+      const struct galena_link_ports *link = &ports[message->link];
 
-      if (sockets[message->link] == NULL)
+      if (link->count == 0)
         continue;
-      if (!send_one (sockets[message->link], message))
+      if (!send_one (link->sockets[message->path % link->count], message))
         unsent++;
     }
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
-    if (sockets[link] != NULL)
-      unsent += galena_datagrams_flush (sockets[link]);
+    unsent += flush_ports (&ports[link]);
   galena_world_count_unsent (world, unsent);
 }
--- a/test/standins/caller.c
+++ b/test/standins/caller.c
@@ -267,7 +267,8 @@
 main (int argc, char **argv)
 {
   struct galena_datagrams_options options = { .shared = false };
-  struct galena_datagrams *sockets[GALENA_LINK_COUNT] = { NULL };
+  struct galena_link_ports ports[GALENA_LINK_COUNT] = { 0 };
+  struct galena_link_ports *front = &ports[GALENA_LINK_CALLER];
   struct galena_world_options world_options = { .role = GALENA_ROLE_CALLER,
                                                 .flows = REQUESTS_MAX,
                                                 .requests = REQUESTS_MAX,
@@ -282,8 +283,8 @@
   getrandom (&run_id, sizeof run_id, 0);
   world_options.seed = run_id;
   run_id &= 0xffffff;
-  if (galena_datagrams_create (&options, &sockets[GALENA_LINK_CALLER])
-          != GALENA_OK
+  front->count = 1;
+  if (galena_datagrams_create (&options, &front->sockets[0]) != GALENA_OK
       || galena_world_create (&world_options, &world) != GALENA_OK)
     return 1;
   now = before = galena_monotonic_now ();
@@ -295,17 +296,16 @@
   while (!galena_clock_reached (now, galena_clock_after (end, DRAIN_MS)))
     {
       struct pollfd fd
-          = { galena_datagrams_fd (sockets[GALENA_LINK_CALLER]), POLLIN, 0 };
+          = { galena_datagrams_fd (front->sockets[0]), POLLIN, 0 };
 
       poll (&fd, 1, TICK_MS);
-      galena_link_receive (sockets[GALENA_LINK_CALLER], world,
-                           GALENA_LINK_CALLER);
+      galena_link_receive (front->sockets[0], world, GALENA_LINK_CALLER);
       now = galena_monotonic_now ();
       if (!galena_clock_reached (now, end))
         send_due ((double)galena_clock_between (before, now) / 1000);
       before = now;
       galena_world_tick (world, now, NULL);
-      galena_link_send (sockets, world);
+      galena_link_send (ports, world);
       take_results ();
     }
   return report () == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/test/unit/test_link.c
+++ b/test/unit/test_link.c
@@ -22,7 +22,7 @@
 {
   struct galena_world *world;
   struct galena_config *config;
-  struct galena_datagrams *sockets[GALENA_LINK_COUNT];
+  struct galena_link_ports ports[GALENA_LINK_COUNT];
   struct galena_datagrams *sender;
   struct galena_clock now;
 };
@@ -51,8 +51,11 @@
                    GALENA_OK);
   g_assert_cmpint (galena_world_create (&world, &bench->world), ==, GALENA_OK);
   for (int link = GALENA_LINK_CALLER; link <= GALENA_LINK_PEER; link++)
-    g_assert_cmpint (galena_datagrams_create (&socket, &bench->sockets[link]),
-                     ==, GALENA_OK);
+    bench->ports[link].count = 1;
+  for (int link = GALENA_LINK_CALLER; link <= GALENA_LINK_PEER; link++)
+    g_assert_cmpint (
+        galena_datagrams_create (&socket, &bench->ports[link].sockets[0]), ==,
+        GALENA_OK);
   g_assert_cmpint (galena_datagrams_create (&socket, &bench->sender), ==,
                    GALENA_OK);
 }
@@ -62,7 +65,7 @@
 {
   galena_datagrams_destroy (bench->sender);
   for (int link = 0; link < GALENA_LINK_COUNT; link++)
-    galena_datagrams_destroy (bench->sockets[link]);
+    galena_datagrams_destroy (bench->ports[link].sockets[0]);
   galena_world_destroy (bench->world);
   galena_config_destroy (bench->config);
 }
@@ -72,19 +75,20 @@
             size_t size)
 {
   memcpy (galena_datagrams_next (bench->sender), bytes, size);
-  galena_datagrams_add (bench->sender, size,
-                        galena_datagrams_address (bench->sockets[link]));
+  galena_datagrams_add (
+      bench->sender, size,
+      galena_datagrams_address (bench->ports[link].sockets[0]));
 }
 
 static void
 run_tick (struct bench *bench)
 {
   for (int link = GALENA_LINK_CALLER; link <= GALENA_LINK_PEER; link++)
-    galena_link_receive (bench->sockets[link], bench->world,
+    galena_link_receive (bench->ports[link].sockets[0], bench->world,
                          (enum galena_link)link);
   bench->now.ms++;
   galena_world_tick (bench->world, bench->now, bench->config);
-  galena_link_send (bench->sockets, bench->world);
+  galena_link_send (bench->ports, bench->world);
 }
 
 static size_t
@@ -249,6 +253,35 @@
   close_bench (&bench);
 }
 
+/* An upstream whose path is silent is reached from a further port.  */
+static void
+check_ports (void)
+{
+  struct galena_datagrams_options socket = { own_address (), false };
+  struct galena_link_ports *peers;
+  struct galena_message message
+      = { .type = GALENA_MESSAGE_ANSWER, .tag = 1, .path = 1 };
+  struct galena_endpoint source;
+  struct bench bench;
+  size_t size;
+
+  open_bench (&bench);
+  peers = &bench.ports[GALENA_LINK_CALLER];
+  g_assert_cmpint (galena_datagrams_create (&socket, &peers->sockets[1]), ==,
+                   GALENA_OK);
+  peers->count = 2;
+  message.link = GALENA_LINK_PEER;
+  message.caller = galena_datagrams_address (bench.sender);
+  galena_mailbox_push (galena_world_inbox (bench.world), &message);
+  run_tick (&bench);
+  g_assert_cmpuint (galena_datagrams_receive (bench.sender), ==, 1);
+  galena_datagrams_get (bench.sender, 0, &size, &source);
+  g_assert_true (galena_endpoint_equal (
+      source, galena_datagrams_address (peers->sockets[1])));
+  galena_datagrams_destroy (peers->sockets[1]);
+  close_bench (&bench);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -258,5 +291,6 @@
   g_test_add_func ("/link/mutated", check_mutated);
   g_test_add_func ("/link/flood", check_flood);
   g_test_add_func ("/link/unsent", check_unsent);
+  g_test_add_func ("/link/ports", check_ports);
   return g_test_run ();
 }
