--- a/example/open_flow.c
+++ b/example/open_flow.c
@@ -27,7 +27,7 @@
 run_tick (struct galena_world *world, struct galena_datagrams *socket)
 {
   struct galena_link_ports ports[GALENA_LINK_COUNT]
-      = { [GALENA_LINK_CALLER] = { { socket }, 1 } };
+      = { [GALENA_LINK_CALLER] = { { socket }, 1, 0 } };
   struct pollfd wait = { galena_datagrams_fd (socket), POLLIN, 0 };
   struct galena_clock now = galena_monotonic_now ();
 
--- a/packages/daemon/src/entry_thread.c
+++ b/packages/daemon/src/entry_thread.c
@@ -111,7 +111,8 @@
   free (thread);
 }
 
-/* Calls VISIT for each socket with its link and its place in the poll set.  */
+/* Calls VISIT for each socket in use with its link and its place in the poll
+ * set.  */
 static uint32_t
 visit_sockets (struct entry_thread *thread,
                void (*visit) (struct entry_thread *thread, uint32_t link,
@@ -120,8 +121,13 @@
   uint32_t count = 0;
 
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
-    for (uint32_t port = 0; port < thread->ports[link].count; port++)
-      visit (thread, link, port, &thread->fds[count++]);
+    {
+      const struct galena_link_ports *ports = &thread->ports[link];
+
+      for (uint32_t port = 0; port < ports->count && port <= ports->last;
+           port++)
+        visit (thread, link, port, &thread->fds[count++]);
+    }
   return count;
 }
 
--- a/packages/platform/include/galenaford/link.h
+++ b/packages/platform/include/galenaford/link.h
@@ -25,11 +25,13 @@
   struct galena_datagrams *sockets[GALENA_PORTS_MAX];
   /* 0 where the process has no such link.  */
   uint32_t count;
+  /* Replies may come to the sockets up to this one: the last sent from.  */
+  uint32_t last;
 };
 
 /* Sends the outbox of WORLD over PORTS.  What the system does not take is
    counted.  */
-void galena_link_send (const struct galena_link_ports ports[GALENA_LINK_COUNT],
+void galena_link_send (struct galena_link_ports ports[GALENA_LINK_COUNT],
                        struct galena_world *world);
 
 #endif
--- a/packages/platform/src/link.c
+++ b/packages/platform/src/link.c
@@ -54,7 +54,7 @@
 }
 
 void
-galena_link_send (const struct galena_link_ports ports[GALENA_LINK_COUNT],
+galena_link_send (struct galena_link_ports ports[GALENA_LINK_COUNT],
                   struct galena_world *world)
 {
   const struct galena_mailbox *outbox = galena_world_outbox (world);
@@ -64,11 +64,15 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const struct galena_message *message = galena_mailbox_get (outbox, i);
-      const struct galena_link_ports *link = &ports[message->link];
+      struct galena_link_ports *link = &ports[message->link];
+      uint32_t port;
 
       if (link->count == 0)
         continue;
-      if (!send_one (link->sockets[message->path % link->count], message))
+      port = message->path % link->count;
+      if (port > link->last)
+        link->last = port;
+      if (!send_one (link->sockets[port], message))
         unsent++;
     }
   for (uint32_t link = 0; link < GALENA_LINK_COUNT; link++)
