--- a/packages/platform/include/galenaford/link.h
+++ b/packages/platform/include/galenaford/link.h
@@ -29,9 +29,9 @@
   uint32_t last;
 };
 
-/* Sends the outbox of WORLD over PORTS.  What the system does not take is
-   counted.  */
-void galena_link_send (struct galena_link_ports ports[GALENA_LINK_COUNT],
+/* Sends the outbox of WORLD over PORTS, GALENA_LINK_COUNT rows.  What the
+   system does not take is counted.  */
+void galena_link_send (struct galena_link_ports *ports,
                        struct galena_world *world);
 
 #endif
--- a/packages/platform/src/link.c
+++ b/packages/platform/src/link.c
@@ -54,8 +54,7 @@
 }
 
 void
-galena_link_send (struct galena_link_ports ports[GALENA_LINK_COUNT],
-                  struct galena_world *world)
+galena_link_send (struct galena_link_ports *ports, struct galena_world *world)
 {
   const struct galena_mailbox *outbox = galena_world_outbox (world);
   uint32_t count = galena_mailbox_count (outbox);
--- a/packages/wire/src/wire.c
+++ b/packages/wire/src/wire.c
@@ -306,7 +306,9 @@
   for (uint32_t i = 0; i < count; i++)
     failed |= msgpack_pack_uint64 (&packer, values[i]);
   failed |= msgpack_pack_bin (&packer, message->body_size);
-  failed |= msgpack_pack_bin_body (&packer, message->body, message->body_size);
+  if (message->body_size > 0)
+    failed
+        |= msgpack_pack_bin_body (&packer, message->body, message->body_size);
   if (failed)
     return GALENA_ERR_TOO_LARGE;
   *size = buffer.size;
