Fetch from a peer only what that peer is known to hold

Cause: a process that read of a newer record in the index asked the peer that had announced the one before, got that one again and waited half a second. Found at 3,460 processes: a change took 0.57 s, and one published half a second before the platform went down was in force nowhere 120 s later.

Ruled out: too few watches (at 900 processes a fifth of the entries had seen the new index and none had read the record).

Change: a record is fetched only when the announced generation is above the one in force.

Before: /sync/ahead-of-peers fails (no read of the record).

--- a/packages/core/src/sync_services.c
+++ b/packages/core/src/sync_services.c
@@ -222,11 +222,15 @@
   row->due.ms = INT64_MAX;
 }
 
+/* Tells whether a peer is there that holds a newer record of ROW.  */
 static bool
 can_fetch (const struct galena_sync *sync, const struct sync_service *row)
 {
+  const struct galena_service_record *held
+      = galena_records_find (sync->records, row->number);
+
   return !row->in_progress && galena_clock_reached (sync->now, row->due)
-         && sync_is_behind (sync, row)
+         && is_below_peers (row, held)
          && galena_table_get (sync->links, row->holder) != NULL;
 }
 
--- a/test/unit/test_sync.c
+++ b/test/unit/test_sync.c
@@ -168,6 +168,15 @@
     5,
     0,
     0 },
+  { "/sync/published-before-outage",
+    { { 10000, STEP_PUBLISH, 2, 5 },
+      { 15000, STEP_PUBLISH, 3, 6 },
+      { 15400, STEP_DOWN, 0, 0 } },
+    20000,
+    3,
+    6,
+    0,
+    0 },
   { "/sync/most-cut-from-platform",
     { { 9000, STEP_CUT, 2, 0 }, { 10000, STEP_PUBLISH, 2, 5 } },
     15000,
@@ -566,6 +575,70 @@
   galena_audit_destroy (options.audit);
 }
 
+/* Returns how many actions of TYPE wait, and the read of the last one.  */
+static uint32_t
+count_actions (struct galena_sync *sync, enum galena_sync_action_type type,
+               enum galena_sync_read_type what,
+               struct galena_read_handle *read)
+{
+  struct galena_sync_action action;
+  uint32_t count = 0;
+
+  while (galena_sync_next (sync, &action))
+    if (action.type == type && action.what.type == what)
+      {
+        *read = action.read;
+        count++;
+      }
+  return count;
+}
+
+/* A peer that announced an older record is not asked for the one that the
+   index announces: it is read at once.  */
+static void
+run_ahead_of_peers (void)
+{
+  struct galena_audit_options audit = { 32 };
+  struct galena_sync_options options
+      = { .self = { address_of (1), GALENA_ROLE_ENTRY },
+          .readers = 1,
+          .reads_per_second = 1000 };
+  struct galena_upstream upstreams[AGENTS_EACH];
+  struct galena_service_record record = make_record (1, 1, 1, upstreams);
+  struct galena_index_row row = { "service-1", 1, 2 };
+  struct galena_index_record index = { 2, 1, &row };
+  struct galena_sync_message message = {
+    .type = GALENA_SYNC_ANNOUNCE, .number = 1, .generation = 1, .digest = 1
+  };
+  struct galena_sync_event received
+      = { .type = GALENA_SYNC_RECEIVED, .message = &message };
+  struct galena_sync_event ended
+      = { .type = GALENA_SYNC_READ_ENDED, .index = &index };
+  struct galena_sync *sync;
+
+  g_assert_cmpint (galena_audit_create (&audit, &options.audit), ==,
+                   GALENA_OK);
+  g_assert_cmpint (galena_sync_create (&options, &sync), ==, GALENA_OK);
+  g_assert_cmpint (
+      galena_sync_accept (sync, (struct galena_clock){ 1 }, &received.peer),
+      ==, GALENA_OK);
+  galena_sync_take (sync, &received, (struct galena_clock){ 10 });
+  message.type = GALENA_SYNC_RECORD;
+  message.record = &record;
+  galena_sync_take (sync, &received, (struct galena_clock){ 20 });
+  galena_sync_tick (sync, (struct galena_clock){ 100 });
+  g_assert_cmpuint (count_actions (sync, GALENA_SYNC_DO_READ,
+                                   GALENA_SYNC_READ_INDEX, &ended.read),
+                    ==, 1);
+  galena_sync_take (sync, &ended, (struct galena_clock){ 110 });
+  galena_sync_tick (sync, (struct galena_clock){ 200 });
+  g_assert_cmpuint (count_actions (sync, GALENA_SYNC_DO_READ,
+                                   GALENA_SYNC_READ_SERVICE, &ended.read),
+                    ==, 1);
+  galena_sync_destroy (sync);
+  galena_audit_destroy (options.audit);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -573,5 +646,6 @@
   for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
     g_test_add_data_func (CASES[i].name, &CASES[i], run_case);
   g_test_add_func ("/sync/crowded", run_crowded);
+  g_test_add_func ("/sync/ahead-of-peers", run_ahead_of_peers);
   return g_test_run ();
 }
