Shed at the entry by what agents accept; probe lost agents with one open

Cause, retries: when a lost agent's two seconds of suspicion were over, all opens of the moment went there, for it had the best hint: none.

Change: hints, opens and budgets are modules of their own. Ruled out: levels summed over hints (an entry that sends little has few and old ones); a fixed list of kinds to shed (it would break the minimum share).

--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -10,276 +10,14 @@
 
 enum
 {
-  /* Milliseconds without a reply before an open goes to the next one.  */
-  RETRY_AFTER_MS = 100,
   RETRY_PERIOD_MS = 10,
-  /* An upstream that left an open unanswered is avoided this long.  */
-  SUSPECT_MS = 2000,
-  /* A hint not renewed for this long is dropped.  */
-  HINT_LIFE_MS = 5000,
   HINT_PERIOD_MS = 1000,
+  BUDGET_PERIOD_MS = 1000,
   HINTS_MAX = 8192,
-  /* Most retries saved up.  */
-  RETRY_TOKENS_MAX = 10
+  /* Most kinds of work, over all services.  */
+  BUDGETS_MAX = 8192
 };
 
-/* Retries allowed for each first try.  */
-static const double RETRY_SHARE = 0.1;
-
-const struct galena_hint *
-galena_entry_hint (const struct galena_world *world, uint32_t upstream)
-{
-  const struct galena_entry *entry = world->entry;
-  uint64_t packed;
-
-  if (!galena_map_find (entry->hints_by_upstream, upstream, &packed))
-    return NULL;
-  return galena_table_get (entry->hints, galena_handle_unpack (packed));
-}
-
-/* Returns the hint on UPSTREAM, made when there is none; NULL when full.  */
-static struct galena_hint *
-hint_for (struct galena_world *world, uint32_t upstream)
-{
-  struct galena_entry *entry = world->entry;
-  struct galena_handle handle;
-  struct galena_hint *hint;
-  uint64_t packed;
-
-  if (galena_map_find (entry->hints_by_upstream, upstream, &packed))
-    return galena_table_get (entry->hints, galena_handle_unpack (packed));
-  hint = galena_table_insert (entry->hints, &handle);
-  if (hint == NULL)
-    return NULL;
-  hint->upstream = upstream;
-  hint->heard = world->now;
-  galena_map_insert (entry->hints_by_upstream, upstream,
-                     galena_handle_pack (handle));
-  return hint;
-}
-
-static struct galena_pending_open *
-find_pending (const struct galena_world *world, struct galena_flow_id flow,
-              struct galena_handle *handle)
-{
-  const struct galena_entry *entry = world->entry;
-  uint64_t key = galena_flow_key (entry->pending_by_flow, flow);
-  uint64_t packed;
-
-  if (!galena_map_find (entry->pending_by_flow, key, &packed))
-    return NULL;
-  *handle = galena_handle_unpack (packed);
-  return galena_table_get (entry->pending, *handle);
-}
-
-static void
-remove_pending (struct galena_world *world, struct galena_handle handle)
-{
-  struct galena_entry *entry = world->entry;
-  struct galena_pending_open *pending
-      = galena_table_get (entry->pending, handle);
-  uint64_t key = galena_flow_key (entry->pending_by_flow, pending->open.flow);
-
-  galena_map_remove (entry->pending_by_flow, key);
-  galena_table_remove (entry->pending, handle);
-}
-
-/* Counts a refusal of OPEN by its kind and by RESULT.  */
-static void
-count_refusal (struct galena_world *world, const struct galena_message *open,
-               enum galena_result result)
-{
-  const struct galena_service *service
-      = galena_config_service_at (world->config, open->service);
-  bool known
-      = service != NULL && galena_service_kind (service, open->kind) != NULL;
-
-  galena_stats_refuse (world, known ? service->number : 0, open->kind, result);
-}
-
-static void
-refuse_open (struct galena_world *world, const struct galena_message *open,
-             enum galena_result result)
-{
-  struct galena_message refusal = *open;
-
-  refusal.type = GALENA_MESSAGE_REFUSE;
-  refusal.link = GALENA_LINK_CALLER;
-  refusal.peer = open->caller;
-  refusal.result = result;
-  refusal.body_size = 0;
-  galena_world_count (world, GALENA_COUNT_REFUSED);
-  count_refusal (world, open, result);
-  galena_world_send (world, &refusal);
-}
-
-static bool
-was_tried (const struct galena_pending_open *pending, uint32_t upstream)
-{
-  for (uint32_t i = 0; i < pending->tried_count; i++)
-    if (pending->tried[i] == upstream)
-      return true;
-  return false;
-}
-
-/* Draws the candidates of FLOW from all active upstreams of SERVICE.  */
-static uint32_t
-draw_candidates (struct galena_world *world,
-                 const struct galena_service *service,
-                 uint32_t chosen[GALENA_CANDIDATES_MAX])
-{
-  uint32_t end = service->first_upstream + service->upstream_count;
-  uint32_t seen = 0;
-
-  for (uint32_t i = service->first_upstream; i < end; i++)
-    {
-      uint32_t at;
-
-      if (galena_config_upstream (world->config, i)->state
-          != GALENA_UPSTREAM_ACTIVE)
-        continue;
-      seen++;
-      at = galena_random_below (&world->random, seen);
-      if (seen <= GALENA_CANDIDATES_MAX)
-        chosen[seen - 1] = i;
-      else if (at < GALENA_CANDIDATES_MAX)
-        chosen[at] = i;
-    }
-  return seen < GALENA_CANDIDATES_MAX ? seen : GALENA_CANDIDATES_MAX;
-}
-
-/* Stores the candidates of PENDING that were not tried; returns how many. */
-static uint32_t
-untried_candidates (struct galena_world *world,
-                    const struct galena_service *service,
-                    const struct galena_pending_open *pending,
-                    uint32_t untried[GALENA_CANDIDATES_MAX])
-{
-  uint32_t all[GALENA_CANDIDATES_MAX];
-  uint32_t total;
-  uint32_t count = 0;
-
-  if (world->entry->choice->any_upstream)
-    total = draw_candidates (world, service, all);
-  else
-    total = galena_config_candidates (world->config, service,
-                                      pending->open.flow, all);
-  if (pending->open.unrouted && total > GALENA_UNROUTED_CANDIDATES)
-    total = GALENA_UNROUTED_CANDIDATES;
-  for (uint32_t i = 0; i < total; i++)
-    {
-      uint32_t number = galena_config_upstream (world->config, all[i])->number;
-      if (!was_tried (pending, number))
-        untried[count++] = all[i];
-    }
-  return count;
-}
-
-static void
-send_open (struct galena_world *world, struct galena_pending_open *pending,
-           const struct galena_service *service,
-           const struct galena_upstream *upstream)
-{
-  struct galena_message open = pending->open;
-  struct galena_hint *hint = hint_for (world, upstream->number);
-
-  if (hint != NULL)
-    hint->unanswered++;
-  galena_stats_upstream (world, upstream->number)->opens++;
-  open.link = GALENA_LINK_PEER;
-  open.peer = upstream->agent;
-  open.generation = service->generation;
-  open.deadline_ms = galena_clock_left (world->now, pending->deadline);
-  pending->tried[pending->tried_count++] = upstream->number;
-  pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
-  galena_world_send (world, &open);
-}
-
-/* Sends PENDING to its next candidate; false when there is none.  */
-static bool
-try_next (struct galena_world *world, struct galena_pending_open *pending)
-{
-  const struct galena_service *service
-      = galena_config_service_at (world->config, pending->open.service);
-  uint32_t untried[GALENA_CANDIDATES_MAX];
-  uint32_t count;
-  uint32_t chosen;
-
-  if (service == NULL || pending->tried_count == GALENA_CANDIDATES_MAX)
-    return false;
-  count = untried_candidates (world, service, pending, untried);
-  if (count == 0)
-    return false;
-  chosen = world->entry->choice->choose (world, pending->open.kind, untried,
-                                         count);
-  send_open (world, pending, service,
-             galena_config_upstream (world->config, untried[chosen]));
-  return true;
-}
-
-static void
-earn_retry_tokens (struct galena_entry *entry)
-{
-  entry->retry_tokens += RETRY_SHARE;
-  if (entry->retry_tokens > RETRY_TOKENS_MAX)
-    entry->retry_tokens = RETRY_TOKENS_MAX;
-}
-
-static bool
-spend_retry_token (struct galena_world *world)
-{
-  if (world->entry->retry_tokens < 1)
-    {
-      galena_world_count (world, GALENA_COUNT_RETRIES_DENIED);
-      return false;
-    }
-  world->entry->retry_tokens -= 1;
-  galena_world_count (world, GALENA_COUNT_RETRIES);
-  return true;
-}
-
-/* Retries PENDING, or gives it up with RESULT.  */
-static void
-retry_or_refuse (struct galena_world *world, struct galena_handle handle,
-                 enum galena_result result)
-{
-  struct galena_pending_open *pending
-      = galena_table_get (world->entry->pending, handle);
-  bool left = !galena_clock_reached (world->now, pending->deadline);
-
-  if (left && spend_retry_token (world) && try_next (world, pending))
-    return;
-  refuse_open (world, &pending->open, result);
-  remove_pending (world, handle);
-}
-
-static void
-start_open (struct galena_world *world, const struct galena_message *open)
-{
-  struct galena_entry *entry = world->entry;
-  struct galena_handle handle;
-  struct galena_pending_open *pending
-      = galena_table_insert (entry->pending, &handle);
-  uint64_t key = galena_flow_key (entry->pending_by_flow, open->flow);
-
-  if (pending == NULL)
-    {
-      refuse_open (world, open, GALENA_REFUSED_SHED);
-      return;
-    }
-  pending->open = *open;
-  pending->open.body = NULL;
-  pending->open.body_size = 0;
-  pending->began = world->now;
-  pending->deadline = galena_clock_after (world->now, open->deadline_ms);
-  galena_map_insert (entry->pending_by_flow, key, galena_handle_pack (handle));
-  earn_retry_tokens (entry);
-  if (try_next (world, pending))
-    return;
-  refuse_open (world, open, GALENA_REFUSED_NO_UPSTREAM);
-  remove_pending (world, handle);
-}
-
 static void
 on_caller_open (struct galena_world *world,
                 const struct galena_message *message)
@@ -292,27 +30,18 @@
   open.tag = 0;
   open.hops = 0;
   open.entry = (struct galena_endpoint){ 0, 0 };
-  if (find_pending (world, open.flow, &handle) != NULL)
+  if (galena_entry_pending (world, open.flow, &handle) != NULL)
     return;
   galena_world_count (world, GALENA_COUNT_OPENS);
   service = galena_config_service_at (world->config, open.service);
   if (service == NULL)
     {
-      refuse_open (world, &open, GALENA_REFUSED_NO_SERVICE);
+      galena_entry_refuse (world, &open, GALENA_REFUSED_NO_SERVICE);
       return;
     }
   if (galena_service_kind (service, open.kind) != NULL)
     galena_stats_count (world, service->number, open.kind, GALENA_KIND_OPENS);
-  start_open (world, &open);
-}
-
-static bool
-is_suspect (const struct galena_world *world, uint32_t upstream)
-{
-  const struct galena_hint *hint = galena_entry_hint (world, upstream);
-
-  return hint != NULL
-         && !galena_clock_reached (world->now, hint->suspect_until);
+  galena_entry_start (world, &open);
 }
 
 /* Passes a caller's packet to UPSTREAM with its return path.  */
@@ -351,7 +80,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       upstream = galena_config_upstream (world->config, chain[i]);
-      if (!is_suspect (world, upstream->number))
+      if (!galena_entry_is_suspect (world, upstream->number))
         break;
     }
   if (upstream == NULL)
@@ -388,29 +117,6 @@
   send_onward (world, message, service, upstream);
 }
 
-static void
-learn_hint (struct galena_world *world, const struct galena_message *message)
-{
-  struct galena_hint *hint
-      = hint_for (world, galena_tag_upstream (message->tag));
-
-  if (hint == NULL)
-    return;
-  if (!galena_clock_reached (world->now, hint->suspect_until))
-    galena_world_note (
-        world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
-                                          .upstream = hint->upstream });
-  hint->queue = message->queue;
-  hint->heard = world->now;
-  hint->unanswered = 0;
-  hint->suspect_until = world->now;
-  if (message->kind >= GALENA_KINDS_MAX)
-    return;
-  hint->overload[message->kind] = message->overload;
-  hint->wait_ms[message->kind] = message->wait_ms;
-  hint->told[message->kind] = world->now;
-}
-
 static void
 send_to_caller (struct galena_world *world,
                 const struct galena_message *message)
@@ -446,12 +152,13 @@
   struct galena_handle handle;
   struct galena_pending_open *pending;
 
-  learn_hint (world, message);
-  pending = find_pending (world, message->flow, &handle);
+  galena_entry_learn (world, message);
+  pending = galena_entry_pending (world, message->flow, &handle);
   if (pending != NULL)
     {
+      galena_budget_note_reply (world, &pending->open, message);
       count_acceptance (world, pending, galena_tag_upstream (message->tag));
-      remove_pending (world, handle);
+      galena_entry_remove_pending (world, handle);
     }
   galena_world_count (world, GALENA_COUNT_ACCEPTED);
   send_to_caller (world, message);
@@ -462,24 +169,27 @@
                  const struct galena_message *message)
 {
   struct galena_handle handle;
+  const struct galena_pending_open *pending;
 
-  learn_hint (world, message);
+  galena_entry_learn (world, message);
   if (message->request != 0)
     {
       send_to_caller (world, message);
       return;
     }
-  if (find_pending (world, message->flow, &handle) == NULL)
+  pending = galena_entry_pending (world, message->flow, &handle);
+  if (pending == NULL)
     return;
+  galena_budget_note_reply (world, &pending->open, message);
   galena_stats_upstream (world, galena_tag_upstream (message->tag))->refused++;
-  retry_or_refuse (world, handle, message->result);
+  galena_entry_retry (world, handle, message->result);
 }
 
 static void
 on_agent_data (struct galena_world *world,
                const struct galena_message *message)
 {
-  learn_hint (world, message);
+  galena_entry_learn (world, message);
   send_to_caller (world, message);
 }
 
@@ -508,62 +218,11 @@
   galena_world_dispatch (world, HANDLERS);
 }
 
-static void
-suspect_last_tried (struct galena_world *world,
-                    const struct galena_pending_open *pending)
-{
-  uint32_t upstream = pending->tried[pending->tried_count - 1];
-  struct galena_hint *hint = hint_for (world, upstream);
-
-  galena_stats_upstream (world, upstream)->unanswered++;
-  if (hint == NULL || hint->unanswered == 0)
-    return;
-  if (galena_clock_reached (world->now, hint->suspect_until))
-    galena_world_note (
-        world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_LOST,
-                                          .upstream = upstream });
-  hint->suspect_until = galena_clock_after (world->now, SUSPECT_MS);
-}
-
-static void
-run_retry (struct galena_world *world)
-{
-  struct galena_pending_open *pending;
-  struct galena_handle handle;
-  uint32_t cursor = 0;
-
-  while (
-      (pending = galena_table_next (world->entry->pending, &cursor, &handle))
-      != NULL)
-    {
-      if (!galena_clock_reached (world->now, pending->next_try))
-        continue;
-      suspect_last_tried (world, pending);
-      retry_or_refuse (world, handle, GALENA_REFUSED_NO_UPSTREAM);
-    }
-}
-
-static void
-run_expire_hints (struct galena_world *world)
-{
-  struct galena_entry *entry = world->entry;
-  struct galena_hint *hint;
-  struct galena_handle handle;
-  uint32_t cursor = 0;
-
-  while ((hint = galena_table_next (entry->hints, &cursor, &handle)) != NULL)
-    {
-      if (galena_clock_between (hint->heard, world->now) < HINT_LIFE_MS)
-        continue;
-      galena_map_remove (entry->hints_by_upstream, hint->upstream);
-      galena_table_remove (entry->hints, handle);
-    }
-}
-
 static const struct galena_system SYSTEMS[] = {
   { "receive", 0, run_receive },
-  { "retry", RETRY_PERIOD_MS, run_retry },
-  { "expire-hints", HINT_PERIOD_MS, run_expire_hints },
+  { "retry", RETRY_PERIOD_MS, galena_entry_run_retry },
+  { "expire-hints", HINT_PERIOD_MS, galena_entry_run_expire_hints },
+  { "budgets", BUDGET_PERIOD_MS, galena_entry_run_budgets },
   { "stats", GALENA_STATS_PERIOD_MS, galena_stats_run },
 };
 
@@ -575,6 +234,9 @@
       = { sizeof (struct galena_hint), HINTS_MAX };
   struct galena_table_options pending
       = { sizeof (struct galena_pending_open), world->options.flows };
+  struct galena_table_options budgets
+      = { sizeof (struct galena_kind_budget), BUDGETS_MAX };
+  struct galena_map_options by_kind = { BUDGETS_MAX, world->options.seed };
   struct galena_map_options by_upstream = { HINTS_MAX, world->options.seed };
   struct galena_map_options by_flow
       = { world->options.flows, world->options.seed };
@@ -583,6 +245,12 @@
   if (result != GALENA_OK)
     return result;
   result = galena_table_create (&pending, &entry->pending);
+  if (result != GALENA_OK)
+    return result;
+  result = galena_table_create (&budgets, &entry->budgets);
+  if (result != GALENA_OK)
+    return result;
+  result = galena_map_create (&by_kind, &entry->budgets_by_kind);
   if (result != GALENA_OK)
     return result;
   result = galena_map_create (&by_upstream, &entry->hints_by_upstream);
@@ -597,7 +265,6 @@
   world->entry = calloc (1, sizeof *world->entry);
   if (world->entry == NULL)
     return GALENA_ERR_MEMORY;
-  world->entry->retry_tokens = RETRY_TOKENS_MAX;
   world->entry->choice = galena_choice_policy (world->options.choice);
   if (world->entry->choice == NULL)
     return GALENA_ERR_NOT_FOUND;
@@ -613,6 +280,8 @@
     return;
   galena_table_destroy (entry->hints);
   galena_table_destroy (entry->pending);
+  galena_table_destroy (entry->budgets);
+  galena_map_destroy (entry->budgets_by_kind);
   galena_map_destroy (entry->hints_by_upstream);
   galena_map_destroy (entry->pending_by_flow);
   free (entry);
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -23,6 +23,8 @@
   struct galena_clock heard;
   /* Avoid the upstream until then: it left an open unanswered.  */
   struct galena_clock suspect_until;
+  /* Whether the upstream left an open unanswered and was not heard since.  */
+  bool lost;
   /* Opens sent since the last word from the agent.  */
   uint32_t unanswered;
   /* Overload level of each kind, 0 to 255.  */
@@ -42,19 +44,99 @@
   struct galena_clock deadline;
 };
 
+/* The budget of one kind of work of one service.  */
+struct galena_kind_budget
+{
+  /* Retries that may still be sent.  */
+  double retry_tokens;
+  /* Opens seen lately, and how many of those the agents accept.  */
+  double opens;
+  double accepted;
+};
+
 struct galena_entry
 {
   struct galena_table *hints;
   struct galena_map *hints_by_upstream;
   struct galena_table *pending;
   struct galena_map *pending_by_flow;
-  /* Retries that may still be sent.  */
-  double retry_tokens;
+  struct galena_table *budgets;
+  struct galena_map *budgets_by_kind;
   const struct galena_choice_policy *choice;
 };
 
+/* entry_hint.c */
+
 /* Returns the hint on UPSTREAM, or NULL when nothing is known.  */
 const struct galena_hint *galena_entry_hint (const struct galena_world *world,
                                              uint32_t upstream);
 
+/* Returns the hint on UPSTREAM, made when there is none; NULL when full.  */
+struct galena_hint *galena_entry_hint_for (struct galena_world *world,
+                                           uint32_t upstream);
+
+/* Tells whether UPSTREAM is avoided.  */
+bool galena_entry_is_suspect (const struct galena_world *world,
+                              uint32_t upstream);
+
+/* Takes what MESSAGE tells of the agent that sent it.  */
+void galena_entry_learn (struct galena_world *world,
+                         const struct galena_message *message);
+
+/* Notes that an open goes to the upstream of HINT; when the upstream was
+   lost, the others avoid it until this one is answered.  */
+void galena_entry_probe (struct galena_world *world, struct galena_hint *hint);
+
+/* Notes that UPSTREAM left an open unanswered.  */
+void galena_entry_suspect (struct galena_world *world, uint32_t upstream);
+
+/* System: drops hints that were not renewed.  */
+void galena_entry_run_expire_hints (struct galena_world *world);
+
+/* entry_open.c */
+
+/* Returns the pending open of FLOW and its handle, or NULL.  */
+struct galena_pending_open *
+galena_entry_pending (const struct galena_world *world,
+                      struct galena_flow_id flow,
+                      struct galena_handle *handle);
+void galena_entry_remove_pending (struct galena_world *world,
+                                  struct galena_handle handle);
+
+/* Refuses OPEN towards its caller.  */
+void galena_entry_refuse (struct galena_world *world,
+                          const struct galena_message *open,
+                          enum galena_result result);
+
+/* Sends OPEN to an upstream, or refuses it.  */
+void galena_entry_start (struct galena_world *world,
+                         const struct galena_message *open);
+
+/* Retries a pending open, or gives it up with RESULT.  */
+void galena_entry_retry (struct galena_world *world,
+                         struct galena_handle handle,
+                         enum galena_result result);
+
+/* System: retries opens that were left unanswered.  */
+void galena_entry_run_retry (struct galena_world *world);
+
+/* entry_budget.c */
+
+/* Counts OPEN and tells whether it is to be shed.  */
+bool galena_budget_sheds (struct galena_world *world,
+                          const struct galena_message *open);
+
+/* Takes the overload level of REPLY to OPEN.  */
+void galena_budget_note_reply (struct galena_world *world,
+                               const struct galena_message *open,
+                               const struct galena_message *reply);
+
+/* Tells whether OPEN may be retried after RESULT, and counts the retry.  */
+bool galena_budget_spend (struct galena_world *world,
+                          const struct galena_message *open,
+                          enum galena_result result);
+
+/* System: lets old counts fade.  */
+void galena_entry_run_budgets (struct galena_world *world);
+
 #endif
--- /dev/null
+++ b/packages/core/src/entry_open.c
@@ -0,0 +1,244 @@
+/* Opens at an entry: the first try, retries at further candidates, and the
+   refusal when there is none.  */
+
+#include "entry.h"
+#include "stats.h"
+
+enum
+{
+  /* Milliseconds without a reply before an open goes to the next one.  */
+  RETRY_AFTER_MS = 100
+};
+
+struct galena_pending_open *
+galena_entry_pending (const struct galena_world *world,
+                      struct galena_flow_id flow, struct galena_handle *handle)
+{
+  const struct galena_entry *entry = world->entry;
+  uint64_t key = galena_flow_key (entry->pending_by_flow, flow);
+  uint64_t packed;
+
+  if (!galena_map_find (entry->pending_by_flow, key, &packed))
+    return NULL;
+  *handle = galena_handle_unpack (packed);
+  return galena_table_get (entry->pending, *handle);
+}
+
+void
+galena_entry_remove_pending (struct galena_world *world,
+                             struct galena_handle handle)
+{
+  struct galena_entry *entry = world->entry;
+  struct galena_pending_open *pending
+      = galena_table_get (entry->pending, handle);
+  uint64_t key = galena_flow_key (entry->pending_by_flow, pending->open.flow);
+
+  galena_map_remove (entry->pending_by_flow, key);
+  galena_table_remove (entry->pending, handle);
+}
+
+/* Counts a refusal of OPEN by its kind and by RESULT.  */
+static void
+count_refusal (struct galena_world *world, const struct galena_message *open,
+               enum galena_result result)
+{
+  const struct galena_service *service
+      = galena_config_service_at (world->config, open->service);
+  bool known
+      = service != NULL && galena_service_kind (service, open->kind) != NULL;
+
+  galena_stats_refuse (world, known ? service->number : 0, open->kind, result);
+}
+
+void
+galena_entry_refuse (struct galena_world *world,
+                     const struct galena_message *open,
+                     enum galena_result result)
+{
+  struct galena_message refusal = *open;
+
+  refusal.type = GALENA_MESSAGE_REFUSE;
+  refusal.link = GALENA_LINK_CALLER;
+  refusal.peer = open->caller;
+  refusal.result = result;
+  refusal.body_size = 0;
+  galena_world_count (world, GALENA_COUNT_REFUSED);
+  count_refusal (world, open, result);
+  galena_world_send (world, &refusal);
+}
+
+static bool
+was_tried (const struct galena_pending_open *pending, uint32_t upstream)
+{
+  for (uint32_t i = 0; i < pending->tried_count; i++)
+    if (pending->tried[i] == upstream)
+      return true;
+  return false;
+}
+
+/* Draws the candidates of FLOW from all active upstreams of SERVICE.  */
+static uint32_t
+draw_candidates (struct galena_world *world,
+                 const struct galena_service *service,
+                 uint32_t chosen[GALENA_CANDIDATES_MAX])
+{
+  uint32_t end = service->first_upstream + service->upstream_count;
+  uint32_t seen = 0;
+
+  for (uint32_t i = service->first_upstream; i < end; i++)
+    {
+      uint32_t at;
+
+      if (galena_config_upstream (world->config, i)->state
+          != GALENA_UPSTREAM_ACTIVE)
+        continue;
+      seen++;
+      at = galena_random_below (&world->random, seen);
+      if (seen <= GALENA_CANDIDATES_MAX)
+        chosen[seen - 1] = i;
+      else if (at < GALENA_CANDIDATES_MAX)
+        chosen[at] = i;
+    }
+  return seen < GALENA_CANDIDATES_MAX ? seen : GALENA_CANDIDATES_MAX;
+}
+
+/* Stores the candidates of PENDING that were not tried; returns how many. */
+static uint32_t
+untried_candidates (struct galena_world *world,
+                    const struct galena_service *service,
+                    const struct galena_pending_open *pending,
+                    uint32_t untried[GALENA_CANDIDATES_MAX])
+{
+  uint32_t all[GALENA_CANDIDATES_MAX];
+  uint32_t total;
+  uint32_t count = 0;
+
+  if (world->entry->choice->any_upstream)
+    total = draw_candidates (world, service, all);
+  else
+    total = galena_config_candidates (world->config, service,
+                                      pending->open.flow, all);
+  if (pending->open.unrouted && total > GALENA_UNROUTED_CANDIDATES)
+    total = GALENA_UNROUTED_CANDIDATES;
+  for (uint32_t i = 0; i < total; i++)
+    {
+      uint32_t number = galena_config_upstream (world->config, all[i])->number;
+      if (!was_tried (pending, number))
+        untried[count++] = all[i];
+    }
+  return count;
+}
+
+static void
+send_open (struct galena_world *world, struct galena_pending_open *pending,
+           const struct galena_service *service,
+           const struct galena_upstream *upstream)
+{
+  struct galena_message open = pending->open;
+  struct galena_hint *hint = galena_entry_hint_for (world, upstream->number);
+
+  if (hint != NULL)
+    galena_entry_probe (world, hint);
+  galena_stats_upstream (world, upstream->number)->opens++;
+  open.link = GALENA_LINK_PEER;
+  open.peer = upstream->agent;
+  open.generation = service->generation;
+  open.deadline_ms = galena_clock_left (world->now, pending->deadline);
+  pending->tried[pending->tried_count++] = upstream->number;
+  pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
+  galena_world_send (world, &open);
+}
+
+/* Sends PENDING to its next candidate; false when there is none.  */
+static bool
+try_next (struct galena_world *world, struct galena_pending_open *pending)
+{
+  const struct galena_service *service
+      = galena_config_service_at (world->config, pending->open.service);
+  uint32_t untried[GALENA_CANDIDATES_MAX];
+  uint32_t count;
+  uint32_t chosen;
+
+  if (service == NULL || pending->tried_count == GALENA_CANDIDATES_MAX)
+    return false;
+  count = untried_candidates (world, service, pending, untried);
+  if (count == 0)
+    return false;
+  chosen = world->entry->choice->choose (world, pending->open.kind, untried,
+                                         count);
+  send_open (world, pending, service,
+             galena_config_upstream (world->config, untried[chosen]));
+  return true;
+}
+
+void
+galena_entry_retry (struct galena_world *world, struct galena_handle handle,
+                    enum galena_result result)
+{
+  struct galena_pending_open *pending
+      = galena_table_get (world->entry->pending, handle);
+  bool left = !galena_clock_reached (world->now, pending->deadline);
+
+  if (left && galena_budget_spend (world, &pending->open, result)
+      && try_next (world, pending))
+    return;
+  galena_entry_refuse (world, &pending->open, result);
+  galena_entry_remove_pending (world, handle);
+}
+
+void
+galena_entry_start (struct galena_world *world,
+                    const struct galena_message *open)
+{
+  struct galena_entry *entry = world->entry;
+  struct galena_handle handle;
+  struct galena_pending_open *pending = NULL;
+  uint64_t key = galena_flow_key (entry->pending_by_flow, open->flow);
+
+  if (!galena_budget_sheds (world, open))
+    pending = galena_table_insert (entry->pending, &handle);
+  if (pending == NULL)
+    {
+      galena_world_count (world, GALENA_COUNT_SHED);
+      galena_entry_refuse (world, open, GALENA_REFUSED_SHED);
+      return;
+    }
+  pending->open = *open;
+  pending->open.body = NULL;
+  pending->open.body_size = 0;
+  pending->began = world->now;
+  pending->deadline = galena_clock_after (world->now, open->deadline_ms);
+  galena_map_insert (entry->pending_by_flow, key, galena_handle_pack (handle));
+  if (try_next (world, pending))
+    return;
+  galena_entry_refuse (world, open, GALENA_REFUSED_NO_UPSTREAM);
+  galena_entry_remove_pending (world, handle);
+}
+
+static void
+suspect_last_tried (struct galena_world *world,
+                    const struct galena_pending_open *pending)
+{
+  uint32_t upstream = pending->tried[pending->tried_count - 1];
+
+  galena_stats_upstream (world, upstream)->unanswered++;
+  galena_entry_suspect (world, upstream);
+}
+
+void
+galena_entry_run_retry (struct galena_world *world)
+{
+  struct galena_pending_open *pending;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while (
+      (pending = galena_table_next (world->entry->pending, &cursor, &handle))
+      != NULL)
+    {
+      if (!galena_clock_reached (world->now, pending->next_try))
+        continue;
+      suspect_last_tried (world, pending);
+      galena_entry_retry (world, handle, GALENA_REFUSED_NO_UPSTREAM);
+    }
+}
--- a/test/measure/dead.c
+++ b/test/measure/dead.c
@@ -51,8 +51,9 @@
   return recovered_ms;
 }
 
-static void
-run_row (uint64_t seed, const char *choice, double share)
+void
+measure_run_dead (uint64_t seed, const char *choice, double share,
+                  struct measure_dead_figures *figures)
 {
   struct fleet *fleet = measure_fleet (seed, choice, NULL);
   const struct fleet_load *load
@@ -60,24 +61,31 @@
   uint64_t retries;
   uint64_t opens;
   uint64_t refused;
-  int64_t recovered_ms;
 
   fleet_run (fleet, DEATH_MS);
   retries = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_RETRIES);
   opens = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_OPENS);
   refused = load->refused;
   kill_third (fleet);
-  recovered_ms = run_until_recovered (fleet, load);
+  figures->recovered_ms = run_until_recovered (fleet, load);
   retries = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_RETRIES) - retries;
   opens = measure_count (fleet, FLEET_ENTRY, GALENA_COUNT_OPENS) - opens;
-  printf ("| %s | %.0f%% | %.1f%% | %.2f%% | %ld |\n", choice, share * 100,
-          (double)retries * 100 / (double)opens,
-          (double)(load->refused - refused) * 100 / (double)opens,
-          (long)recovered_ms);
-  fflush (stdout);
+  figures->retries = (double)retries / (double)opens;
+  figures->refused = (double)(load->refused - refused) / (double)opens;
   fleet_destroy (fleet);
 }
 
+static void
+print_row (uint64_t seed, const char *choice, double share)
+{
+  struct measure_dead_figures figures;
+
+  measure_run_dead (seed, choice, share, &figures);
+  printf ("| %s | %.0f%% | %.1f%% | %.2f%% | %ld |\n", choice, share * 100,
+          figures.retries * 100, figures.refused * 100,
+          (long)figures.recovered_ms);
+}
+
 static void
 run (uint64_t seed)
 {
@@ -85,7 +93,7 @@
           "| recovered after ms |\n|---|---|---|---|---|\n");
   for (size_t load = 0; load < G_N_ELEMENTS (LOADS); load++)
     for (size_t i = 0; i < G_N_ELEMENTS (CHOICES); i++)
-      run_row (seed, CHOICES[i], LOADS[load]);
+      print_row (seed, CHOICES[i], LOADS[load]);
 }
 
 const struct measure_experiment measure_dead = { "dead", run };
--- a/test/measure/flood.c
+++ b/test/measure/flood.c
@@ -42,6 +42,7 @@
 {
   struct fleet *fleet = measure_fleet (seed, NULL, admission);
   struct measure_mark *mark = g_new0 (struct measure_mark, 1);
+  uint64_t refused;
 
   for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
     measure_add_load (fleet, (enum measure_kind)i, USUAL[i], 100, END_MS);
@@ -49,8 +50,11 @@
     measure_add_load (fleet, kind, times, FLOOD_FROM_MS, END_MS);
   fleet_run (fleet, COUNT_FROM_MS);
   measure_take_mark (fleet, mark);
+  refused = measure_count (fleet, FLEET_AGENT, GALENA_COUNT_REFUSED);
   fleet_run (fleet, END_MS);
   take_figures (fleet, mark, figures);
+  refused = measure_count (fleet, FLEET_AGENT, GALENA_COUNT_REFUSED) - refused;
+  figures->agent_refusals = (double)refused * 1000 / (END_MS - COUNT_FROM_MS);
   g_free (mark);
   fleet_destroy (fleet);
 }
@@ -70,7 +74,8 @@
   for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
     printf ("| %.1f%% | %u ", figures->goodput[i] / usual->goodput[i] * 100,
             figures->p99_ms[i]);
-  printf ("| %.1f%% |\n", figures->whole / whole_at_one * 100);
+  printf ("| %.1f%% | %.0f |\n", figures->whole / whole_at_one * 100,
+          figures->agent_refusals);
   fflush (stdout);
 }
 
@@ -104,7 +109,8 @@
   printf ("| flood of | admission ");
   for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
     printf ("| %s kept | p99 ms ", MEASURE_KIND_NAMES[i]);
-  printf ("| whole |\n|---|---|---|---|---|---|---|---|---|\n");
+  printf ("| whole | refused by agents a second "
+          "|\n|---|---|---|---|---|---|---|---|---|---|\n");
   for (size_t i = 0; i < G_N_ELEMENTS (ADMISSIONS); i++)
     run_admission (seed, ADMISSIONS[i]);
 }
--- a/test/measure/measure.h
+++ b/test/measure/measure.h
@@ -87,6 +87,8 @@
   double goodput[MEASURE_KIND_COUNT];
   uint32_t p99_ms[MEASURE_KIND_COUNT];
   double whole;
+  /* Opens and requests that agents refuse in a second.  */
+  double agent_refusals;
 };
 
 /* Runs the usual load with a flood of KIND that asks for TIMES the capacity;
@@ -109,4 +111,17 @@
 void measure_run_feeds (uint64_t seed, double opened,
                         struct measure_feeds_figures *figures);
 
+struct measure_dead_figures
+{
+  /* Opens retried and opens refused, as shares of the first tries.  */
+  double retries;
+  double refused;
+  /* When new work was answered again; -1 for not at all.  */
+  int64_t recovered_ms;
+};
+
+/* Kills a third of the upstreams under a load of SHARE of the capacity.  */
+void measure_run_dead (uint64_t seed, const char *choice, double share,
+                       struct measure_dead_figures *figures);
+
 #endif
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -21,6 +21,19 @@
 /* Least goodput of the whole, of that without a flood.  */
 static const double LEAST_WHOLE = 0.9;
 
+/* Most opens that agents refuse for each one that they answer.  */
+static const double MOST_REFUSED_BY_AGENTS = 1;
+
+static double
+answers_a_second (const struct measure_flood_figures *figures)
+{
+  double answers = 0;
+
+  for (int i = MEASURE_READING; i < MEASURE_KIND_COUNT; i++)
+    answers += figures->goodput[i] / MEASURE_WORK_MS[i];
+  return answers;
+}
+
 static void
 run_flood_case (gconstpointer data)
 {
@@ -34,6 +47,8 @@
     g_assert_cmpfloat (flooded.goodput[i], >=,
                        usual.goodput[i] * test->kept[i]);
   g_assert_cmpfloat (flooded.whole, >=, usual.whole * LEAST_WHOLE);
+  g_assert_cmpfloat (flooded.agent_refusals, <=,
+                     answers_a_second (&flooded) * MOST_REFUSED_BY_AGENTS);
 }
 
 struct feeds_case
@@ -59,6 +74,35 @@
   g_assert_cmpfloat (figures.events_kept, >=, test->events_kept);
 }
 
+struct dead_case
+{
+  const char *name;
+  /* Load as a share of the capacity.  */
+  double load;
+};
+
+static const struct dead_case DEAD[] = {
+  { "/dead/load-20", 0.2 },
+  { "/dead/load-50", 0.5 },
+};
+
+/* Most retries, as a share of the first tries.  */
+static const double MOST_RETRIES = 0.1;
+
+/* Most opens refused over the whole time, as a share of the first tries.  */
+static const double MOST_REFUSED = 0.001;
+
+static void
+run_dead_case (gconstpointer data)
+{
+  const struct dead_case *test = data;
+  struct measure_dead_figures figures;
+
+  measure_run_dead (3, NULL, test->load, &figures);
+  g_assert_cmpfloat (figures.retries, <, MOST_RETRIES);
+  g_assert_cmpfloat (figures.refused, <, MOST_REFUSED);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -67,5 +111,7 @@
     g_test_add_data_func (FLOODS[i].name, &FLOODS[i], run_flood_case);
   for (size_t i = 0; i < G_N_ELEMENTS (FEEDS); i++)
     g_test_add_data_func (FEEDS[i].name, &FEEDS[i], run_feeds_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (DEAD); i++)
+    g_test_add_data_func (DEAD[i].name, &DEAD[i], run_dead_case);
   return g_test_run ();
 }
