--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -66,7 +66,6 @@
 static enum galena_result
 check_open (struct galena_world *world, const struct galena_message *open)
 {
-  const struct galena_upstream *self = galena_agent_self (world);
   const struct galena_service *service = galena_agent_service (world);
 
   if (service == NULL
@@ -113,6 +112,7 @@
       == GALENA_OK)
     {
       galena_agent_queue (world, flow->kind)->flows++;
+      galena_agent_promise (world, flow);
       return flow;
     }
   galena_table_remove (agent->flows, handle.row);
