--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	liburcu-dev libmsgpack-dev libglib2.0-dev libinih-dev libjansson-dev \
 	libcurl4-openssl-dev libxxhash-dev libmicrohttpd-dev
 
-.PHONY: all setup packages demo test bench measure clean
+.PHONY: all setup packages demo test bench measure propagation clean
 
 all:
 	cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
@@ -28,6 +28,9 @@
 measure: all
 	$(BUILD)/test/measure/measure
 
+propagation: all
+	$(BUILD)/test/propagation/propagation $(SIZES)
+
 clean:
 	rm -rf $(BUILD)
 
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -67,8 +67,10 @@
   struct galena_clock started;
   /* When an ended request is forgotten without an acknowledgement.  */
   struct galena_clock forget;
-  /* When unacknowledged parts are sent again.  */
+  /* When unacknowledged parts are sent again, and how often they were since
+     the last acknowledgement.  */
   struct galena_clock resend;
+  uint32_t resends;
   /* Parts of the body that came out of order.  */
   struct galena_stream received;
   /* Bytes of an endless answer that the caller has had before.  */
@@ -126,8 +128,32 @@
   uint32_t closed_ms;
 };
 
+/* An entry that has sent something lately.  */
+struct galena_known_entry
+{
+  struct galena_endpoint address;
+  struct galena_clock heard;
+};
+
+enum
+{
+  /* Entries remembered for answers whose own entry may be gone.  */
+  GALENA_KNOWN_ENTRIES = 16
+};
+
+/* What another agent of the service told of its load.  */
+struct galena_peer
+{
+  uint32_t upstream;
+  /* Expected wait over all kinds in milliseconds.  */
+  uint32_t wait_ms;
+  struct galena_clock heard;
+};
+
 struct galena_agent
 {
+  struct galena_table *peers;
+  struct galena_map *peers_by_upstream;
   struct galena_table *flows;
   struct galena_map *flows_by_id;
   struct galena_table *requests;
@@ -152,6 +178,7 @@
   uint64_t generation;
   struct galena_clock generation_since;
   const struct galena_admission_policy *admission;
+  struct galena_known_entry known_entries[GALENA_KNOWN_ENTRIES];
   /* Place in the flow table up to which this round of moves has come, and
      when the next round may begin.  */
   uint32_t move_cursor;
@@ -266,6 +293,18 @@
 /* Drops leases that were not renewed.  */
 void galena_agent_run_expire_leases (struct galena_world *world);
 
+/* agent_entry.c */
+
+/* Remembers that ENTRY is alive.  */
+void galena_agent_note_entry (struct galena_world *world,
+                              struct galena_endpoint entry);
+
+/* Returns the entry last heard from that is not ENTRY; ENTRY when there is
+   none.  */
+struct galena_endpoint
+galena_agent_other_entry (const struct galena_world *world,
+                          struct galena_endpoint entry);
+
 /* agent_move.c */
 
 /* Whether this agent takes no new flows, now or for good.  */
@@ -301,6 +340,10 @@
 void galena_agent_set_ready (struct galena_world *world,
                              struct galena_request_handle handle);
 
+/* Has what is not acknowledged be sent again after the usual wait.  */
+void galena_agent_set_resend (const struct galena_world *world,
+                              struct galena_request *request);
+
 /* Sends the parts of all requests on that list.  */
 void galena_agent_run_answer (struct galena_world *world);
 
@@ -329,6 +372,29 @@
 /* Hands queued requests to the upstream while it has room.  */
 void galena_agent_run_admit (struct galena_world *world);
 
+/* agent_peers.c */
+
+/* System: tells the load of this agent to a few others of its service.  */
+void galena_agent_run_tell_load (struct galena_world *world);
+
+/* System: drops what was told too long ago.  */
+void galena_agent_run_expire_peers (struct galena_world *world);
+
+void galena_agent_on_load (struct galena_world *world,
+                           const struct galena_message *message);
+
+/* Returns what the agent of UPSTREAM lately told, or NULL.  */
+struct galena_peer *galena_agent_peer (const struct galena_world *world,
+                                       uint32_t upstream);
+
+/* agent_handoff.c */
+
+/* Passes OPEN, which this agent judged with RESULT, to a less loaded agent;
+   false when there is none.  */
+bool galena_agent_hand_off (struct galena_world *world,
+                            const struct galena_message *open,
+                            enum galena_result result);
+
 /* agent_load.c */
 
 /* Accounts for the slot time used since the last tick.  */
@@ -344,11 +410,25 @@
 uint32_t galena_agent_expected_wait_ms (const struct galena_world *world,
                                         uint16_t kind);
 
+/* Returns the time in milliseconds until all that this agent holds is done. */
+uint32_t galena_agent_total_wait_ms (const struct galena_world *world);
+
+/* Returns by how much one request of KIND lengthens that.  */
+uint32_t galena_agent_run_share_ms (const struct galena_world *world,
+                                    uint16_t kind);
+
+/* Tells whether a new request of KIND finds no free slot.  */
+bool galena_agent_must_wait (const struct galena_world *world, uint16_t kind);
+
 /* Tells whether a new flow of KIND can expect to meet a deadline that is
-   LEFT_MS away, and notes the answer for the overload level.  */
-bool galena_agent_has_room (struct galena_world *world, uint16_t kind,
+   LEFT_MS away.  */
+bool galena_agent_has_room (const struct galena_world *world, uint16_t kind,
                             uint32_t left_ms);
 
+/* Notes for the overload level whether an open of KIND was refused.  */
+void galena_agent_note_decision (struct galena_world *world, uint16_t kind,
+                                 bool refused);
+
 /* Tells whether a new flow of KIND leaves the other kinds the connections
    that are kept for them.  */
 bool galena_agent_has_connection (const struct galena_world *world,
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -56,6 +56,7 @@
       = galena_agent_reply (world, open, GALENA_MESSAGE_REFUSE);
 
   refusal.result = result;
+  refusal.hops = open->hops;
   galena_world_count (world, GALENA_COUNT_REFUSED);
   galena_stats_refuse (world, galena_agent_service_number (world, open->kind),
                        open->kind, result);
@@ -64,7 +65,8 @@
 
 /* Tells whether this agent may accept OPEN, and why not.  */
 static enum galena_result
-check_open (struct galena_world *world, const struct galena_message *open)
+check_open (const struct galena_world *world,
+            const struct galena_message *open)
 {
   const struct galena_service *service = galena_agent_service (world);
 
@@ -129,6 +131,7 @@
   flow->caller = open->caller;
   flow->entry = accept.peer;
   accept.tag = flow->tag;
+  accept.hops = open->hops;
   galena_world_send (world, &accept);
 }
 
@@ -146,6 +149,10 @@
       return;
     }
   result = check_open (world, message);
+  if (galena_agent_hand_off (world, message, result))
+    return;
+  galena_agent_note_decision (world, message->kind,
+                              result == GALENA_REFUSED_OVERLOAD);
   if (result != GALENA_OK)
     {
       refuse_open (world, message, result);
@@ -192,6 +199,7 @@
     }
   flow->caller = message->caller;
   flow->entry = message->entry.ip != 0 ? message->entry : message->peer;
+  galena_agent_note_entry (world, flow->entry);
   flow->heard = world->now;
   flow->confirmed = true;
   return flow;
--- a/packages/core/src/agent_load.c
+++ b/packages/core/src/agent_load.c
@@ -102,17 +102,61 @@
                     + world->agent->admission->queue_ms (world, kind));
 }
 
+uint32_t
+galena_agent_total_wait_ms (const struct galena_world *world)
+{
+  double work_ms = 0;
+
+  if (galena_agent_slots (world) < 1)
+    return 0;
+  for (uint32_t i = 0; i < GALENA_KINDS_MAX; i++)
+    {
+      const struct galena_kind_queue *queue = &world->agent->queues[i];
+
+      work_ms
+          += (queue->queued + queue->promised) * galena_agent_run_ms (queue);
+    }
+  return (uint32_t)(running_ms (world) + work_ms / galena_agent_slots (world));
+}
+
+uint32_t
+galena_agent_run_share_ms (const struct galena_world *world, uint16_t kind)
+{
+  double slots = galena_agent_slots (world);
+
+  if (slots < 1)
+    return 0;
+  return (uint32_t)(galena_agent_run_ms (galena_agent_queue (world, kind))
+                    / slots);
+}
+
+bool
+galena_agent_must_wait (const struct galena_world *world, uint16_t kind)
+{
+  const struct galena_kind_queue *queue = galena_agent_queue (world, kind);
+
+  return queue->queued > 0
+         || world->agent->running + queue->promised
+                >= galena_agent_slots (world);
+}
+
 bool
-galena_agent_has_room (struct galena_world *world, uint16_t kind,
+galena_agent_has_room (const struct galena_world *world, uint16_t kind,
                        uint32_t left_ms)
 {
-  struct galena_kind_queue *queue = galena_agent_queue (world, kind);
   uint64_t allowed_ms = (uint64_t)left_ms * QUEUE_TIME_PERCENT / 100;
-  bool room = galena_agent_expected_wait_ms (world, kind) <= allowed_ms;
+
+  return galena_agent_expected_wait_ms (world, kind) <= allowed_ms;
+}
+
+void
+galena_agent_note_decision (struct galena_world *world, uint16_t kind,
+                            bool refused)
+{
+  struct galena_kind_queue *queue = galena_agent_queue (world, kind);
 
   queue->refused_share
-      += ((room ? 0 : 1) - queue->refused_share) * REFUSED_WEIGHT;
-  return room;
+      += ((refused ? 1 : 0) - queue->refused_share) * REFUSED_WEIGHT;
 }
 
 /* Returns the connections that KIND is kept and does not use.  */
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -11,6 +11,8 @@
 enum
 {
   RETRY_PERIOD_MS = 10,
+  /* A stopping entry waits for its opens this long.  */
+  DRAIN_OPENS_MS = 2000,
   HINT_PERIOD_MS = 1000,
   BUDGET_PERIOD_MS = 1000,
   HINTS_MAX = 8192,
@@ -18,6 +20,8 @@
   BUDGETS_MAX = 8192
 };
 
+/* Without any record yet, an open is left to the caller's next try at another
+   entry.  */
 static void
 on_caller_open (struct galena_world *world,
                 const struct galena_message *message)
@@ -32,6 +36,11 @@
   open.entry = (struct galena_endpoint){ 0, 0 };
   if (galena_entry_pending (world, open.flow, &handle) != NULL)
     return;
+  if (galena_config_service_count (world->config) == 0)
+    {
+      galena_world_count (world, GALENA_COUNT_NO_ROUTE);
+      return;
+    }
   galena_world_count (world, GALENA_COUNT_OPENS);
   service = galena_config_service_at (world->config, open.service);
   if (service == NULL)
@@ -145,6 +154,17 @@
                      galena_clock_between (pending->began, world->now));
 }
 
+/* An agent that handed an open on gives no sign itself.  */
+static void
+note_handed_on (struct galena_world *world,
+                const struct galena_pending_open *pending,
+                const struct galena_message *reply)
+{
+  if (reply->hops > 0 && pending->tried_count > 0)
+    galena_entry_clear_suspicion (world,
+                                  pending->tried[pending->tried_count - 1]);
+}
+
 static void
 on_agent_accept (struct galena_world *world,
                  const struct galena_message *message)
@@ -156,6 +176,7 @@
   pending = galena_entry_pending (world, message->flow, &handle);
   if (pending != NULL)
     {
+      note_handed_on (world, pending, message);
       galena_budget_note_reply (world, &pending->open, message);
       count_acceptance (world, pending, galena_tag_upstream (message->tag));
       galena_entry_remove_pending (world, handle);
@@ -180,6 +201,7 @@
   pending = galena_entry_pending (world, message->flow, &handle);
   if (pending == NULL)
     return;
+  note_handed_on (world, pending, message);
   galena_budget_note_reply (world, &pending->open, message);
   galena_stats_upstream (world, galena_tag_upstream (message->tag))->refused++;
   galena_entry_retry (world, handle, message->result);
@@ -295,6 +317,20 @@
   usage->hints = galena_table_count (world->entry->hints);
 }
 
+/* Under steady load there is always an open without a reply.  Those from
+   before the drain have ended after DRAIN_OPENS_MS; later ones run nothing,
+   and their callers send them again.  */
+static bool
+is_idle (const struct galena_world *world)
+{
+  struct galena_clock end
+      = galena_clock_after (world->drain_began, DRAIN_OPENS_MS);
+
+  if (galena_table_count (world->entry->pending) == 0)
+    return true;
+  return world->draining && galena_clock_reached (world->now, end);
+}
+
 static void
 report_upstream (const struct galena_world *world,
                  struct galena_upstream_stats *row)
@@ -314,6 +350,7 @@
   .create = create_entry,
   .destroy = destroy_entry,
   .usage = report_usage,
+  .is_idle = is_idle,
   .report_upstream = report_upstream,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -25,6 +25,8 @@
   struct galena_clock suspect_until;
   /* Whether the upstream left an open unanswered and was not heard since.  */
   bool lost;
+  /* Avoid the upstream until then: it said that it is leaving.  */
+  struct galena_clock leaving_until;
   /* Opens sent since the last word from the agent.  */
   uint32_t unanswered;
   /* Overload level of each kind, 0 to 255.  */
@@ -75,7 +77,11 @@
 struct galena_hint *galena_entry_hint_for (struct galena_world *world,
                                            uint32_t upstream);
 
-/* Tells whether UPSTREAM is avoided.  */
+/* Whether opens should go elsewhere than to the upstream of HINT.  */
+bool galena_entry_avoids (const struct galena_world *world,
+                          const struct galena_hint *hint);
+
+/* Tells whether UPSTREAM is suspected to be dead.  */
 bool galena_entry_is_suspect (const struct galena_world *world,
                               uint32_t upstream);
 
@@ -87,6 +93,14 @@
    lost, the others avoid it until this one is answered.  */
 void galena_entry_probe (struct galena_world *world, struct galena_hint *hint);
 
+/* Notes that UPSTREAM gave a sign of life.  */
+void galena_entry_clear_suspicion (struct galena_world *world,
+                                   uint32_t upstream);
+
+/* Notes that the agent that sent REFUSAL is leaving.  */
+void galena_entry_note_leaving (struct galena_world *world,
+                                const struct galena_message *refusal);
+
 /* Notes that UPSTREAM left an open unanswered.  */
 void galena_entry_suspect (struct galena_world *world, uint32_t upstream);
 
--- a/packages/core/src/entry_hint.c
+++ b/packages/core/src/entry_hint.c
@@ -46,6 +46,14 @@
   return hint;
 }
 
+bool
+galena_entry_avoids (const struct galena_world *world,
+                     const struct galena_hint *hint)
+{
+  return !galena_clock_reached (world->now, hint->suspect_until)
+         || !galena_clock_reached (world->now, hint->leaving_until);
+}
+
 bool
 galena_entry_is_suspect (const struct galena_world *world, uint32_t upstream)
 {
@@ -55,6 +63,28 @@
          && !galena_clock_reached (world->now, hint->suspect_until);
 }
 
+static void
+note_heard (struct galena_world *world, struct galena_hint *hint)
+{
+  if (hint->lost)
+    galena_world_note (
+        world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
+                                          .upstream = hint->upstream });
+  hint->heard = world->now;
+  hint->unanswered = 0;
+  hint->lost = false;
+  hint->suspect_until = world->now;
+}
+
+void
+galena_entry_clear_suspicion (struct galena_world *world, uint32_t upstream)
+{
+  struct galena_hint *hint = galena_entry_hint_for (world, upstream);
+
+  if (hint != NULL)
+    note_heard (world, hint);
+}
+
 void
 galena_entry_learn (struct galena_world *world,
                     const struct galena_message *message)
@@ -64,15 +94,8 @@
 
   if (hint == NULL)
     return;
-  if (hint->lost)
-    galena_world_note (
-        world, (struct galena_audit_row){ .event = GALENA_AUDIT_OWNER_BACK,
-                                          .upstream = hint->upstream });
+  note_heard (world, hint);
   hint->queue = message->queue;
-  hint->heard = world->now;
-  hint->unanswered = 0;
-  hint->lost = false;
-  hint->suspect_until = world->now;
   if (message->kind >= GALENA_KINDS_MAX)
     return;
   hint->overload[message->kind] = message->overload;
@@ -80,6 +103,17 @@
   hint->told[message->kind] = world->now;
 }
 
+void
+galena_entry_note_leaving (struct galena_world *world,
+                           const struct galena_message *refusal)
+{
+  struct galena_hint *hint
+      = galena_entry_hint_for (world, galena_tag_upstream (refusal->tag));
+
+  if (hint != NULL)
+    hint->leaving_until = galena_clock_after (world->now, SUSPECT_MS);
+}
+
 void
 galena_entry_probe (struct galena_world *world, struct galena_hint *hint)
 {
--- a/packages/core/src/entry_open.c
+++ b/packages/core/src/entry_open.c
@@ -171,6 +171,20 @@
   return true;
 }
 
+/* Whether RESULT says that the upstream is the wrong one, and nothing about
+   its load.  */
+static bool
+is_about_place (enum galena_result result)
+{
+  return result == GALENA_REFUSED_NO_UPSTREAM
+         || result == GALENA_REFUSED_LEAVING
+         || result == GALENA_REFUSED_WRONG_SERVICE
+         || result == GALENA_REFUSED_NOT_CANDIDATE;
+}
+
+/* An open that met the wrong upstream waits while the budget is spent, and
+   goes round its candidates again after the last one; one that met a full
+   upstream is refused.  */
 void
 galena_entry_retry (struct galena_world *world, struct galena_handle handle,
                     enum galena_result result)
@@ -178,10 +192,17 @@
   struct galena_pending_open *pending
       = galena_table_get (world->entry->pending, handle);
   bool left = !galena_clock_reached (world->now, pending->deadline);
+  bool allowed = left && galena_budget_spend (world, &pending->open, result);
 
-  if (left && galena_budget_spend (world, &pending->open, result)
-      && try_next (world, pending))
+  if (allowed && try_next (world, pending))
     return;
+  if (left && is_about_place (result))
+    {
+      if (allowed)
+        pending->tried_count = 0;
+      pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
+      return;
+    }
   galena_entry_refuse (world, &pending->open, result);
   galena_entry_remove_pending (world, handle);
 }
@@ -219,8 +240,11 @@
 suspect_last_tried (struct galena_world *world,
                     const struct galena_pending_open *pending)
 {
-  uint32_t upstream = pending->tried[pending->tried_count - 1];
+  uint32_t upstream;
 
+  if (pending->tried_count == 0)
+    return;
+  upstream = pending->tried[pending->tried_count - 1];
   galena_stats_upstream (world, upstream)->unanswered++;
   galena_entry_suspect (world, upstream);
 }
--- a/test/measure/balance.c
+++ b/test/measure/balance.c
@@ -10,13 +10,6 @@
   END_MS = 65000
 };
 
-/* What is untrue about one upstream of speed 1.  */
-struct lie
-{
-  const char *name;
-  void (*tell) (struct fleet *fleet);
-};
-
 static void
 tell_truth (struct fleet *fleet)
 {
@@ -40,10 +33,10 @@
   fleet_publish (fleet, 0);
 }
 
-static const struct lie LIES[] = {
-  { "none", tell_truth },
-  { "no wait told", tell_no_wait },
-  { "slots x3", claim_slots },
+const struct measure_lie measure_lies[MEASURE_LIE_COUNT] = {
+  [MEASURE_LIE_NONE] = { "none", tell_truth },
+  [MEASURE_LIE_NO_WAIT] = { "no wait told", tell_no_wait },
+  [MEASURE_LIE_SLOTS] = { "slots x3", claim_slots },
 };
 
 static const char *const CHOICES[]
@@ -51,39 +44,51 @@
 
 static const double LOADS[] = { 0.30, 0.70, 0.95 };
 
-static void
-run_row (uint64_t seed, const char *choice, const struct lie *lie,
-         double share)
+void
+measure_run_balance (uint64_t seed, const char *choice,
+                     enum measure_lie_number lie, double share,
+                     struct measure_balance_figures *figures)
 {
   struct fleet *fleet = measure_fleet (seed, choice, NULL);
   struct measure_mark *mark = g_new0 (struct measure_mark, 1);
   const struct fleet_load *load
       = measure_add_load (fleet, MEASURE_EVENT, share, 100, END_MS);
-  double kept;
 
-  lie->tell (fleet);
+  measure_lies[lie].tell (fleet);
   fleet_run (fleet, WARM_UP_MS);
   measure_take_mark (fleet, mark);
   fleet_run (fleet, END_MS);
-  kept = (double)(load->answered - mark->answered[0])
-         / (double)(load->sent - mark->sent[0]);
-  printf ("| %s | %s | %.0f%% | %.2f | %u | %u | %.1f%% |\n", lie->name,
-          choice, share * 100, measure_imbalance (fleet, mark),
-          measure_latency (fleet, mark, 0, 0.5),
-          measure_latency (fleet, mark, 0, 0.99), kept * 100);
+  figures->answered = (double)(load->answered - mark->answered[0])
+                      / (double)(load->sent - mark->sent[0]);
+  figures->imbalance = measure_imbalance (fleet, mark);
+  figures->p50_ms = measure_latency (fleet, mark, 0, 0.5);
+  figures->p99_ms = measure_latency (fleet, mark, 0, 0.99);
   g_free (mark);
   fleet_destroy (fleet);
 }
 
+static void
+print_row (uint64_t seed, const char *choice, enum measure_lie_number lie,
+           double share)
+{
+  struct measure_balance_figures figures;
+
+  measure_run_balance (seed, choice, lie, share, &figures);
+  printf ("| %s | %s | %.0f%% | %.2f | %u | %u | %.1f%% |\n",
+          measure_lies[lie].name, choice, share * 100, figures.imbalance,
+          figures.p50_ms, figures.p99_ms, figures.answered * 100);
+}
+
 static void
 run (uint64_t seed)
 {
   printf ("| untrue | choice | load | imbalance | p50 ms | p99 ms "
           "| answered |\n|---|---|---|---|---|---|---|\n");
-  for (size_t lie = 0; lie < G_N_ELEMENTS (LIES); lie++)
+  for (int lie = 0; lie < MEASURE_LIE_COUNT; lie++)
     for (size_t load = 0; load < G_N_ELEMENTS (LOADS); load++)
       for (size_t choice = 0; choice < G_N_ELEMENTS (CHOICES); choice++)
-        run_row (seed, CHOICES[choice], &LIES[lie], LOADS[load]);
+        print_row (seed, CHOICES[choice], (enum measure_lie_number)lie,
+                   LOADS[load]);
 }
 
 const struct measure_experiment measure_balance = { "balance", run };
--- a/test/measure/measure.h
+++ b/test/measure/measure.h
@@ -124,4 +124,36 @@
 void measure_run_dead (uint64_t seed, const char *choice, double share,
                        struct measure_dead_figures *figures);
 
+/* What is untrue about one upstream of speed 1.  */
+enum measure_lie_number
+{
+  MEASURE_LIE_NONE,
+  MEASURE_LIE_NO_WAIT,
+  MEASURE_LIE_SLOTS,
+  MEASURE_LIE_COUNT
+};
+
+struct measure_lie
+{
+  const char *name;
+  void (*tell) (struct fleet *fleet);
+};
+
+extern const struct measure_lie measure_lies[MEASURE_LIE_COUNT];
+
+struct measure_balance_figures
+{
+  /* Greatest busy share of an upstream over the mean.  */
+  double imbalance;
+  /* Share of the requests that were answered.  */
+  double answered;
+  uint32_t p50_ms;
+  uint32_t p99_ms;
+};
+
+/* Runs one kind of work at SHARE of the capacity for a minute.  */
+void measure_run_balance (uint64_t seed, const char *choice,
+                          enum measure_lie_number lie, double share,
+                          struct measure_balance_figures *figures);
+
 #endif
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -103,6 +103,34 @@
   g_assert_cmpfloat (figures.refused, <, MOST_REFUSED);
 }
 
+struct balance_case
+{
+  const char *name;
+  enum measure_lie_number lie;
+  double load;
+  double most_imbalance;
+  double least_answered;
+  uint32_t most_p99_ms;
+};
+
+static const struct balance_case BALANCE[] = {
+  { "/balance/honest-70", MEASURE_LIE_NONE, 0.70, 1.15, 0.999, 200 },
+  { "/balance/honest-95", MEASURE_LIE_NONE, 0.95, 1.15, 0.999, 300 },
+  { "/balance/no-wait-told-70", MEASURE_LIE_NO_WAIT, 0.70, 1.5, 0.999, 1000 },
+};
+
+static void
+run_balance_case (gconstpointer data)
+{
+  const struct balance_case *test = data;
+  struct measure_balance_figures figures;
+
+  measure_run_balance (3, NULL, test->lie, test->load, &figures);
+  g_assert_cmpfloat (figures.imbalance, <=, test->most_imbalance);
+  g_assert_cmpfloat (figures.answered, >=, test->least_answered);
+  g_assert_cmpuint (figures.p99_ms, <=, test->most_p99_ms);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -113,5 +141,7 @@
     g_test_add_data_func (FEEDS[i].name, &FEEDS[i], run_feeds_case);
   for (size_t i = 0; i < G_N_ELEMENTS (DEAD); i++)
     g_test_add_data_func (DEAD[i].name, &DEAD[i], run_dead_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (BALANCE); i++)
+    g_test_add_data_func (BALANCE[i].name, &BALANCE[i], run_balance_case);
   return g_test_run ();
 }
