--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -6,6 +6,8 @@
 {
   OPEN_RESEND_MS = 250,
   PART_RESEND_MS = 250,
+  /* The same while parts of an earlier window are known to be missing.  */
+  RECOVERY_RESEND_MS = 60,
   /* A complete request asks for its answer this often.  */
   PROBE_MS = 500,
   /* Most parts on their way at once.  */
@@ -27,7 +29,9 @@
   message.type = type;
   message.link = GALENA_LINK_CALLER;
   message.peer = world->options.fabric;
+  message.path = flow->path;
   message.service = flow->service;
+  message.service_number = flow->service_number;
   message.flow = flow->id;
   message.tag = flow->tag;
   message.kind = flow->kind;
@@ -109,6 +113,17 @@
   send_part (world, flow, request, request->total - 1);
 }
 
+/* Returns how long after a resend the next one is due.  */
+static int64_t
+resend_delay_ms (const struct galena_caller_request *request)
+{
+  if (request->acknowledged == request->total)
+    return PROBE_MS;
+  if (request->acknowledged < request->recovery_end)
+    return RECOVERY_RESEND_MS;
+  return PART_RESEND_MS;
+}
+
 static void
 resend_request (struct galena_world *world,
                 const struct galena_caller_flow *flow,
@@ -116,8 +131,7 @@
 {
   bool complete = request->acknowledged == request->total;
 
-  request->resend
-      = galena_clock_after (world->now, complete ? PROBE_MS : PART_RESEND_MS);
+  request->resend = galena_clock_after (world->now, resend_delay_ms (request));
   if (request->cancelled)
     send_cancel (world, flow, request);
   if (complete)
@@ -128,6 +142,7 @@
   if (request->sent > request->acknowledged)
     {
       galena_world_count (world, GALENA_COUNT_RESENT);
+      request->recovery_end = request->sent;
       send_part (world, flow, request, request->acknowledged);
     }
 }
@@ -247,6 +262,8 @@
       (flow = galena_table_next (world->caller->flows, &cursor, &handle.row))
       != NULL)
     {
+      if (flow->state == GALENA_CALLER_FLOW_OPENING || flow->open_requests > 0)
+        galena_caller_check_path (world, flow);
       if (flow->moving)
         galena_caller_run_move (world, handle);
       run_flow (world, flow, handle);
--- a/packages/core/src/caller_tables.h
+++ b/packages/core/src/caller_tables.h
@@ -22,6 +22,8 @@
 {
   struct galena_flow_id id;
   struct galena_endpoint service;
+  /* Service that first accepted the flow; 0 before.  */
+  uint32_t service_number;
   enum galena_caller_flow_state state;
   /* As the flow's packets carry it; 0 while the flow has none.  */
   uint64_t tag;
@@ -35,6 +37,9 @@
   struct galena_clock resend;
   /* When the owner last gave a sign of life.  */
   struct galena_clock heard;
+  /* Source port in use, and when it last changed.  */
+  uint8_t path;
+  struct galena_clock path_since;
   /* While a move is on its way: id of the flow that is opened elsewhere.  */
   bool moving;
   struct galena_flow_id next_id;
@@ -54,6 +59,7 @@
 {
   struct galena_flow_id id;
   struct galena_endpoint service;
+  uint32_t service_number;
   uint64_t tag;
   uint32_t tries;
   struct galena_clock resend;
@@ -87,6 +93,10 @@
   uint32_t total;
   uint32_t acknowledged;
   uint32_t sent;
+  /* Parts before this one were sent before the last resend; while some of them
+     are not acknowledged, each acknowledgement that leaves a gap behind it
+     has the next missing part sent at once.  */
+  uint32_t recovery_end;
   /* Parts of the answer that came out of order.  */
   struct galena_stream answer;
   uint32_t deadline_ms;
@@ -96,6 +106,9 @@
 
 struct galena_caller
 {
+  /* Newest source port, and when it came into use.  */
+  uint8_t path;
+  struct galena_clock path_since;
   struct galena_table *flows;
   struct galena_map *flows_by_id;
   struct galena_table *closings;
@@ -184,6 +197,12 @@
 void galena_caller_finish_close (struct galena_world *world,
                                  struct galena_flow_handle handle);
 
+/* caller_path.c */
+
+/* Takes another source port when the flow's path has gone silent.  */
+void galena_caller_check_path (struct galena_world *world,
+                               struct galena_caller_flow *flow);
+
 /* caller_move.c */
 
 /* Begins to open FLOW elsewhere while it goes on where it is.  */
@@ -213,11 +232,10 @@
 /* Creates the table of closings.  Errors: GALENA_ERR_MEMORY.  */
 enum galena_result galena_caller_create_closings (struct galena_world *world);
 
-/* Tells the agent that gave TAG that flow ID is over, until it replies or
-   the tries are spent.  */
+/* Tells the agent that accepted the flow that WHAT speaks of that it is
+   over, until the agent replies or the tries are spent.  */
 void galena_caller_tell_close (struct galena_world *world,
-                               struct galena_flow_id id,
-                               struct galena_endpoint service, uint64_t tag);
+                               const struct galena_message *what);
 
 /* Notes that an agent no longer holds the flow of MESSAGE.  */
 void galena_caller_on_closed (struct galena_world *world,
--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -42,7 +42,7 @@
       return;
     }
   galena_world_count (world, GALENA_COUNT_OPENS);
-  service = galena_config_service_at (world->config, open.service);
+  service = galena_entry_service_of (world, &open);
   if (service == NULL)
     {
       galena_entry_refuse (world, &open, GALENA_REFUSED_NO_SERVICE);
@@ -53,6 +53,24 @@
   galena_entry_start (world, &open);
 }
 
+/* Returns the source port for a caller's packet.  Agents reply to requests;
+   what else goes to them follows the same path.  */
+static uint8_t
+path_onward (struct galena_world *world, const struct galena_message *message,
+             uint32_t upstream)
+{
+  const struct galena_hint *known;
+  struct galena_hint *hint;
+
+  if (message->type != GALENA_MESSAGE_REQUEST)
+    {
+      known = galena_entry_hint (world, upstream);
+      return known == NULL ? 0 : known->path;
+    }
+  hint = galena_entry_hint_for (world, upstream);
+  return hint == NULL ? 0 : galena_entry_path_for_question (world, hint);
+}
+
 /* Passes a caller's packet to UPSTREAM with its return path.  */
 static void
 send_onward (struct galena_world *world, const struct galena_message *message,
@@ -67,6 +85,7 @@
   onward.entry = (struct galena_endpoint){ 0, 0 };
   onward.hops = 0;
   onward.generation = service->generation;
+  onward.path = path_onward (world, message, upstream->number);
   galena_world_send (world, &onward);
 }
 
@@ -98,6 +117,15 @@
     send_onward (world, message, service, upstream);
 }
 
+static bool
+is_meant_for (const struct galena_service *service,
+              const struct galena_message *message)
+{
+  if (message->service_number != 0)
+    return service->number == message->service_number;
+  return galena_endpoint_equal (service->address, message->service);
+}
+
 /* Sends a caller's packet to the agent that its tag names.  */
 static void
 on_caller_data (struct galena_world *world,
@@ -118,7 +146,7 @@
       return;
     }
   service = galena_config_service (world->config, upstream->service);
-  if (!galena_endpoint_equal (service->address, message->service))
+  if (!is_meant_for (service, message))
     {
       galena_world_count (world, GALENA_COUNT_WRONG_SERVICE);
       return;
@@ -142,8 +170,7 @@
                   const struct galena_pending_open *pending, uint32_t upstream)
 {
   const struct galena_message *open = &pending->open;
-  const struct galena_service *service
-      = galena_config_service_at (world->config, open->service);
+  const struct galena_service *service = galena_entry_service_of (world, open);
 
   galena_stats_upstream (world, upstream)->accepted++;
   if (service == NULL || galena_service_kind (service, open->kind) == NULL)
@@ -240,6 +267,12 @@
   galena_world_dispatch (world, HANDLERS);
 }
 
+static bool
+has_pending (const struct galena_world *world)
+{
+  return galena_table_count (world->entry->pending) > 0;
+}
+
 static const struct galena_system SYSTEMS[] = {
   { "receive", 0, run_receive },
   { "retry", RETRY_PERIOD_MS, galena_entry_run_retry },
@@ -352,6 +385,7 @@
   .usage = report_usage,
   .is_idle = is_idle,
   .report_upstream = report_upstream,
+  .busy = has_pending,
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
 };
--- a/packages/core/src/entry.h
+++ b/packages/core/src/entry.h
@@ -27,6 +27,10 @@
   bool lost;
   /* Avoid the upstream until then: it said that it is leaving.  */
   struct galena_clock leaving_until;
+  /* Source port in use towards the agent, and since when packets that ask for
+     a reply have got none; 0 when none is owed.  */
+  uint8_t path;
+  struct galena_clock asked;
   /* Opens sent since the last word from the agent.  */
   uint32_t unanswered;
   /* Overload level of each kind, 0 to 255.  */
@@ -38,9 +42,14 @@
 {
   /* As the caller sent it; its body is not kept.  */
   struct galena_message open;
+  /* Number of the service that the address named when the open came; the
+     open goes to no other one, should the address change hands.  */
+  uint32_t service;
   /* Upstreams tried so far, in order.  */
   uint32_t tried[GALENA_CANDIDATES_MAX];
   uint32_t tried_count;
+  /* How often all candidates have been tried without a reply.  */
+  uint32_t rounds;
   struct galena_clock began;
   struct galena_clock next_try;
   struct galena_clock deadline;
@@ -89,11 +98,17 @@
 void galena_entry_learn (struct galena_world *world,
                          const struct galena_message *message);
 
+/* Returns the source port for a packet to the agent of HINT that asks for a
+   reply; another one when the last has got none.  */
+uint8_t galena_entry_path_for_question (struct galena_world *world,
+                                        struct galena_hint *hint);
+
 /* Notes that an open goes to the upstream of HINT; when the upstream was
    lost, the others avoid it until this one is answered.  */
 void galena_entry_probe (struct galena_world *world, struct galena_hint *hint);
 
-/* Notes that UPSTREAM gave a sign of life.  */
+/* Notes that UPSTREAM gave a sign of life, though not on its own path to this
+   entry.  */
 void galena_entry_clear_suspicion (struct galena_world *world,
                                    uint32_t upstream);
 
@@ -109,6 +124,12 @@
 
 /* entry_open.c */
 
+/* Returns the service that MESSAGE is meant for: by the number that its flow
+   was accepted under, or by address while it has none.  */
+const struct galena_service *
+galena_entry_service_of (const struct galena_world *world,
+                         const struct galena_message *message);
+
 /* Returns the pending open of FLOW and its handle, or NULL.  */
 struct galena_pending_open *
 galena_entry_pending (const struct galena_world *world,
--- a/packages/core/src/entry_budget.c
+++ b/packages/core/src/entry_budget.c
@@ -19,6 +19,9 @@
 /* Retries allowed for each first try.  */
 static const double RETRY_SHARE = 0.1;
 
+/* Retries allowed each second, however few first tries there are.  */
+static const double RETRIES_PER_SECOND = 1;
+
 /* Opens sent to agents for each one that they accept, under overload.  */
 static const double OFFERED_RATIO = 1.5;
 
@@ -48,8 +51,7 @@
 budget_for (struct galena_world *world, const struct galena_message *open)
 {
   struct galena_entry *entry = world->entry;
-  const struct galena_service *service
-      = galena_config_service_at (world->config, open->service);
+  const struct galena_service *service = galena_entry_service_of (world, open);
   uint64_t packed;
   uint64_t key;
 
@@ -74,6 +76,14 @@
   return share > SHED_MAX ? SHED_MAX : share;
 }
 
+static void
+earn_tokens (struct galena_kind_budget *budget, double tokens)
+{
+  budget->retry_tokens += tokens;
+  if (budget->retry_tokens > RETRY_TOKENS_MAX)
+    budget->retry_tokens = RETRY_TOKENS_MAX;
+}
+
 bool
 galena_budget_sheds (struct galena_world *world,
                      const struct galena_message *open)
@@ -85,9 +95,7 @@
     return false;
   share = shed_share (budget);
   budget->opens += 1;
-  budget->retry_tokens += RETRY_SHARE;
-  if (budget->retry_tokens > RETRY_TOKENS_MAX)
-    budget->retry_tokens = RETRY_TOKENS_MAX;
+  earn_tokens (budget, RETRY_SHARE);
   return share > 0 && galena_random_unit (&world->random) < share;
 }
 
@@ -128,6 +136,7 @@
   return true;
 }
 
+/* Runs once a second.  */
 void
 galena_entry_run_budgets (struct galena_world *world)
 {
@@ -138,6 +147,7 @@
   while ((budget = galena_table_next (world->entry->budgets, &cursor, &handle))
          != NULL)
     {
+      earn_tokens (budget, RETRIES_PER_SECOND);
       budget->opens *= KEPT_COUNTS;
       budget->accepted *= KEPT_COUNTS;
     }
--- a/packages/core/src/entry_hint.c
+++ b/packages/core/src/entry_hint.c
@@ -12,7 +12,9 @@
   /* A hint not renewed for this long is dropped.  */
   HINT_LIFE_MS = 5000,
   /* The same for an upstream that leaves opens unanswered.  */
-  LOST_HINT_LIFE_MS = 60000
+  LOST_HINT_LIFE_MS = 60000,
+  /* A path that leaves a question unanswered for so long is given up.  */
+  SILENT_PATH_MS = 500
 };
 
 const struct galena_hint *
@@ -95,6 +97,7 @@
   if (hint == NULL)
     return;
   note_heard (world, hint);
+  hint->asked.ms = 0;
   hint->queue = message->queue;
   if (message->kind >= GALENA_KINDS_MAX)
     return;
@@ -103,6 +106,21 @@
   hint->told[message->kind] = world->now;
 }
 
+uint8_t
+galena_entry_path_for_question (struct galena_world *world,
+                                struct galena_hint *hint)
+{
+  if (hint->asked.ms == 0)
+    hint->asked = world->now;
+  else if (galena_clock_between (hint->asked, world->now) >= SILENT_PATH_MS)
+    {
+      hint->path++;
+      hint->asked = world->now;
+      galena_world_count (world, GALENA_COUNT_PATHS_LEFT);
+    }
+  return hint->path;
+}
+
 void
 galena_entry_note_leaving (struct galena_world *world,
                            const struct galena_message *refusal)
@@ -137,6 +155,15 @@
   hint->suspect_until = galena_clock_after (world->now, SUSPECT_MS);
 }
 
+/* Whether HINT tells that an earlier path to a known agent was silent.  */
+static bool
+keeps_path (const struct galena_world *world, const struct galena_hint *hint)
+{
+  return hint->path != 0
+         && galena_config_upstream_numbered (world->config, hint->upstream)
+                != NULL;
+}
+
 void
 galena_entry_run_expire_hints (struct galena_world *world)
 {
@@ -149,7 +176,8 @@
     {
       int64_t life_ms = hint->lost ? LOST_HINT_LIFE_MS : HINT_LIFE_MS;
 
-      if (galena_clock_between (hint->heard, world->now) < life_ms)
+      if (galena_clock_between (hint->heard, world->now) < life_ms
+          || keeps_path (world, hint))
         continue;
       galena_map_remove (entry->hints_by_upstream, hint->upstream);
       galena_table_remove (entry->hints, handle);
--- a/packages/core/src/entry_open.c
+++ b/packages/core/src/entry_open.c
@@ -7,9 +7,21 @@
 enum
 {
   /* Milliseconds without a reply before an open goes to the next one.  */
-  RETRY_AFTER_MS = 100
+  RETRY_AFTER_MS = 100,
+  /* Rounds over all candidates, while none of them replies.  */
+  ROUNDS_MAX = 3
 };
 
+const struct galena_service *
+galena_entry_service_of (const struct galena_world *world,
+                         const struct galena_message *message)
+{
+  if (message->service_number != 0)
+    return galena_config_service_numbered (world->config,
+                                           message->service_number);
+  return galena_config_service_at (world->config, message->service);
+}
+
 struct galena_pending_open *
 galena_entry_pending (const struct galena_world *world,
                       struct galena_flow_id flow, struct galena_handle *handle)
@@ -42,8 +54,7 @@
 count_refusal (struct galena_world *world, const struct galena_message *open,
                enum galena_result result)
 {
-  const struct galena_service *service
-      = galena_config_service_at (world->config, open->service);
+  const struct galena_service *service = galena_entry_service_of (world, open);
   bool known
       = service != NULL && galena_service_kind (service, open->kind) != NULL;
 
@@ -62,7 +73,6 @@
   refusal.peer = open->caller;
   refusal.result = result;
   refusal.body_size = 0;
-  galena_world_count (world, GALENA_COUNT_REFUSED);
   count_refusal (world, open, result);
   galena_world_send (world, &refusal);
 }
@@ -138,7 +148,10 @@
   struct galena_hint *hint = galena_entry_hint_for (world, upstream->number);
 
   if (hint != NULL)
-    galena_entry_probe (world, hint);
+    {
+      galena_entry_probe (world, hint);
+      open.path = galena_entry_path_for_question (world, hint);
+    }
   galena_stats_upstream (world, upstream->number)->opens++;
   open.link = GALENA_LINK_PEER;
   open.peer = upstream->agent;
@@ -154,7 +167,7 @@
 try_next (struct galena_world *world, struct galena_pending_open *pending)
 {
   const struct galena_service *service
-      = galena_config_service_at (world->config, pending->open.service);
+      = galena_entry_service_of (world, &pending->open);
   uint32_t untried[GALENA_CANDIDATES_MAX];
   uint32_t count;
   uint32_t chosen;
@@ -179,9 +192,42 @@
   return result == GALENA_REFUSED_NO_UPSTREAM
          || result == GALENA_REFUSED_LEAVING
          || result == GALENA_REFUSED_WRONG_SERVICE
+         || result == GALENA_REFUSED_RENEWING
+         || result == GALENA_REFUSED_NOT_CANDIDATE;
+}
+
+/* Begins another round after one in which no candidate replied: packets may
+   have been lost, or their path silent.  */
+static bool
+try_again (struct galena_world *world, struct galena_pending_open *pending,
+           enum galena_result result)
+{
+  if (result != GALENA_REFUSED_NO_UPSTREAM || ++pending->rounds == ROUNDS_MAX)
+    return false;
+  pending->tried_count = 0;
+  return try_next (world, pending);
+}
+
+/* Whether RESULT may be another one at the same upstreams a moment later.  */
+static bool
+may_pass (enum galena_result result)
+{
+  return result == GALENA_REFUSED_LEAVING || result == GALENA_REFUSED_RENEWING
          || result == GALENA_REFUSED_NOT_CANDIDATE;
 }
 
+/* Whether the address of PENDING still names the service that it named when
+   the open came.  */
+static bool
+still_meant_for (const struct galena_world *world,
+                 const struct galena_pending_open *pending)
+{
+  const struct galena_service *service
+      = galena_entry_service_of (world, &pending->open);
+
+  return service != NULL && service->number == pending->service;
+}
+
 /* An open that met the wrong upstream waits while the budget is spent, and
    goes round its candidates again after the last one; one that met a full
    upstream is refused.  */
@@ -191,12 +237,14 @@
 {
   struct galena_pending_open *pending
       = galena_table_get (world->entry->pending, handle);
-  bool left = !galena_clock_reached (world->now, pending->deadline);
+  bool left = !galena_clock_reached (world->now, pending->deadline)
+              && still_meant_for (world, pending);
   bool allowed = left && galena_budget_spend (world, &pending->open, result);
 
-  if (allowed && try_next (world, pending))
+  if (allowed
+      && (try_next (world, pending) || try_again (world, pending, result)))
     return;
-  if (left && is_about_place (result))
+  if (left && is_about_place (result) && (!allowed || may_pass (result)))
     {
       if (allowed)
         pending->tried_count = 0;
@@ -227,6 +275,7 @@
   pending->open = *open;
   pending->open.body = NULL;
   pending->open.body_size = 0;
+  pending->service = galena_entry_service_of (world, open)->number;
   pending->began = world->now;
   pending->deadline = galena_clock_after (world->now, open->deadline_ms);
   galena_map_insert (entry->pending_by_flow, key, galena_handle_pack (handle));
