--- a/packages/core/src/entry_open.c
+++ b/packages/core/src/entry_open.c
@@ -196,24 +196,19 @@
          || result == GALENA_REFUSED_NOT_CANDIDATE;
 }
 
-/* Begins another round after one in which no candidate replied: packets may
-   have been lost, or their path silent.  */
+/* Has another round begin later, when all candidates were the wrong ones or
+   did not reply: packets may have been lost, or upstreams are being replaced.
+   False after the last round.  */
 static bool
-try_again (struct galena_world *world, struct galena_pending_open *pending,
-           enum galena_result result)
+try_again_later (const struct galena_world *world,
+                 struct galena_pending_open *pending,
+                 enum galena_result result)
 {
-  if (result != GALENA_REFUSED_NO_UPSTREAM || ++pending->rounds == ROUNDS_MAX)
+  if (!is_about_place (result) || ++pending->rounds == ROUNDS_MAX)
     return false;
   pending->tried_count = 0;
-  return try_next (world, pending);
-}
-
-/* Whether RESULT may be another one at the same upstreams a moment later.  */
-static bool
-may_pass (enum galena_result result)
-{
-  return result == GALENA_REFUSED_LEAVING || result == GALENA_REFUSED_RENEWING
-         || result == GALENA_REFUSED_NOT_CANDIDATE;
+  pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
+  return true;
 }
 
 /* Whether the address of PENDING still names the service that it named when
@@ -239,15 +234,15 @@
       = galena_table_get (world->entry->pending, handle);
   bool left = !galena_clock_reached (world->now, pending->deadline)
               && still_meant_for (world, pending);
-  bool allowed = left && galena_budget_spend (world, &pending->open, result);
 
-  if (allowed
-      && (try_next (world, pending) || try_again (world, pending, result)))
-    return;
-  if (left && is_about_place (result) && (!allowed || may_pass (result)))
+  if (left && galena_budget_spend (world, &pending->open, result))
+    {
+      if (try_next (world, pending)
+          || try_again_later (world, pending, result))
+        return;
+    }
+  else if (left && is_about_place (result))
     {
-      if (allowed)
-        pending->tried_count = 0;
       pending->next_try = galena_clock_after (world->now, RETRY_AFTER_MS);
       return;
     }
