--- /dev/null
+++ b/packages/core/src/agent_handoff.c
@@ -0,0 +1,88 @@
+/* Hand-off of opens: an agent that would let a new flow wait passes its open
+   to the candidate of the flow that told the least wait.  */
+
+#include "agent.h"
+
+enum
+{
+  /* Most agents that pass one open on.  */
+  HANDOFF_HOPS_MAX = 3,
+  /* A peer must be better by this much.  */
+  HANDOFF_MARGIN_MS = 20
+};
+
+/* Returns the candidate of OPEN's flow that told the least wait, or NULL.  */
+static struct galena_peer *
+least_loaded (const struct galena_world *world,
+              const struct galena_message *open,
+              const struct galena_upstream **upstream)
+{
+  uint32_t chosen[GALENA_CANDIDATES_MAX];
+  uint32_t count = galena_config_candidates (
+      world->config, galena_agent_service (world), open->flow, chosen);
+  struct galena_peer *best = NULL;
+
+  if (open->unrouted && count > GALENA_UNROUTED_CANDIDATES)
+    count = GALENA_UNROUTED_CANDIDATES;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct galena_upstream *candidate
+          = galena_config_upstream (world->config, chosen[i]);
+      struct galena_peer *peer = galena_agent_peer (world, candidate->number);
+
+      if (peer == NULL || candidate->number == world->options.upstream
+          || (best != NULL && peer->wait_ms >= best->wait_ms))
+        continue;
+      best = peer;
+      *upstream = candidate;
+    }
+  return best;
+}
+
+/* Tells whether another agent may take an open that this one judged so.  An
+   agent that leaves or whose upstream is closed refuses, so that the entries
+   learn of it.  */
+static bool
+may_be_handed_off (enum galena_result result)
+{
+  return result == GALENA_OK || result == GALENA_REFUSED_OVERLOAD
+         || result == GALENA_REFUSED_CONNECTIONS;
+}
+
+/* Returns the wait in milliseconds that a peer must undercut.  */
+static uint32_t
+wait_here_ms (const struct galena_world *world,
+              const struct galena_message *open, enum galena_result result)
+{
+  if (result == GALENA_REFUSED_CONNECTIONS)
+    return GALENA_WAIT_CLOSED_MS;
+  if (!galena_agent_must_wait (world, open->kind))
+    return 0;
+  return galena_agent_expected_wait_ms (world, open->kind);
+}
+
+bool
+galena_agent_hand_off (struct galena_world *world,
+                       const struct galena_message *open,
+                       enum galena_result result)
+{
+  struct galena_message onward = *open;
+  const struct galena_upstream *upstream = NULL;
+  struct galena_peer *peer;
+
+  if (!may_be_handed_off (result) || open->hops >= HANDOFF_HOPS_MAX)
+    return false;
+  peer = least_loaded (world, open, &upstream);
+  if (peer == NULL
+      || peer->wait_ms + HANDOFF_MARGIN_MS
+             >= wait_here_ms (world, open, result))
+    return false;
+  peer->wait_ms += galena_agent_run_share_ms (world, open->kind);
+  onward.hops++;
+  if (open->entry.ip == 0)
+    onward.entry = open->peer;
+  onward.peer = upstream->agent;
+  galena_world_count (world, GALENA_COUNT_HANDED_ON);
+  galena_world_send (world, &onward);
+  return true;
+}
