--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -11,6 +11,10 @@
 {
   EXPIRE_REQUESTS_PERIOD_MS = 20,
   EXPIRE_FLOWS_PERIOD_MS = 1000,
+  TELL_LOAD_PERIOD_MS = 1000,
+  EXPIRE_PEERS_PERIOD_MS = 1000,
+  /* Most peers whose load is kept.  */
+  PEERS_MAX = 256,
   RESEND_PERIOD_MS = 50,
   MOVE_PERIOD_MS = 100,
   RENEW_LEASES_PERIOD_MS = 100,
@@ -76,6 +80,7 @@
           [GALENA_MESSAGE_CANCEL] = galena_agent_on_cancel,
           [GALENA_MESSAGE_CLOSE] = galena_agent_on_close,
           [GALENA_MESSAGE_LEASE] = galena_agent_on_lease,
+          [GALENA_MESSAGE_LOAD] = galena_agent_on_load,
         },
         [GALENA_LINK_APPLICATION] = {
           [GALENA_MESSAGE_RUN_DATA] = galena_agent_on_run_data,
@@ -109,6 +114,8 @@
   { "admit", 0, galena_agent_run_admit },
   { "resend", RESEND_PERIOD_MS, galena_agent_run_resend },
   { "answer", 0, galena_agent_run_answer },
+  { "tell-load", TELL_LOAD_PERIOD_MS, galena_agent_run_tell_load },
+  { "expire-peers", EXPIRE_PEERS_PERIOD_MS, galena_agent_run_expire_peers },
   { "stats", GALENA_STATS_PERIOD_MS, galena_stats_run },
 };
 
@@ -149,6 +156,20 @@
   return galena_map_create (&by_number, &agent->requests_by_number);
 }
 
+static enum galena_result
+create_peer_table (struct galena_world *world)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_table_options peers
+      = { sizeof (struct galena_peer), PEERS_MAX };
+  struct galena_map_options by_upstream = { PEERS_MAX, world->options.seed };
+  enum galena_result result = galena_table_create (&peers, &agent->peers);
+
+  if (result != GALENA_OK)
+    return result;
+  return galena_map_create (&by_upstream, &agent->peers_by_upstream);
+}
+
 static enum galena_result
 create_agent (struct galena_world *world)
 {
@@ -161,6 +182,9 @@
   if (world->agent->admission == NULL)
     return GALENA_ERR_NOT_FOUND;
   result = create_flow_tables (world);
+  if (result != GALENA_OK)
+    return result;
+  result = create_peer_table (world);
   if (result != GALENA_OK)
     return result;
   return create_request_tables (world);
@@ -193,6 +217,8 @@
     return;
   release_requests (agent);
   galena_agent_destroy_leases (agent);
+  galena_table_destroy (agent->peers);
+  galena_map_destroy (agent->peers_by_upstream);
   galena_table_destroy (agent->flows);
   galena_table_destroy (agent->requests);
   galena_map_destroy (agent->flows_by_id);
--- a/packages/core/src/agent_flow.c
+++ b/packages/core/src/agent_flow.c
@@ -56,6 +56,7 @@
       = galena_agent_reply (world, open, GALENA_MESSAGE_REFUSE);
 
   refusal.result = result;
+  refusal.hops = open->hops;
   galena_stats_refuse (world, galena_agent_service_number (world, open->kind),
                        open->kind, result);
   galena_world_send (world, &refusal);
@@ -72,11 +73,14 @@
 
 /* Tells whether this agent may accept OPEN, and why not.  */
 static enum galena_result
-check_open (struct galena_world *world, const struct galena_message *open)
+check_open (const struct galena_world *world,
+            const struct galena_message *open)
 {
   const struct galena_service *service = galena_agent_service (world);
 
-  if (service == NULL || !is_meant_for (service, open))
+  if (service == NULL)
+    return GALENA_REFUSED_RENEWING;
+  if (!is_meant_for (service, open))
     return GALENA_REFUSED_WRONG_SERVICE;
   if (galena_agent_is_leaving (world))
     return GALENA_REFUSED_LEAVING;
@@ -121,6 +125,7 @@
       == GALENA_OK)
     {
       galena_agent_queue (world, flow->kind)->flows++;
+      galena_agent_promise (world, flow);
       return flow;
     }
   galena_table_remove (agent->flows, handle.row);
@@ -137,6 +142,7 @@
   flow->caller = open->caller;
   flow->entry = accept.peer;
   accept.tag = flow->tag;
+  accept.hops = open->hops;
   accept.service_number = galena_agent_service (world)->number;
   galena_world_send (world, &accept);
 }
@@ -155,6 +161,10 @@
       return;
     }
   result = check_open (world, message);
+  if (galena_agent_hand_off (world, message, result))
+    return;
+  galena_agent_note_decision (world, message->kind,
+                              result == GALENA_REFUSED_OVERLOAD);
   if (result != GALENA_OK)
     {
       refuse_open (world, message, result);
--- /dev/null
+++ b/packages/core/src/agent_peers.c
@@ -0,0 +1,133 @@
+/* Load told among the agents of one service.
+
+   Each second an agent tells its expected wait to a few peers drawn at
+   random, so what is sent does not grow with the service.  */
+
+#include <galenaford/tag.h>
+
+#include "agent.h"
+
+enum
+{
+  /* Peers told in one period.  */
+  PEERS_TOLD = 8,
+  /* What a peer told counts for this long.  */
+  PEER_LIFE_MS = 1500
+};
+
+static void
+tell_peer (struct galena_world *world, const struct galena_service *service,
+           const struct galena_upstream *peer)
+{
+  struct galena_message load = { .type = GALENA_MESSAGE_LOAD,
+                                 .link = GALENA_LINK_PEER,
+                                 .peer = peer->agent,
+                                 .service = service->address,
+                                 .generation = service->generation };
+
+  load.tag = galena_tag_make (world->options.upstream,
+                              world->options.incarnation, 0);
+  load.wait_ms = galena_agent_total_wait_ms (world);
+  if (galena_agent_is_leaving (world)
+      || !galena_agent_upstream_is_open (world))
+    load.wait_ms = GALENA_WAIT_CLOSED_MS;
+  galena_world_send (world, &load);
+}
+
+/* Tells the active upstreams that follow a random place in the service.  */
+void
+galena_agent_run_tell_load (struct galena_world *world)
+{
+  const struct galena_service *service = galena_agent_service (world);
+  uint32_t told = 0;
+  uint32_t at;
+
+  if (service == NULL)
+    return;
+  at = galena_random_below (&world->random, service->upstream_count);
+  for (uint32_t i = 0; i < service->upstream_count && told < PEERS_TOLD; i++)
+    {
+      const struct galena_upstream *peer = galena_config_upstream (
+          world->config,
+          service->first_upstream + (at + i) % service->upstream_count);
+
+      if (peer->number == world->options.upstream
+          || peer->state != GALENA_UPSTREAM_ACTIVE)
+        continue;
+      tell_peer (world, service, peer);
+      told++;
+    }
+}
+
+static struct galena_peer *
+find_peer (const struct galena_world *world, uint32_t upstream)
+{
+  const struct galena_agent *agent = world->agent;
+  uint64_t packed;
+
+  if (!galena_map_find (agent->peers_by_upstream, upstream, &packed))
+    return NULL;
+  return galena_table_get (agent->peers, galena_handle_unpack (packed));
+}
+
+static struct galena_peer *
+insert_peer (struct galena_world *world, uint32_t upstream)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_handle handle;
+  struct galena_peer *peer = galena_table_insert (agent->peers, &handle);
+
+  if (peer == NULL)
+    return NULL;
+  peer->upstream = upstream;
+  galena_map_insert (agent->peers_by_upstream, upstream,
+                     galena_handle_pack (handle));
+  return peer;
+}
+
+void
+galena_agent_on_load (struct galena_world *world,
+                      const struct galena_message *message)
+{
+  uint32_t upstream = galena_tag_upstream (message->tag);
+  const struct galena_service *service = galena_agent_service (world);
+  struct galena_peer *peer = find_peer (world, upstream);
+
+  if (service == NULL
+      || !galena_endpoint_equal (service->address, message->service))
+    return;
+  if (peer == NULL)
+    peer = insert_peer (world, upstream);
+  if (peer == NULL)
+    return;
+  peer->wait_ms = message->wait_ms;
+  peer->heard = world->now;
+}
+
+struct galena_peer *
+galena_agent_peer (const struct galena_world *world, uint32_t upstream)
+{
+  struct galena_peer *peer = find_peer (world, upstream);
+
+  if (peer == NULL
+      || galena_clock_between (peer->heard, world->now) >= PEER_LIFE_MS)
+    return NULL;
+  return peer;
+}
+
+void
+galena_agent_run_expire_peers (struct galena_world *world)
+{
+  struct galena_agent *agent = world->agent;
+  struct galena_peer *peer;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((peer = galena_table_next (agent->peers, &cursor, &handle)) != NULL)
+    {
+      if (galena_clock_between (peer->heard, world->now) < PEER_LIFE_MS)
+        continue;
+      galena_map_remove (agent->peers_by_upstream, peer->upstream);
+      galena_table_remove (agent->peers, handle);
+    }
+}
--- a/test/measure/measure.h
+++ b/test/measure/measure.h
@@ -87,6 +87,8 @@
   double goodput[MEASURE_KIND_COUNT];
   uint32_t p99_ms[MEASURE_KIND_COUNT];
   double whole;
+  /* Opens and requests that agents refuse in a second.  */
+  double agent_refusals;
 };
 
 /* Runs the usual load with a flood of KIND that asks for TIMES the capacity;
@@ -109,4 +111,49 @@
 void measure_run_feeds (uint64_t seed, double opened,
                         struct measure_feeds_figures *figures);
 
+struct measure_dead_figures
+{
+  /* Opens retried and opens refused, as shares of the first tries.  */
+  double retries;
+  double refused;
+  /* When new work was answered again; -1 for not at all.  */
+  int64_t recovered_ms;
+};
+
+/* Kills a third of the upstreams under a load of SHARE of the capacity.  */
+void measure_run_dead (uint64_t seed, const char *choice, double share,
+                       struct measure_dead_figures *figures);
+
+/* What is untrue about one upstream of speed 1.  */
+enum measure_lie_number
+{
+  MEASURE_LIE_NONE,
+  MEASURE_LIE_NO_WAIT,
+  MEASURE_LIE_SLOTS,
+  MEASURE_LIE_COUNT
+};
+
+struct measure_lie
+{
+  const char *name;
+  void (*tell) (struct fleet *fleet);
+};
+
+extern const struct measure_lie measure_lies[MEASURE_LIE_COUNT];
+
+struct measure_balance_figures
+{
+  /* Greatest busy share of an upstream over the mean.  */
+  double imbalance;
+  /* Share of the requests that were answered.  */
+  double answered;
+  uint32_t p50_ms;
+  uint32_t p99_ms;
+};
+
+/* Runs one kind of work at SHARE of the capacity for a minute.  */
+void measure_run_balance (uint64_t seed, const char *choice,
+                          enum measure_lie_number lie, double share,
+                          struct measure_balance_figures *figures);
+
 #endif
