--- a/packages/core/src/caller_send.c
+++ b/packages/core/src/caller_send.c
@@ -171,6 +171,15 @@
                                                     : GALENA_UNKNOWN_OUTCOME);
 }
 
+/* Whether FLOW went to a new path in this tick; the owner learns the path
+   from the next packet only.  */
+static bool
+has_new_path (const struct galena_world *world,
+              const struct galena_caller_flow *flow)
+{
+  return flow->path_since.ms == world->now.ms;
+}
+
 static void
 run_request (struct galena_world *world, struct galena_request_handle handle)
 {
@@ -191,7 +200,8 @@
       request->resend = galena_clock_after (world->now, PART_RESEND_MS);
     }
   send_window (world, flow, request);
-  if (galena_clock_reached (world->now, request->resend))
+  if (has_new_path (world, flow)
+      || galena_clock_reached (world->now, request->resend))
     resend_request (world, flow, request);
 }
 
