--- a/Makefile
+++ b/Makefile
@@ -38,17 +38,17 @@
 
 # Prints the tables that docs/MEASUREMENTS.md quotes.
 measure: all
-	$(BUILD)/test/measure/measure
+	$(BUILD)/measure/policy/measure
 
 propagation: all
-	$(BUILD)/test/propagation/propagation $(SIZES)
+	$(BUILD)/measure/propagation/propagation $(SIZES)
 
 clean:
 	rm -rf $(BUILD)
 
 bench: all
-	$(BUILD)/test/bench/bench
+	$(BUILD)/measure/bench/bench
 
 capacity: all
-	$(BUILD)/test/capacity/capacity
-	test/capacity/idle.sh $(BUILD)
+	$(BUILD)/measure/capacity/capacity
+	measure/capacity/idle.sh $(BUILD)
