Open flows beyond their candidates when all of those are avoided

Cause: an open goes to the three candidates of its flow only. Ruled out: more candidates, which would only thin the share out. Change: a flow whose packets carry a route may have its owner anywhere, so when all its candidates are avoided others that are not are drawn. Flows without a route are still refused.

--- a/packages/core/include/galenaford/caller.h
+++ b/packages/core/include/galenaford/caller.h
@@ -1,6 +1,7 @@
 /* The caller library: opens flows, sends requests, collects answers.
 
-   Works on a world with GALENA_ROLE_CALLER.  Answers come out on the
+   Works on a world with GALENA_ROLE_CALLER that has run a tick: deadlines
+   count from the time of the last one.  Answers come out on the
    application link: RUN_DATA in order, then one RUN_END with the result.  */
 
 #ifndef GALENAFORD_CALLER_H
--- a/packages/core/src/entry_open.c
+++ b/packages/core/src/entry_open.c
@@ -1,6 +1,8 @@
 /* Opens at an entry: the first try, retries at further candidates, and the
    refusal when there is none.  */
 
+#include <string.h>
+
 #include "entry.h"
 #include "stats.h"
 
@@ -86,10 +88,30 @@
   return false;
 }
 
-/* Draws the candidates of FLOW from all active upstreams of SERVICE.  */
+static bool
+is_avoided (const struct galena_world *world, uint32_t index)
+{
+  const struct galena_hint *hint = galena_entry_hint (
+      world, galena_config_upstream (world->config, index)->number);
+
+  return hint != NULL && galena_entry_avoids (world, hint);
+}
+
+static bool
+all_avoided (const struct galena_world *world, const uint32_t *chosen,
+             uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (!is_avoided (world, chosen[i]))
+      return false;
+  return true;
+}
+
+/* Draws candidates from all active upstreams of SERVICE, or from those of them
+   that are not avoided.  */
 static uint32_t
 draw_candidates (struct galena_world *world,
-                 const struct galena_service *service,
+                 const struct galena_service *service, bool not_avoided,
                  uint32_t chosen[GALENA_CANDIDATES_MAX])
 {
   uint32_t end = service->first_upstream + service->upstream_count;
@@ -100,7 +122,8 @@
       uint32_t at;
 
       if (galena_config_upstream (world->config, i)->state
-          != GALENA_UPSTREAM_ACTIVE)
+              != GALENA_UPSTREAM_ACTIVE
+          || (not_avoided && is_avoided (world, i)))
         continue;
       seen++;
       at = galena_random_below (&world->random, seen);
@@ -112,6 +135,35 @@
   return seen < GALENA_CANDIDATES_MAX ? seen : GALENA_CANDIDATES_MAX;
 }
 
+/* Stores the candidates of PENDING.  A flow whose packets carry a route may
+   have its owner anywhere, so when all its candidates are avoided others are
+   drawn.  */
+static uint32_t
+candidates_of (struct galena_world *world,
+               const struct galena_service *service,
+               const struct galena_pending_open *pending,
+               uint32_t chosen[GALENA_CANDIDATES_MAX])
+{
+  uint32_t others[GALENA_CANDIDATES_MAX];
+  uint32_t count;
+  uint32_t other_count;
+
+  if (world->entry->choice->any_upstream)
+    return draw_candidates (world, service, false, chosen);
+  count = galena_config_candidates (world->config, service, pending->open.flow,
+                                    chosen);
+  if (pending->open.unrouted)
+    return count < GALENA_UNROUTED_CANDIDATES ? count
+                                              : GALENA_UNROUTED_CANDIDATES;
+  if (!all_avoided (world, chosen, count))
+    return count;
+  other_count = draw_candidates (world, service, true, others);
+  if (other_count == 0)
+    return count;
+  memcpy (chosen, others, other_count * sizeof *chosen);
+  return other_count;
+}
+
 /* Stores the candidates of PENDING that were not tried; returns how many. */
 static uint32_t
 untried_candidates (struct galena_world *world,
@@ -120,16 +172,9 @@
                     uint32_t untried[GALENA_CANDIDATES_MAX])
 {
   uint32_t all[GALENA_CANDIDATES_MAX];
-  uint32_t total;
+  uint32_t total = candidates_of (world, service, pending, all);
   uint32_t count = 0;
 
-  if (world->entry->choice->any_upstream)
-    total = draw_candidates (world, service, all);
-  else
-    total = galena_config_candidates (world->config, service,
-                                      pending->open.flow, all);
-  if (pending->open.unrouted && total > GALENA_UNROUTED_CANDIDATES)
-    total = GALENA_UNROUTED_CANDIDATES;
   for (uint32_t i = 0; i < total; i++)
     {
       uint32_t number = galena_config_upstream (world->config, all[i])->number;
