--- a/packages/core/src/map.c
+++ b/packages/core/src/map.c
@@ -4,7 +4,6 @@
 
 /* Keys are short: a call would take longer than the hash.  */
 #define XXH_INLINE_ALL
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <galenaford/map.h>
