Share the key of requests and the search of policies by name

The key of a request stood in the agent and in the caller, the search in both lists of policies; two different rows were called struct galena_peer.

--- a/packages/core/src/admission.c
+++ b/packages/core/src/admission.c
@@ -1,7 +1,5 @@
 /* Policies that decide which queued request runs next.  */
 
-#include <string.h>
-
 #include <galenaford/policies.h>
 
 #include "agent.h"
@@ -167,12 +165,9 @@
 const struct galena_admission_policy *
 galena_admission_policy (const char *name)
 {
-  if (name == NULL)
-    return &POLICIES[0];
-  for (size_t i = 0; i < sizeof POLICIES / sizeof POLICIES[0]; i++)
-    if (strcmp (POLICIES[i].name, name) == 0)
-      return &POLICIES[i];
-  return NULL;
+  int index = galena_policy_index (name, galena_admission_name);
+
+  return index < 0 ? NULL : &POLICIES[index];
 }
 
 const char *
--- a/packages/core/src/agent.c
+++ b/packages/core/src/agent.c
@@ -161,7 +161,7 @@
 {
   struct galena_agent *agent = world->agent;
   struct galena_table_options peers
-      = { sizeof (struct galena_peer), PEERS_MAX };
+      = { sizeof (struct galena_load_peer), PEERS_MAX };
   struct galena_map_options by_upstream = { PEERS_MAX, world->options.seed };
   enum galena_result result = galena_table_create (&peers, &agent->peers);
 
--- a/packages/core/src/agent.h
+++ b/packages/core/src/agent.h
@@ -142,7 +142,7 @@
 };
 
 /* What another agent of the service told of its load.  */
-struct galena_peer
+struct galena_load_peer
 {
   uint32_t upstream;
   /* Expected wait over all kinds in milliseconds.  */
@@ -387,8 +387,8 @@
                            const struct galena_message *message);
 
 /* Returns what the agent of UPSTREAM lately told, or NULL.  */
-struct galena_peer *galena_agent_peer (const struct galena_world *world,
-                                       uint32_t upstream);
+struct galena_load_peer *galena_agent_peer (const struct galena_world *world,
+                                            uint32_t upstream);
 
 /* agent_handoff.c */
 
--- a/packages/core/src/agent_handoff.c
+++ b/packages/core/src/agent_handoff.c
@@ -12,7 +12,7 @@
 };
 
 /* Returns the candidate of OPEN's flow that told the least wait, or NULL.  */
-static struct galena_peer *
+static struct galena_load_peer *
 least_loaded (const struct galena_world *world,
               const struct galena_message *open,
               const struct galena_upstream **upstream)
@@ -20,7 +20,7 @@
   uint32_t chosen[GALENA_CANDIDATES_MAX];
   uint32_t count = galena_config_candidates (
       world->config, galena_agent_service (world), open->flow, chosen);
-  struct galena_peer *best = NULL;
+  struct galena_load_peer *best = NULL;
 
   if (open->unrouted && count > GALENA_UNROUTED_CANDIDATES)
     count = GALENA_UNROUTED_CANDIDATES;
@@ -28,7 +28,8 @@
     {
       const struct galena_upstream *candidate
           = galena_config_upstream (world->config, chosen[i]);
-      struct galena_peer *peer = galena_agent_peer (world, candidate->number);
+      struct galena_load_peer *peer
+          = galena_agent_peer (world, candidate->number);
 
       if (peer == NULL || candidate->number == world->options.upstream
           || (best != NULL && peer->wait_ms >= best->wait_ms))
@@ -68,7 +69,7 @@
 {
   struct galena_message onward = *open;
   const struct galena_upstream *upstream = NULL;
-  struct galena_peer *peer;
+  struct galena_load_peer *peer;
 
   if (!may_be_handed_off (result) || open->hops >= HANDOFF_HOPS_MAX)
     return false;
--- a/packages/core/src/agent_peers.c
+++ b/packages/core/src/agent_peers.c
@@ -59,7 +59,7 @@
     }
 }
 
-static struct galena_peer *
+static struct galena_load_peer *
 find_peer (const struct galena_world *world, uint32_t upstream)
 {
   const struct galena_agent *agent = world->agent;
@@ -70,12 +70,12 @@
   return galena_table_get (agent->peers, galena_handle_unpack (packed));
 }
 
-static struct galena_peer *
+static struct galena_load_peer *
 insert_peer (struct galena_world *world, uint32_t upstream)
 {
   struct galena_agent *agent = world->agent;
   struct galena_handle handle;
-  struct galena_peer *peer = galena_table_insert (agent->peers, &handle);
+  struct galena_load_peer *peer = galena_table_insert (agent->peers, &handle);
 
   if (peer == NULL)
     return NULL;
@@ -91,7 +91,7 @@
 {
   uint32_t upstream = galena_tag_upstream (message->tag);
   const struct galena_service *service = galena_agent_service (world);
-  struct galena_peer *peer = find_peer (world, upstream);
+  struct galena_load_peer *peer = find_peer (world, upstream);
 
   if (service == NULL
       || !galena_endpoint_equal (service->address, message->service))
@@ -104,10 +104,10 @@
   peer->heard = world->now;
 }
 
-struct galena_peer *
+struct galena_load_peer *
 galena_agent_peer (const struct galena_world *world, uint32_t upstream)
 {
-  struct galena_peer *peer = find_peer (world, upstream);
+  struct galena_load_peer *peer = find_peer (world, upstream);
 
   if (peer == NULL
       || galena_clock_between (peer->heard, world->now) >= PEER_LIFE_MS)
@@ -119,7 +119,7 @@
 galena_agent_run_expire_peers (struct galena_world *world)
 {
   struct galena_agent *agent = world->agent;
-  struct galena_peer *peer;
+  struct galena_load_peer *peer;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
--- a/packages/core/src/agent_request.c
+++ b/packages/core/src/agent_request.c
@@ -13,19 +13,11 @@
   FIRST_BODY_CAPACITY = 1024
 };
 
-struct request_key
-{
-  uint64_t flow;
-  uint64_t number;
-};
-
 static uint64_t
 request_key (const struct galena_world *world, struct galena_flow_handle flow,
              uint32_t number)
 {
-  struct request_key key = { galena_handle_pack (flow.row), number };
-
-  return galena_map_hash (world->agent->requests_by_number, &key, sizeof key);
+  return galena_request_key (world->agent->requests_by_number, flow, number);
 }
 
 static struct galena_request *
--- a/packages/core/src/caller.c
+++ b/packages/core/src/caller.c
@@ -60,19 +60,11 @@
   return galena_caller_index (world, row->id, *flow);
 }
 
-struct number_key
-{
-  uint64_t flow;
-  uint64_t number;
-};
-
 static uint64_t
 number_key (const struct galena_world *world, struct galena_flow_handle flow,
             uint32_t number)
 {
-  struct number_key key = { galena_handle_pack (flow.row), number };
-
-  return galena_map_hash (world->caller->requests_by_number, &key, sizeof key);
+  return galena_request_key (world->caller->requests_by_number, flow, number);
 }
 
 void
--- a/packages/core/src/choice.c
+++ b/packages/core/src/choice.c
@@ -1,7 +1,5 @@
 /* Policies that choose the upstream for an open.  */
 
-#include <string.h>
-
 #include <galenaford/policies.h>
 
 #include "entry.h"
@@ -125,12 +123,9 @@
 const struct galena_choice_policy *
 galena_choice_policy (const char *name)
 {
-  if (name == NULL)
-    return &POLICIES[0];
-  for (size_t i = 0; i < sizeof POLICIES / sizeof POLICIES[0]; i++)
-    if (strcmp (POLICIES[i].name, name) == 0)
-      return &POLICIES[i];
-  return NULL;
+  int index = galena_policy_index (name, galena_choice_name);
+
+  return index < 0 ? NULL : &POLICIES[index];
 }
 
 const char *
--- a/packages/core/src/policy.h
+++ b/packages/core/src/policy.h
@@ -31,6 +31,10 @@
   double (*queue_ms) (const struct galena_world *world, uint16_t kind);
 };
 
+/* Returns the index of the policy called NAME in the list that NAME_AT gives,
+   0 for NULL, or -1 when there is no such policy.  */
+int galena_policy_index (const char *name, const char *(*name_at) (uint32_t));
+
 /* Finds a policy by NAME, the default for NULL; returns NULL when there is
    no such policy.  */
 const struct galena_choice_policy *galena_choice_policy (const char *name);
--- a/packages/core/src/world.c
+++ b/packages/core/src/world.c
@@ -275,3 +275,18 @@
 {
   return galena_map_hash (map, &flow, sizeof flow);
 }
+
+struct request_key
+{
+  uint64_t flow;
+  uint64_t number;
+};
+
+uint64_t
+galena_request_key (const struct galena_map *map,
+                    struct galena_flow_handle flow, uint32_t number)
+{
+  struct request_key key = { galena_handle_pack (flow.row), number };
+
+  return galena_map_hash (map, &key, sizeof key);
+}
--- a/packages/core/src/world_private.h
+++ b/packages/core/src/world_private.h
@@ -122,6 +122,10 @@
 uint64_t galena_flow_key (const struct galena_map *map,
                           struct galena_flow_id flow);
 
+/* Returns the map key of request NUMBER of FLOW under MAP's seed.  */
+uint64_t galena_request_key (const struct galena_map *map,
+                             struct galena_flow_handle flow, uint32_t number);
+
 /* Tells whether the world slept and its records may be older than those of
    the fleet.  */
 bool galena_world_is_renewing (const struct galena_world *world);
