--- a/packages/core/src/sync_links.c
+++ b/packages/core/src/sync_links.c
@@ -15,8 +15,6 @@
      part that is added.  */
   RETRY_MS = 2000,
   RETRY_JITTER_MS = 3000,
-  /* Doublings of that wait for a peer that fails again and again.  */
-  RETRY_DOUBLINGS_MAX = 3,
   /* A peer that failed this often in a row is forgotten.  */
   FAILURES_MAX = 4,
   /* A link to a peer of no use is kept this long to learn of others.  */
@@ -130,23 +128,8 @@
     row->peer.role = peer.role;
 }
 
-/* Returns the wait before PEER is tried again: it doubles with each failure in
-   a row, so that processes that a seed has no place for leave it in peace.  */
-static uint32_t
-retry_wait_ms (struct galena_sync *sync, const struct sync_peer *peer)
-{
-  uint32_t doublings = peer->failures < RETRY_DOUBLINGS_MAX
-                           ? peer->failures
-                           : RETRY_DOUBLINGS_MAX;
-
-  return (RETRY_MS + galena_random_below (&sync->random, RETRY_JITTER_MS))
-         << doublings;
-}
-
-/* Notes that a link to ADDRESS has ended, of use or not.  */
 static void
-note_end (struct galena_sync *sync, struct galena_endpoint address,
-          bool useful)
+note_failure (struct galena_sync *sync, struct galena_endpoint address)
 {
   struct sync_peer *peer;
   struct galena_handle handle;
@@ -156,9 +139,10 @@
     {
       if (!galena_endpoint_equal (peer->peer.address, address))
         continue;
-      peer->retry_at
-          = galena_clock_after (sync->now, retry_wait_ms (sync, peer));
-      peer->failures = useful ? 0 : peer->failures + 1;
+      peer->failures++;
+      peer->retry_at = galena_clock_after (
+          sync->now,
+          RETRY_MS + galena_random_below (&sync->random, RETRY_JITTER_MS));
       if (peer->failures >= FAILURES_MAX && !peer->seed)
         galena_table_remove (sync->peers, handle);
       return;
@@ -175,8 +159,7 @@
   if (link == NULL)
     return;
   if (link->outgoing)
-    note_end (sync, link->peer.address,
-              link->greeted && links_wanted (sync, link->peer.role) > 0);
+    note_failure (sync, link->peer.address);
   galena_table_remove (sync->links, handle);
   if (!close)
     return;
