Avoid an upstream that said it is leaving, as was meant

Cause: since the entry was split into files, nothing called galena_entry_note_leaving: the call in the handler of refusals was lost in a merge, and the hint's leaving_until was never set. Found by a search for functions that nobody calls. Ruled out: a replacement elsewhere; nothing else sets leaving_until. Change: the call stands in the handler again. Before: /refusal/leaving of test_leaving fails, opens go on to the upstream that refused. After: its 3 cases pass, and the 46 tests that stood before.

--- a/packages/core/src/entry.c
+++ b/packages/core/src/entry.c
@@ -231,6 +231,8 @@
   note_handed_on (world, pending, message);
   galena_budget_note_reply (world, &pending->open, message);
   galena_stats_upstream (world, galena_tag_upstream (message->tag))->refused++;
+  if (message->result == GALENA_REFUSED_LEAVING)
+    galena_entry_note_leaving (world, message);
   galena_entry_retry (world, handle, message->result);
 }
 
