--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DEPLOYMENT ?= coteau
 PACKAGES = build-essential cmake pkg-config clang-format clang-tidy cppcheck \
 	liburcu-dev libmsgpack-dev libglib2.0-dev libinih-dev libjansson-dev \
-	libcurl4-openssl-dev libxxhash-dev libmicrohttpd-dev
+	libcurl4-openssl-dev libxxhash-dev libmicrohttpd-dev nettle-dev
 
 .PHONY: all setup packages demo faults test bench measure propagation capacity clean
 
--- a/packages/core/include/galenaford/clock.h
+++ b/packages/core/include/galenaford/clock.h
@@ -33,11 +33,14 @@
   return later.ms - earlier.ms;
 }
 
-/* Returns the milliseconds left at NOW until DUE, at least 0.  */
+/* Returns the milliseconds left at NOW until DUE, at least 0 and at most
+   INT32_MAX, so that it fits the time-out of a wait.  */
 static inline uint32_t
 galena_clock_left (struct galena_clock now, struct galena_clock due)
 {
-  return due.ms > now.ms ? (uint32_t)(due.ms - now.ms) : 0;
+  if (due.ms <= now.ms)
+    return 0;
+  return due.ms - now.ms < INT32_MAX ? (uint32_t)(due.ms - now.ms) : INT32_MAX;
 }
 
 #endif
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <sys/random.h>
 #include <time.h>
@@ -15,6 +16,7 @@
 
 #include "console.h"
 #include "control.h"
+#include "packets.h"
 #include "process.h"
 
 enum
@@ -26,6 +28,9 @@
 
 const char *argp_program_version = "galenaford " GALENA_VERSION;
 
+/* Names the settings file where the command line does not.  */
+static const char SETTINGS_VARIABLE[] = "GALENAFORD_BOOT";
+
 struct arguments
 {
   const char *settings_path;
@@ -47,7 +52,10 @@
       return 0;
     case ARGP_KEY_END:
       if (arguments->settings_path == NULL)
-        argp_error (state, "--settings=FILE is needed");
+        arguments->settings_path = getenv (SETTINGS_VARIABLE);
+      if (arguments->settings_path == NULL)
+        argp_error (state, "--settings=FILE or %s is needed",
+                    SETTINGS_VARIABLE);
       return 0;
     default:
       return ARGP_ERR_UNKNOWN;
@@ -89,6 +97,30 @@
   return number < 0 ? EXIT_LIMIT : EXIT_FORCED;
 }
 
+/* Fills SIGNALS with those that end a process.  */
+static void
+set_ending_signals (sigset_t *signals)
+{
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+}
+
+/* Waits for the first signal that ends the process.  Settings are read at the
+   start only, so a reload says what it can't do.  */
+static int
+wait_for_ending_signal (void)
+{
+  sigset_t signals;
+  int number;
+
+  set_ending_signals (&signals);
+  sigaddset (&signals, SIGHUP);
+  while (sigwait (&signals, &number) == 0 && number == SIGHUP)
+    galena_log (LOG_NOTICE, "reload-ignored", "reason=restart-needed");
+  return number;
+}
+
 /* A first signal begins a graceful shutdown, a second one or its limit ends
    it.  Runs until the process ends.  */
 static void *
@@ -97,16 +129,21 @@
   struct process *process = data;
   sigset_t signals;
   int exit_code;
-  int number;
+  int number = wait_for_ending_signal ();
 
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  sigwait (&signals, &number);
+  set_ending_signals (&signals);
   galena_log (LOG_NOTICE, "signal", "number=%d limit_ms=%u", number,
               process->settings.shutdown_limit_ms);
   process_begin_drain (process);
   exit_code = wait_for_second_signal (process, &signals);
+  if (exit_code == EXIT_LIMIT
+      && process->settings.front == GALENA_FRONT_PACKETS)
+    {
+      /* Flows of packets live on at their upstreams; the limit is the time
+         that routers get to notice.  */
+      process_begin_stop (process, EXIT_SUCCESS);
+      return NULL;
+    }
   galena_log (LOG_WARNING, "shutdown-cut-short", "reason=%s",
               exit_code == EXIT_LIMIT ? "limit" : "signal");
   process_begin_stop (process, exit_code);
@@ -119,9 +156,8 @@
   sigset_t signals;
   pthread_t thread;
 
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
+  set_ending_signals (&signals);
+  sigaddset (&signals, SIGHUP);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
   if (pthread_create (&thread, NULL, wait_for_signal, process) != 0)
@@ -130,24 +166,36 @@
   return GALENA_OK;
 }
 
+/* Runs the front end for the product's messages.  */
 static enum galena_result
-run_loop (struct process *process)
+messages_run (struct process *process)
 {
+  struct console *console = NULL;
   struct control *control = NULL;
-  enum galena_result result = control_start (process, &control);
+  enum galena_result result = console_start (process, &console);
 
   if (result != GALENA_OK)
     return result;
-  result = LOOPS[process->settings.role](process);
+  result = control_start (process, &control);
+  if (result == GALENA_OK)
+    result = LOOPS[process->settings.role](process);
   process_begin_stop (process, EXIT_SUCCESS);
   control_stop (control);
+  console_stop (console);
   return result;
 }
 
+/* What runs for each front end.  */
+static enum galena_result (*const FRONTS[GALENA_FRONT_COUNT]) (
+    struct process *)
+    = {
+        [GALENA_FRONT_MESSAGES] = messages_run,
+        [GALENA_FRONT_PACKETS] = packets_run,
+      };
+
 static enum galena_result
 run_process (struct process *process)
 {
-  struct console *console = NULL;
   enum galena_result result = process_init (process);
 
   if (result != GALENA_OK)
@@ -160,13 +208,8 @@
   if (result != GALENA_OK)
     goto done;
   result = start_signal_thread (process);
-  if (result != GALENA_OK)
-    goto done;
-  result = console_start (process, &console);
-  if (result != GALENA_OK)
-    goto done;
-  result = run_loop (process);
-  console_stop (console);
+  if (result == GALENA_OK)
+    result = FRONTS[process->settings.front](process);
 
 done:
   snapshot_destroy (process->snapshot);
@@ -188,6 +231,7 @@
     return EXIT_USAGE;
   if (arguments.check)
     return EXIT_SUCCESS;
+  setvbuf (stdout, NULL, _IOLBF, 0);
   galena_log_name (process.settings.name);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   result = run_process (&process);
--- /dev/null
+++ b/packages/daemon/src/packet_log.c
@@ -0,0 +1,48 @@
+/* Log lines for the decisions of a plane.  */
+
+#include <stdio.h>
+
+#include <galenaford/log.h>
+
+#include "packets.h"
+
+enum
+{
+  ENDPOINT_TEXT_BYTES = 24
+};
+
+static const char *
+write_endpoint (struct galena_endpoint endpoint, char *text)
+{
+  snprintf (text, ENDPOINT_TEXT_BYTES, "%u.%u.%u.%u:%u", endpoint.ip >> 24,
+            (endpoint.ip >> 16) & 255, (endpoint.ip >> 8) & 255,
+            endpoint.ip & 255, endpoint.port);
+  return text;
+}
+
+static void
+log_note (const struct galena_plane_note *note)
+{
+  char caller[ENDPOINT_TEXT_BYTES];
+  char service[ENDPOINT_TEXT_BYTES];
+  char agent[ENDPOINT_TEXT_BYTES];
+
+  galena_log (LOG_INFO, galena_plane_event_word (note->event),
+              "caller=%s address=%s agent=%s version=%llu result=%s "
+              "age_ms=%lld detail=%u",
+              write_endpoint (note->flow.caller, caller),
+              write_endpoint (note->flow.service, service),
+              write_endpoint (note->agent, agent),
+              (unsigned long long)note->version,
+              galena_result_word (note->result), (long long)note->age_ms,
+              note->detail);
+}
+
+void
+packet_log_notes (const struct galena_plane *plane)
+{
+  uint32_t count = galena_plane_note_count (plane);
+
+  for (uint32_t i = 0; i < count; i++)
+    log_note (galena_plane_note_at (plane, i));
+}
--- /dev/null
+++ b/packages/daemon/src/packet_loop.c
@@ -0,0 +1,318 @@
+/* Waiting, receiving, deciding and sending of opaque packets.  */
+
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <urcu.h>
+
+#include <galenaford/datagrams.h>
+#include <galenaford/log.h>
+#include <galenaford/monotonic.h>
+#include <galenaford/peer_wire.h>
+#include <galenaford/platform/packet_codec.h>
+
+#include "packets.h"
+
+enum
+{
+  /* A batch from each socket, and four times as much for packets that go to
+     several agents and for announcements.  */
+  TICK_MESSAGES = 12 * GALENA_BATCH_MAX,
+  COUNTERS_PERIOD_MS = 500,
+  MS_PER_S = 1000
+};
+
+/* Sockets of the loop.  */
+enum loop_socket
+{
+  /* From callers at an entry, from the upstream at an agent; packets to both
+     leave by it.  */
+  SOCKET_PACKETS,
+  SOCKET_PEERS,
+  SOCKET_COUNT
+};
+
+struct packet_loop
+{
+  struct packets *packets;
+  const struct galena_settings *settings;
+  struct galena_plane *plane;
+  struct galena_datagrams *sockets[SOCKET_COUNT];
+  /* Side on which packets come in.  */
+  enum galena_link side;
+  struct galena_clock counters_due;
+};
+
+static enum galena_result
+create_sockets (struct packet_loop *loop)
+{
+  const struct galena_settings *settings = loop->settings;
+  struct galena_datagrams_options packets
+      = { settings->role == GALENA_ROLE_ENTRY ? settings->packets_address
+                                              : settings->packets_outbound,
+          false };
+  struct galena_datagrams_options peers = { settings->peers_address, false };
+  enum galena_result result
+      = galena_datagrams_create (&packets, &loop->sockets[SOCKET_PACKETS]);
+
+  if (result != GALENA_OK)
+    return result;
+  return galena_datagrams_create (&peers, &loop->sockets[SOCKET_PEERS]);
+}
+
+static enum galena_result
+create_plane (struct packet_loop *loop)
+{
+  const struct galena_settings *settings = loop->settings;
+  struct galena_plane_options options = {
+    .role = settings->role,
+    .seed = loop->packets->process->seed,
+    .self = settings->peers_address,
+    .flows = settings->packets_flows,
+    .messages = TICK_MESSAGES,
+    .flow_idle_ms = settings->packets_flow_max_s * MS_PER_S,
+    .first_start = settings->packets_first_start,
+  };
+
+  if (settings->role == GALENA_ROLE_AGENT)
+    options.service = galena_service_key_of (settings->packets_service);
+  for (uint32_t i = 0; i < settings->peers_seeds.count
+                       && options.seed_count < GALENA_PLANE_SEEDS_MAX;
+       i++)
+    /* Seeds are named by their control address; peers have one port.  */
+    options.seeds[options.seed_count++]
+        = (struct galena_endpoint){ settings->peers_seeds.rows[i].ip,
+                                    settings->peers_address.port };
+  return galena_plane_create (&options, &loop->plane);
+}
+
+static void
+count_malformed (struct packet_loop *loop)
+{
+  galena_plane_count_dropped (loop->plane, GALENA_PLANE_MALFORMED, 1);
+}
+
+/* Decodes one packet of a caller or the upstream.  */
+static bool
+read_packet (struct packet_loop *loop, const uint8_t *bytes, size_t size,
+             struct galena_arrival *arrival)
+{
+  arrival->link = loop->side;
+  if (galena_platform_read_packet (bytes, size, &arrival->packet) != GALENA_OK)
+    return false;
+  if ((arrival->packet.flags & GALENA_PACKET_RETURNED) != 0)
+    galena_platform_restore_packet ((uint8_t *)bytes);
+  return true;
+}
+
+/* Decodes one message of a peer, and the packet in it.  */
+static bool
+read_message (const uint8_t *bytes, size_t size,
+              struct galena_arrival *arrival)
+{
+  struct galena_peer_message *message = &arrival->message;
+
+  arrival->link = GALENA_LINK_PEER;
+  if (galena_peer_decode (bytes, size, message) != GALENA_OK)
+    return false;
+  return message->bytes == NULL
+         || galena_platform_read_packet (message->bytes, message->size,
+                                         &message->packet)
+                == GALENA_OK;
+}
+
+static void
+receive (struct packet_loop *loop, enum loop_socket index)
+{
+  struct galena_datagrams *socket = loop->sockets[index];
+  uint32_t count = galena_datagrams_receive (socket);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct galena_arrival *arrival = galena_plane_arrival (loop->plane);
+      const uint8_t *bytes;
+      size_t size;
+      bool read;
+
+      if (arrival == NULL)
+        return;
+      bytes = galena_datagrams_get (socket, i, &size, &arrival->peer);
+      read = index == SOCKET_PEERS ? read_message (bytes, size, arrival)
+                                   : read_packet (loop, bytes, size, arrival);
+      if (read)
+        galena_plane_push (loop->plane);
+      else
+        count_malformed (loop);
+    }
+}
+
+static void
+send_bytes (struct packet_loop *loop, struct galena_endpoint destination,
+            const uint8_t *bytes, uint32_t size)
+{
+  struct galena_datagrams *socket = loop->sockets[SOCKET_PACKETS];
+
+  memcpy (galena_datagrams_next (socket), bytes, size);
+  galena_datagrams_add (socket, size, destination);
+}
+
+/* Callers receive at their own address, all at the port of entries.  */
+static struct galena_endpoint
+caller_address (const struct packet_loop *loop, struct galena_endpoint caller)
+{
+  return (struct galena_endpoint){ caller.ip,
+                                   loop->settings->packets_address.port };
+}
+
+static void
+send_packet (struct packet_loop *loop,
+             const struct galena_departure *departure)
+{
+  struct galena_endpoint destination
+      = departure->link == GALENA_LINK_CALLER
+            ? caller_address (loop, departure->peer)
+            : loop->settings->packets_upstream;
+
+  send_bytes (loop, destination, departure->bytes, departure->size);
+}
+
+static void
+send_reset (struct packet_loop *loop, const struct galena_departure *departure)
+{
+  uint8_t bytes[GALENA_PLATFORM_HEAD_BYTES];
+
+  galena_platform_write_reset (departure->flow, departure->sequence, bytes);
+  send_bytes (loop, caller_address (loop, departure->peer), bytes,
+              sizeof bytes);
+}
+
+static void
+send_message (struct packet_loop *loop,
+              const struct galena_departure *departure)
+{
+  struct galena_datagrams *socket = loop->sockets[SOCKET_PEERS];
+  struct galena_peer_message message = departure->message;
+  size_t size;
+
+  if (message.bytes == NULL)
+    {
+      message.bytes = departure->kept;
+      message.size = departure->kept_size;
+    }
+  if (galena_peer_encode (&message, galena_datagrams_next (socket),
+                          GALENA_DATAGRAM_ROOM, &size)
+      == GALENA_OK)
+    galena_datagrams_add (socket, size, departure->peer);
+  else
+    galena_plane_count_dropped (loop->plane, GALENA_PLANE_UNSENT, 1);
+}
+
+/* How each kind of departure is sent.  */
+static void (*const SENDERS[]) (struct packet_loop *,
+                                const struct galena_departure *)
+    = {
+        [GALENA_DEPARTURE_PACKET] = send_packet,
+        [GALENA_DEPARTURE_RESET] = send_reset,
+        [GALENA_DEPARTURE_MESSAGE] = send_message,
+      };
+
+static void
+send_departures (struct packet_loop *loop)
+{
+  uint32_t count = galena_plane_departure_count (loop->plane);
+  uint32_t lost = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct galena_departure *departure
+          = galena_plane_departure (loop->plane, i);
+
+      SENDERS[departure->kind](loop, departure);
+    }
+  for (uint32_t i = 0; i < SOCKET_COUNT; i++)
+    lost += galena_datagrams_flush (loop->sockets[i]);
+  galena_plane_count_dropped (loop->plane, GALENA_PLANE_UNSENT, lost);
+}
+
+/* Waits for a packet, the next system, or the end of the process.  */
+static void
+wait_for_work (struct packet_loop *loop, struct pollfd fds[SOCKET_COUNT + 1])
+{
+  uint32_t left_ms = galena_clock_left (galena_monotonic_now (),
+                                        galena_plane_due (loop->plane));
+
+  for (uint32_t i = 0; i < SOCKET_COUNT; i++)
+    fds[i]
+        = (struct pollfd){ galena_datagrams_fd (loop->sockets[i]), POLLIN, 0 };
+  fds[SOCKET_COUNT]
+      = (struct pollfd){ process_wake_fd (loop->packets->process), POLLIN, 0 };
+  poll (fds, SOCKET_COUNT + 1, (int)left_ms);
+}
+
+static void
+share_counters (struct packet_loop *loop, struct galena_clock now)
+{
+  if (!galena_clock_reached (now, loop->counters_due))
+    return;
+  loop->counters_due = galena_clock_after (now, COUNTERS_PERIOD_MS);
+  for (int i = 0; i < GALENA_PLANE_COUNTER_COUNT; i++)
+    atomic_store_explicit (&loop->packets->counters[i],
+                           galena_plane_counter_value (loop->plane, i),
+                           memory_order_relaxed);
+  atomic_store (&loop->packets->flows, galena_plane_flow_count (loop->plane));
+}
+
+static void
+run_tick (struct packet_loop *loop)
+{
+  struct galena_clock now = galena_monotonic_now ();
+
+  if (atomic_load (&loop->packets->process->draining))
+    galena_plane_drain (loop->plane);
+  rcu_read_lock ();
+  galena_plane_tick (loop->plane, now,
+                     rcu_dereference (loop->packets->directory));
+  rcu_read_unlock ();
+  send_departures (loop);
+  packet_log_notes (loop->plane);
+  share_counters (loop, now);
+}
+
+static void
+run_until_stopped (struct packet_loop *loop)
+{
+  struct pollfd fds[SOCKET_COUNT + 1];
+
+  rcu_register_thread ();
+  while (!atomic_load (&loop->packets->process->stopping))
+    {
+      wait_for_work (loop, fds);
+      for (uint32_t i = 0; i < SOCKET_COUNT; i++)
+        if (fds[i].revents != 0)
+          receive (loop, (enum loop_socket)i);
+      run_tick (loop);
+    }
+  rcu_unregister_thread ();
+}
+
+enum galena_result
+packet_loop_run (struct packets *packets)
+{
+  struct packet_loop loop
+      = { .packets = packets, .settings = &packets->process->settings };
+  enum galena_result result;
+
+  loop.side = loop.settings->role == GALENA_ROLE_ENTRY
+                  ? GALENA_LINK_CALLER
+                  : GALENA_LINK_APPLICATION;
+  result = create_sockets (&loop);
+  if (result == GALENA_OK)
+    result = create_plane (&loop);
+  if (result == GALENA_OK)
+    run_until_stopped (&loop);
+  galena_plane_destroy (loop.plane);
+  for (uint32_t i = 0; i < SOCKET_COUNT; i++)
+    galena_datagrams_destroy (loop.sockets[i]);
+  return result;
+}
--- /dev/null
+++ b/packages/daemon/src/packet_reader.c
@@ -0,0 +1,218 @@
+/* The thread that reads the platform: calls that the catalog asks for, and
+   the directory made of their replies.  */
+
+#include <pthread.h>
+#include <stdlib.h>
+
+#include <urcu.h>
+
+#include <galenaford/log.h>
+#include <galenaford/monotonic.h>
+#include <galenaford/platform/store.h>
+#include <galenaford/reads.h>
+
+#include "packets.h"
+
+enum
+{
+  REPLY_BYTES_MAX = 4 * 1024 * 1024,
+  UPSTREAMS_MAX = 8192
+};
+
+struct packet_reader
+{
+  struct packets *packets;
+  struct galena_reads *reads;
+  struct galena_catalog *catalog;
+  /* Call in progress of each stream.  */
+  struct galena_catalog_call calls[GALENA_STREAM_COUNT];
+  /* Whether the last call of each stream failed.  */
+  bool failing[GALENA_STREAM_COUNT];
+  pthread_t thread;
+};
+
+static const char *const STREAM_NAMES[GALENA_STREAM_COUNT] = {
+  [GALENA_STREAM_CONFIG] = "config",
+  [GALENA_STREAM_UPSTREAMS] = "upstreams",
+};
+
+/* Logs a stream that is lost or regained.  */
+static void
+note_result (struct packet_reader *reader, enum galena_stream_kind stream,
+             const struct galena_read_end *end, bool failed)
+{
+  struct galena_clock now = galena_monotonic_now ();
+
+  if (failed)
+    atomic_fetch_add (&reader->packets->platform_failures, 1);
+  if (failed == reader->failing[stream])
+    return;
+  reader->failing[stream] = failed;
+  galena_log (failed ? LOG_WARNING : LOG_NOTICE,
+              failed ? "platform-lost" : "platform-regained",
+              "stream=%s result=%s status=%u age_ms=%lld",
+              STREAM_NAMES[stream], galena_result_word (end->result),
+              end->status,
+              (long long)galena_catalog_age_ms (reader->catalog, stream, now));
+}
+
+struct taker
+{
+  struct packet_reader *reader;
+  enum galena_stream_kind stream;
+  struct galena_clock now;
+};
+
+static void
+take_change (void *user, const struct galena_change *change)
+{
+  const struct taker *taker = user;
+
+  if (change->kind == GALENA_CHANGE_UNREADABLE)
+    galena_log (LOG_WARNING, "item-unreadable", "key=%s revision=%llu",
+                change->key, (unsigned long long)change->revision);
+  galena_catalog_change (taker->reader->catalog, taker->stream, taker->now,
+                         change);
+}
+
+static void
+take_end (struct packet_reader *reader, const struct galena_read_end *end)
+{
+  enum galena_stream_kind stream = (enum galena_stream_kind)end->user;
+  struct taker taker = { reader, stream, galena_monotonic_now () };
+  enum galena_call_result result = GALENA_CALL_FAILED;
+  struct galena_catalog_reply reply = { 0 };
+
+  if (end->status == GALENA_PLATFORM_HISTORY_GONE)
+    result = GALENA_CALL_HISTORY_GONE;
+  else if (end->result == GALENA_OK
+           && galena_platform_read_reply (&reader->calls[stream], end->text,
+                                          end->size, take_change, &taker,
+                                          &reply)
+                  == GALENA_OK)
+    result = GALENA_CALL_OK;
+  note_result (reader, stream, end, result == GALENA_CALL_FAILED);
+  galena_catalog_end (reader->catalog, stream, taker.now, result, &reply);
+}
+
+static void
+start_calls (struct packet_reader *reader)
+{
+  struct galena_clock now = galena_monotonic_now ();
+  char path[GALENA_PLATFORM_PATH_BYTES];
+
+  for (uint32_t i = 0; i < GALENA_STREAM_COUNT; i++)
+    {
+      struct galena_catalog_call *call = &reader->calls[i];
+
+      if (!galena_catalog_next (reader->catalog, (enum galena_stream_kind)i,
+                                now, call))
+        continue;
+      galena_platform_call_path (call, path);
+      atomic_fetch_add (&reader->packets->platform_calls, 1);
+      if (galena_reads_start (reader->reads, path, call->timeout_ms, i)
+          != GALENA_OK)
+        {
+          struct galena_read_end end = { .result = GALENA_ERR_MEMORY };
+
+          note_result (reader, (enum galena_stream_kind)i, &end, true);
+          galena_catalog_end (reader->catalog, (enum galena_stream_kind)i, now,
+                              GALENA_CALL_FAILED, NULL);
+        }
+    }
+}
+
+/* Hands a new directory over when something has changed.  */
+static void
+publish (struct packet_reader *reader)
+{
+  struct packets *packets = reader->packets;
+  struct galena_directory *directory;
+  struct galena_directory *before;
+
+  if (!galena_catalog_build (reader->catalog, galena_monotonic_now (),
+                             &directory))
+    return;
+  atomic_store (&packets->version, galena_directory_version (directory));
+  before = rcu_xchg_pointer (&packets->directory, directory);
+  synchronize_rcu ();
+  galena_directory_destroy (before);
+  if (!atomic_load (&packets->process->draining))
+    atomic_store (&packets->ready, true);
+}
+
+static void *
+run_reader (void *data)
+{
+  struct packet_reader *reader = data;
+  struct process *process = reader->packets->process;
+
+  rcu_register_thread ();
+  while (!atomic_load (&process->stopping))
+    {
+      struct pollfd wake = { process_wake_fd (process), POLLIN, 0 };
+      struct galena_read_end end;
+
+      if (atomic_load (&process->draining))
+        atomic_store (&reader->packets->ready, false);
+      start_calls (reader);
+      galena_reads_wait (
+          reader->reads, &wake, 1,
+          galena_clock_left (galena_monotonic_now (),
+                             galena_catalog_due (reader->catalog)));
+      while (galena_reads_next (reader->reads, &end))
+        take_end (reader, &end);
+      publish (reader);
+    }
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+enum galena_result
+packet_reader_start (struct packets *packets, struct packet_reader **out)
+{
+  const struct galena_settings *settings = &packets->process->settings;
+  struct galena_reads_options reads = { .base = settings->platform_url,
+                                        .bytes_max = REPLY_BYTES_MAX,
+                                        .reads = GALENA_STREAM_COUNT };
+  struct galena_catalog_options catalog
+      = { .seed = packets->process->seed,
+          .wait_ms = settings->platform_wait_ms,
+          .upstreams = UPSTREAMS_MAX };
+  struct packet_reader *reader = calloc (1, sizeof *reader);
+  enum galena_result result;
+
+  if (reader == NULL)
+    return GALENA_ERR_MEMORY;
+  reader->packets = packets;
+  result = galena_reads_create (&reads, &reader->reads);
+  if (result != GALENA_OK)
+    goto fail;
+  result = galena_catalog_create (&catalog, &reader->catalog);
+  if (result != GALENA_OK)
+    goto fail;
+  if (pthread_create (&reader->thread, NULL, run_reader, reader) != 0)
+    {
+      result = GALENA_ERR_IO;
+      goto fail;
+    }
+  *out = reader;
+  return GALENA_OK;
+
+fail:
+  galena_catalog_destroy (reader->catalog);
+  galena_reads_destroy (reader->reads);
+  free (reader);
+  return result;
+}
+
+void
+packet_reader_stop (struct packet_reader *reader)
+{
+  if (reader == NULL)
+    return;
+  pthread_join (reader->thread, NULL);
+  galena_catalog_destroy (reader->catalog);
+  galena_reads_destroy (reader->reads);
+  free (reader);
+}
--- /dev/null
+++ b/packages/daemon/src/packets.c
@@ -0,0 +1,38 @@
+/* Start and end of the front end for opaque packets.  */
+
+#include <stdlib.h>
+
+#include <galenaford/log.h>
+
+#include "packets.h"
+
+enum galena_result
+packets_run (struct process *process)
+{
+  static struct packets packets;
+  struct packet_status *status = NULL;
+  struct packet_reader *reader = NULL;
+  enum galena_result result;
+
+  packets.process = process;
+  galena_log (LOG_NOTICE, "started", "role=%s zone=%s version=%s",
+              process->settings.role == GALENA_ROLE_ENTRY ? "entry" : "agent",
+              process->settings.zone, GALENA_VERSION);
+  result = packet_status_start (&packets, &status);
+  if (result != GALENA_OK)
+    goto done;
+  if (process->settings.role == GALENA_ROLE_ENTRY)
+    result = packet_reader_start (&packets, &reader);
+  else
+    atomic_store (&packets.ready, true);
+  if (result == GALENA_OK)
+    result = packet_loop_run (&packets);
+  process_begin_stop (process, EXIT_SUCCESS);
+
+done:
+  packet_reader_stop (reader);
+  packet_status_stop (status);
+  galena_directory_destroy (packets.directory);
+  galena_log (LOG_NOTICE, "ended", "result=%s", galena_result_word (result));
+  return result;
+}
--- /dev/null
+++ b/packages/daemon/src/packets.h
@@ -0,0 +1,66 @@
+/* The front end for opaque packets: one thread moves packets, one reads the
+   platform, and one answers questions about the process's state.  */
+
+#ifndef GALENAFORD_PACKETS_H
+#define GALENAFORD_PACKETS_H
+
+#include <galenaford/directory.h>
+#include <galenaford/plane.h>
+
+#include "process.h"
+
+/* What the threads of the front end share.  */
+struct packets
+{
+  struct process *process;
+  /* Read under RCU; replaced by the thread that reads the platform.  */
+  struct galena_directory *directory;
+  /* Whether routes and upstreams are known, and the process does not stop. */
+  atomic_bool ready;
+  /* Counters as of the last copy, and the gauges.  */
+  atomic_ullong counters[GALENA_PLANE_COUNTER_COUNT];
+  atomic_uint flows;
+  atomic_ullong platform_calls;
+  atomic_ullong platform_failures;
+  atomic_ullong version;
+};
+
+/* Runs the front end until the process stops.
+   Errors: GALENA_ERR_IO, GALENA_ERR_MEMORY, GALENA_ERR_NOT_FOUND.  */
+enum galena_result packets_run (struct process *process);
+
+/* packet_loop.c */
+
+/* Moves packets until the process stops.  Errors: as packets_run.  */
+enum galena_result packet_loop_run (struct packets *packets);
+
+/* packet_reader.c */
+
+struct packet_reader;
+
+/* Starts the thread that reads the platform.
+   Errors: GALENA_ERR_IO, GALENA_ERR_MEMORY, GALENA_ERR_INVALID.  */
+enum galena_result packet_reader_start (struct packets *packets,
+                                        struct packet_reader **out);
+
+/* Ends the thread; accepts NULL.  */
+void packet_reader_stop (struct packet_reader *reader);
+
+/* packet_status.c */
+
+struct packet_status;
+
+/* Starts to answer at the status address.
+   Errors: GALENA_ERR_IO, GALENA_ERR_MEMORY.  */
+enum galena_result packet_status_start (struct packets *packets,
+                                        struct packet_status **out);
+
+/* Ends it; accepts NULL.  */
+void packet_status_stop (struct packet_status *status);
+
+/* packet_log.c */
+
+/* Writes a line for each note of the last tick of PLANE.  */
+void packet_log_notes (const struct galena_plane *plane);
+
+#endif
--- /dev/null
+++ b/packages/flows/include/galenaford/catalog.h
@@ -0,0 +1,155 @@
+/* The catalog: what the platform has published, kept up to date by a list and
+   then a watch, change by change.
+
+   The catalog says which call is due and takes the replies; it opens no
+   socket and reads no clock.  */
+
+#ifndef GALENAFORD_CATALOG_H
+#define GALENAFORD_CATALOG_H
+
+#include <galenaford/clock.h>
+#include <galenaford/directory.h>
+
+enum
+{
+  GALENA_CATALOG_KEY_BYTES = 208
+};
+
+/* What is published, each read by a stream of its own.  */
+enum galena_stream_kind
+{
+  GALENA_STREAM_CONFIG,
+  GALENA_STREAM_UPSTREAMS,
+  GALENA_STREAM_COUNT
+};
+
+enum galena_call_kind
+{
+  /* All items, a page at a time.  */
+  GALENA_CALL_LIST,
+  /* Changes after a revision, as soon as there is one.  */
+  GALENA_CALL_WATCH
+};
+
+struct galena_catalog_call
+{
+  enum galena_stream_kind stream;
+  enum galena_call_kind kind;
+  /* Watch: changes after it.  */
+  uint64_t revision;
+  /* Watch: longest wait in milliseconds.  */
+  uint32_t wait_ms;
+  /* List: items after this key; empty for the first page.  */
+  char after[GALENA_CATALOG_KEY_BYTES];
+  /* Milliseconds after which the call counts as failed.  */
+  uint32_t timeout_ms;
+};
+
+struct galena_catalog_reply
+{
+  /* Revision of the platform's store when it replied.  */
+  uint64_t revision;
+  /* List: whether further items follow, after the key NEXT.  */
+  bool more;
+  char next[GALENA_CATALOG_KEY_BYTES];
+};
+
+enum galena_change_kind
+{
+  GALENA_CHANGE_CONFIG,
+  GALENA_CHANGE_UPSTREAM,
+  GALENA_CHANGE_REMOVED,
+  /* An item that could not be decoded; it names nothing to use.  */
+  GALENA_CHANGE_UNREADABLE
+};
+
+/* A whole configuration as published.  */
+struct galena_published_config
+{
+  /* Rises with each change.  */
+  uint64_t version;
+  uint32_t route_count;
+  /* Borrowed.  */
+  const struct galena_route *routes;
+};
+
+struct galena_change
+{
+  enum galena_change_kind kind;
+  /* Names the item; borrowed.  */
+  const char *key;
+  /* Revision of the change.  */
+  uint64_t revision;
+  struct galena_published_config config;
+  struct galena_listed_upstream upstream;
+};
+
+enum galena_call_result
+{
+  GALENA_CALL_OK,
+  /* The changes after the revision are no longer kept.  */
+  GALENA_CALL_HISTORY_GONE,
+  /* No reply, or one that can't be read.  */
+  GALENA_CALL_FAILED
+};
+
+struct galena_catalog_options
+{
+  uint64_t seed;
+  /* Longest wait of a watch in milliseconds.  */
+  uint32_t wait_ms;
+  /* Most upstreams.  */
+  uint32_t upstreams;
+};
+
+struct galena_catalog;
+
+/* Creates an empty catalog in *OUT; the caller owns it.
+   Errors: GALENA_ERR_MEMORY, GALENA_ERR_INVALID.  */
+enum galena_result
+galena_catalog_create (const struct galena_catalog_options *options,
+                       struct galena_catalog **out);
+
+/* Destroys CATALOG; accepts NULL.  */
+void galena_catalog_destroy (struct galena_catalog *catalog);
+
+/* Stores the call of STREAM that is due at NOW in *CALL and counts it as in
+   progress; false when none is.  */
+bool galena_catalog_next (struct galena_catalog *catalog,
+                          enum galena_stream_kind stream,
+                          struct galena_clock now,
+                          struct galena_catalog_call *call);
+
+/* Takes one change of the reply to the call in progress of STREAM.  */
+void galena_catalog_change (struct galena_catalog *catalog,
+                            enum galena_stream_kind stream,
+                            struct galena_clock now,
+                            const struct galena_change *change);
+
+/* Ends the call in progress of STREAM, after its changes were taken.  REPLY
+   is read when RESULT is GALENA_CALL_OK.  */
+void galena_catalog_end (struct galena_catalog *catalog,
+                         enum galena_stream_kind stream,
+                         struct galena_clock now,
+                         enum galena_call_result result,
+                         const struct galena_catalog_reply *reply);
+
+/* Returns when something is due if no reply comes.  */
+struct galena_clock galena_catalog_due (const struct galena_catalog *catalog);
+
+/* Runs what is due at NOW and builds a directory in *OUT when something has
+   changed since the last one; false otherwise.  The caller owns it.  */
+bool galena_catalog_build (struct galena_catalog *catalog,
+                           struct galena_clock now,
+                           struct galena_directory **out);
+
+/* Tells whether both streams have been read in full once.  */
+bool galena_catalog_is_known (const struct galena_catalog *catalog);
+
+/* Returns the milliseconds since STREAM last got a reply, or -1 when it never
+   did.  */
+int64_t galena_catalog_age_ms (const struct galena_catalog *catalog,
+                               enum galena_stream_kind stream,
+                               struct galena_clock now);
+
+#endif
--- /dev/null
+++ b/packages/flows/include/galenaford/plane.h
@@ -0,0 +1,227 @@
+/* The data plane of one process: tables of one role, and the systems that run
+   over them, for flows of opaque packets.
+
+   A front end pushes what has arrived, runs a tick, and sends what the plane
+   then yields.  A plane reads no clock, opens no socket and starts no thread;
+   one thread uses it at a time.  */
+
+#ifndef GALENAFORD_PLANE_H
+#define GALENAFORD_PLANE_H
+
+#include <galenaford/clock.h>
+#include <galenaford/directory.h>
+#include <galenaford/packet.h>
+#include <galenaford/peer.h>
+#include <galenaford/world.h>
+
+enum
+{
+  /* Most seeds of a process.  */
+  GALENA_PLANE_SEEDS_MAX = 8,
+  /* Longest opening packet that is kept to be sent again, in bytes.  */
+  GALENA_OPENING_BYTES = 64
+};
+
+struct galena_plane_options
+{
+  /* GALENA_ROLE_ENTRY or GALENA_ROLE_AGENT.  */
+  enum galena_role role;
+  uint64_t seed;
+  /* Where peers send messages to; all processes have the same port.  */
+  struct galena_endpoint self;
+  /* Entries to begin with.  */
+  uint32_t seed_count;
+  struct galena_endpoint seeds[GALENA_PLANE_SEEDS_MAX];
+  /* Most flows at once.  */
+  uint32_t flows;
+  /* Most packets and messages in one tick, each way.  */
+  uint32_t messages;
+  /* Milliseconds after which a flow without packets may be forgotten.  */
+  uint32_t flow_idle_ms;
+  /* Agent only: service of the upstream beside it.  */
+  galena_service_key service;
+  /* Agent only: whether no flow can be older than this process.  */
+  bool first_start;
+  /* Entry only: name of the choice policy, or NULL for the default.  */
+  const char *choice;
+};
+
+/* What has arrived.  */
+struct galena_arrival
+{
+  /* GALENA_LINK_CALLER and GALENA_LINK_APPLICATION bring packets,
+     GALENA_LINK_PEER brings messages.  */
+  enum galena_link link;
+  struct galena_packet packet;
+  /* Sender of MESSAGE.  */
+  struct galena_endpoint peer;
+  struct galena_peer_message message;
+};
+
+enum galena_departure_kind
+{
+  /* PACKET unchanged to the caller or the upstream.  */
+  GALENA_DEPARTURE_PACKET,
+  /* A reset of FLOW to its caller.  */
+  GALENA_DEPARTURE_RESET,
+  /* MESSAGE to PEER.  */
+  GALENA_DEPARTURE_MESSAGE
+};
+
+/* What is to be sent.  */
+struct galena_departure
+{
+  enum galena_departure_kind kind;
+  enum galena_link link;
+  struct galena_endpoint peer;
+  /* Reset: the flow, and the sequence number that its caller expects.  */
+  struct galena_flow_key flow;
+  uint32_t sequence;
+  /* Packet: its bytes; borrowed from the arrival.  */
+  const uint8_t *bytes;
+  uint32_t size;
+  struct galena_peer_message message;
+  /* Bytes of a kept packet, when MESSAGE names none.  */
+  uint32_t kept_size;
+  uint8_t kept[GALENA_OPENING_BYTES];
+};
+
+/* One row per event of a plane: name, short word, meaning.  */
+#define GALENA_PLANE_EVENTS(X)                                                \
+  X (GALENA_EVENT_OPENED, "flow-opened", "An upstream accepted a flow.")      \
+  X (GALENA_EVENT_REFUSED, "flow-refused",                                    \
+     "An upstream did not accept a flow; another one is tried.")              \
+  X (GALENA_EVENT_UNANSWERED, "flow-unanswered",                              \
+     "An agent left an opening packet unanswered; another one is tried.")     \
+  X (GALENA_EVENT_RESET, "flow-reset", "A caller was sent a reset.")          \
+  X (GALENA_EVENT_SOUGHT, "flow-sought",                                      \
+     "The owner of a flow is not known here and is looked for.")              \
+  X (GALENA_EVENT_FOUND, "flow-found", "The owner of a flow was found.")      \
+  X (GALENA_EVENT_LOST, "flow-lost", "An upstream lost a flow it held.")      \
+  X (GALENA_EVENT_UPSTREAM, "upstream-state",                                 \
+     "The published state of an upstream changed.")                           \
+  X (GALENA_EVENT_SUSPECT, "agent-suspect",                                   \
+     "An agent is avoided since it left a packet unanswered.")                \
+  X (GALENA_EVENT_HEARD, "agent-heard", "An avoided agent was heard again.")  \
+  X (GALENA_EVENT_CONFIG, "config-taken", "A configuration is in force.")     \
+  X (GALENA_EVENT_WOKE, "paused", "No tick ran for a while.")
+
+enum galena_plane_event
+{
+#define GALENA_EVENT_ENUM(name, word, meaning) name,
+  GALENA_PLANE_EVENTS (GALENA_EVENT_ENUM)
+#undef GALENA_EVENT_ENUM
+      GALENA_PLANE_EVENT_COUNT
+};
+
+/* Returns the short word of EVENT.  */
+const char *galena_plane_event_word (enum galena_plane_event event);
+
+/* A decision on a flow, or a change of what the plane believes.  */
+struct galena_plane_note
+{
+  enum galena_plane_event event;
+  struct galena_flow_key flow;
+  /* Agent concerned; none when its address is 0.  */
+  struct galena_endpoint agent;
+  /* Version of the configuration that it was decided with.  */
+  uint64_t version;
+  enum galena_result result;
+  /* Milliseconds since the agent was last heard, the pause, or the time that
+     the flow has waited; -1 when it does not apply.  */
+  int64_t age_ms;
+  /* Running requests at the upstream as known, upstreams asked, or the
+     listing of the upstream.  */
+  uint32_t detail;
+};
+
+/* One row per counter: name, short word, meaning.  */
+#define GALENA_PLANE_COUNTERS(X)                                              \
+  X (GALENA_PLANE_TICKS, "ticks", "Ticks run.")                               \
+  X (GALENA_PLANE_FROM_CALLERS, "from_callers", "Packets from callers.")      \
+  X (GALENA_PLANE_FROM_UPSTREAM, "from_upstream",                             \
+     "Packets from the upstream.")                                            \
+  X (GALENA_PLANE_FROM_PEERS, "from_peers", "Messages from peers.")           \
+  X (GALENA_PLANE_MALFORMED, "malformed", "Datagrams that did not decode.")   \
+  X (GALENA_PLANE_UNEXPECTED, "unexpected",                                   \
+     "Packets or messages that this role does not take.")                     \
+  X (GALENA_PLANE_UNSENT, "unsent", "Packets and messages not sent.")         \
+  X (GALENA_PLANE_TABLE_FULL, "table_full", "Packets dropped: no free row.")  \
+  X (GALENA_PLANE_OPENS, "opens", "Flows whose opening was seen first.")      \
+  X (GALENA_PLANE_OPENED, "opened", "Flows accepted by an upstream.")         \
+  X (GALENA_PLANE_REFUSED, "refused", "Opens that an upstream refused.")      \
+  X (GALENA_PLANE_RETRIED, "retried", "Opens sent to a further upstream.")    \
+  X (GALENA_PLANE_SOUGHT, "sought", "Flows whose owner was looked for.")      \
+  X (GALENA_PLANE_FOUND, "found", "Owners found.")                            \
+  X (GALENA_PLANE_LOST, "lost", "Flows that their upstream lost.")            \
+  X (GALENA_PLANE_RESETS, "resets", "Resets sent to callers.")                \
+  X (GALENA_PLANE_NO_ROUTE, "no_route", "Packets without a route.")           \
+  X (GALENA_PLANE_NO_CONFIG, "no_config",                                     \
+     "Packets dropped: no configuration is known yet.")                       \
+  X (GALENA_PLANE_RETURNED, "returned", "Packets that the upstream returned.")
+
+enum galena_plane_counter
+{
+#define GALENA_PLANE_COUNTER_ENUM(name, word, meaning) name,
+  GALENA_PLANE_COUNTERS (GALENA_PLANE_COUNTER_ENUM)
+#undef GALENA_PLANE_COUNTER_ENUM
+      GALENA_PLANE_COUNTER_COUNT
+};
+
+/* Returns the short word of COUNTER.  */
+const char *galena_plane_counter_word (enum galena_plane_counter counter);
+
+/* Returns one sentence on COUNTER.  */
+const char *galena_plane_counter_meaning (enum galena_plane_counter counter);
+
+struct galena_plane;
+
+/* Creates a plane in *OUT; the caller owns it.
+   Errors: GALENA_ERR_INVALID, GALENA_ERR_NOT_FOUND for an unknown policy,
+   GALENA_ERR_MEMORY.  */
+enum galena_result
+galena_plane_create (const struct galena_plane_options *options,
+                     struct galena_plane **out);
+
+/* Destroys PLANE; accepts NULL.  */
+void galena_plane_destroy (struct galena_plane *plane);
+
+/* Returns the next free arrival for the front end to fill in, NULL when the
+   tick's share is used up.  Bytes that it names stay valid until the
+   departures of the next tick were sent.  */
+struct galena_arrival *galena_plane_arrival (struct galena_plane *plane);
+
+/* Takes the arrival returned last.  */
+void galena_plane_push (struct galena_plane *plane);
+
+/* Runs the handlers of all arrivals and every system that is due at NOW.
+   DIRECTORY is read during the call only; NULL while nothing is known.  */
+void galena_plane_tick (struct galena_plane *plane, struct galena_clock now,
+                        const struct galena_directory *directory);
+
+/* What the last tick sends and notes; valid until the next one.  */
+uint32_t galena_plane_departure_count (const struct galena_plane *plane);
+const struct galena_departure *
+galena_plane_departure (const struct galena_plane *plane, uint32_t index);
+uint32_t galena_plane_note_count (const struct galena_plane *plane);
+const struct galena_plane_note *
+galena_plane_note_at (const struct galena_plane *plane, uint32_t index);
+
+/* Returns when the next tick is due if nothing arrives.  */
+struct galena_clock galena_plane_due (const struct galena_plane *plane);
+
+/* Asks the plane to take no new flows; it goes on with those it has.  */
+void galena_plane_drain (struct galena_plane *plane);
+
+/* Counts what the front end dropped.  */
+void galena_plane_count_dropped (struct galena_plane *plane,
+                                 enum galena_plane_counter counter,
+                                 uint32_t count);
+
+uint64_t galena_plane_counter_value (const struct galena_plane *plane,
+                                     enum galena_plane_counter counter);
+
+/* Returns the flows held.  */
+uint32_t galena_plane_flow_count (const struct galena_plane *plane);
+
+#endif
--- /dev/null
+++ b/packages/flows/src/agent.c
@@ -0,0 +1,89 @@
+/* The role of an agent: its tables, handlers and systems.  */
+
+#include <stdlib.h>
+
+#include "agent_tables.h"
+
+enum
+{
+  LOAD_PERIOD_MS = 25,
+  ANNOUNCE_PERIOD_MS = 500,
+  EXPIRE_PERIOD_MS = 1000
+};
+
+static void
+take_hello (struct galena_plane *plane, struct galena_endpoint peer,
+            const struct galena_peer_message *message)
+{
+  if (message->slots != 0)
+    plane->agent->slots = message->slots;
+  members_take_hello (plane, peer, message);
+}
+
+static const struct plane_system SYSTEMS[] = {
+  { "load", LOAD_PERIOD_MS, agent_run_load },
+  { "announce", ANNOUNCE_PERIOD_MS, agent_run_announce },
+  { "expire", EXPIRE_PERIOD_MS, agent_run_expire },
+  { "members", ANNOUNCE_PERIOD_MS, members_run },
+};
+
+static void
+destroy (struct galena_plane *plane)
+{
+  if (plane->agent == NULL)
+    return;
+  galena_table_destroy (plane->agent->flows);
+  galena_map_destroy (plane->agent->flows_by_key);
+  free (plane->agent);
+  plane->agent = NULL;
+}
+
+static enum galena_result
+create (struct galena_plane *plane)
+{
+  struct galena_table_options rows
+      = { sizeof (struct agent_flow), plane->options.flows };
+  struct galena_map_options keys
+      = { plane->options.flows, plane->options.seed };
+  struct agent_tables *agent = calloc (1, sizeof *agent);
+  enum galena_result result;
+
+  if (agent == NULL)
+    return GALENA_ERR_MEMORY;
+  plane->agent = agent;
+  agent->complete = plane->options.first_start;
+  result = galena_table_create (&rows, &agent->flows);
+  if (result == GALENA_OK)
+    result = galena_map_create (&keys, &agent->flows_by_key);
+  return result;
+}
+
+static void
+wake (struct galena_plane *plane, int64_t gap_ms)
+{
+  (void)plane;
+  (void)gap_ms;
+}
+
+static uint32_t
+flow_count (const struct galena_plane *plane)
+{
+  return galena_table_count (plane->agent->flows);
+}
+
+const struct plane_role agent_plane_role = {
+  .create = create,
+  .destroy = destroy,
+  .wake = wake,
+  .flow_count = flow_count,
+  .packets = { [GALENA_LINK_APPLICATION] = agent_take_packet },
+  .messages = {
+    [GALENA_PEER_OPEN] = agent_take_open,
+    [GALENA_PEER_FORWARD] = agent_take_forward,
+    [GALENA_PEER_FIND] = agent_take_find,
+    [GALENA_PEER_HELLO] = take_hello,
+    [GALENA_PEER_MEMBERS] = members_take_list,
+  },
+  .systems = SYSTEMS,
+  .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
+};
--- /dev/null
+++ b/packages/flows/src/agent_flows.c
@@ -0,0 +1,368 @@
+/* Flows of the upstream beside an agent.  The upstream's word is the truth:
+   it returns packets of flows that it does not hold.  */
+
+#include "agent_tables.h"
+
+enum
+{
+  /* An ended flow is kept for late packets: the longest interval of
+     retransmissions, twice.  */
+  ENDED_LINGER_MS = 3200,
+  /* A packet that the upstream may return is waited for so long.  */
+  PROBED_LINGER_MS = 5000
+};
+
+static struct agent_flow *
+find_flow (const struct galena_plane *plane, struct galena_flow_key key,
+           struct galena_handle *handle)
+{
+  const struct agent_tables *agent = plane->agent;
+  struct agent_flow *flow;
+  uint64_t packed;
+
+  if (!galena_map_find (agent->flows_by_key,
+                        plane_flow_hash (agent->flows_by_key, key), &packed))
+    return NULL;
+  *handle = galena_handle_unpack (packed);
+  flow = galena_table_get (agent->flows, *handle);
+  return flow != NULL && plane_flow_equal (flow->key, key) ? flow : NULL;
+}
+
+static struct agent_flow *
+add_flow (struct galena_plane *plane, struct galena_flow_key key,
+          enum agent_flow_state state)
+{
+  struct agent_tables *agent = plane->agent;
+  struct galena_handle handle;
+  struct agent_flow *flow = galena_table_insert (agent->flows, &handle);
+
+  if (flow == NULL)
+    goto full;
+  flow->key = key;
+  flow->state = state;
+  flow->active = plane->now;
+  if (galena_map_insert (agent->flows_by_key,
+                         plane_flow_hash (agent->flows_by_key, key),
+                         galena_handle_pack (handle))
+      == GALENA_OK)
+    return flow;
+  galena_table_remove (agent->flows, handle);
+
+full:
+  plane_count (plane, GALENA_PLANE_TABLE_FULL);
+  return NULL;
+}
+
+static bool
+is_counted_open (const struct agent_flow *flow)
+{
+  return flow->state == AGENT_FLOW_OPEN && !flow->upstream_ended;
+}
+
+static void
+remove_flow (struct galena_plane *plane, struct agent_flow *flow,
+             struct galena_handle handle)
+{
+  struct agent_tables *agent = plane->agent;
+
+  if (is_counted_open (flow))
+    agent->open--;
+  agent_request_dropped (plane, flow);
+  galena_map_remove (agent->flows_by_key,
+                     plane_flow_hash (agent->flows_by_key, flow->key));
+  galena_table_remove (agent->flows, handle);
+}
+
+static void
+become_open (struct galena_plane *plane, struct agent_flow *flow)
+{
+  if (flow->state == AGENT_FLOW_OPEN)
+    return;
+  flow->state = AGENT_FLOW_OPEN;
+  if (!flow->upstream_ended)
+    plane->agent->open++;
+}
+
+static void
+send_to_upstream (struct galena_plane *plane,
+                  const struct galena_peer_message *message)
+{
+  struct galena_departure *departure = plane_depart (plane);
+
+  if (departure == NULL)
+    return;
+  departure->kind = GALENA_DEPARTURE_PACKET;
+  departure->link = GALENA_LINK_APPLICATION;
+  departure->bytes = message->bytes;
+  departure->size = message->size;
+}
+
+/* Notes the entry at PEER and what it says of the upstream.  */
+static struct member *
+hear_entry (struct galena_plane *plane, struct galena_endpoint peer,
+            const struct galena_peer_message *message)
+{
+  if (message->slots != 0)
+    plane->agent->slots = message->slots;
+  return members_hear (plane, peer);
+}
+
+static void
+refuse (struct galena_plane *plane, struct galena_endpoint entry,
+        struct galena_flow_key key, enum galena_result result)
+{
+  struct galena_peer_message refusal
+      = { .type = GALENA_PEER_REFUSED, .flow = key, .result = result };
+
+  plane_count (plane, GALENA_PLANE_REFUSED);
+  agent_reply (plane, entry, &refusal);
+}
+
+void
+agent_take_open (struct galena_plane *plane, struct galena_endpoint peer,
+                 const struct galena_peer_message *message)
+{
+  struct member *member = hear_entry (plane, peer, message);
+  struct galena_handle handle;
+  struct agent_flow *flow;
+
+  if (member != NULL)
+    member->opened = plane->now;
+  if (message->service != plane->options.service)
+    {
+      refuse (plane, peer, message->flow, GALENA_REFUSED_WRONG_SERVICE);
+      return;
+    }
+  flow = find_flow (plane, message->flow, &handle);
+  if (plane->draining && flow == NULL)
+    {
+      refuse (plane, peer, message->flow, GALENA_REFUSED_LEAVING);
+      return;
+    }
+  if (flow == NULL)
+    {
+      plane_count (plane, GALENA_PLANE_OPENS);
+      flow = add_flow (plane, message->flow, AGENT_FLOW_HALF);
+    }
+  if (flow == NULL)
+    {
+      refuse (plane, peer, message->flow, GALENA_REFUSED_CONNECTIONS);
+      return;
+    }
+  flow->entry = peer;
+  flow->active = plane->now;
+  send_to_upstream (plane, message);
+}
+
+/* Notes what PACKET of the caller means for the requests of FLOW.  */
+static void
+note_caller_packet (struct galena_plane *plane, struct agent_flow *flow,
+                    const struct galena_packet *packet)
+{
+  uint32_t next = packet->sequence + packet->data_size;
+
+  flow->active = plane->now;
+  if ((packet->flags & (GALENA_PACKET_ENDS | GALENA_PACKET_RESETS)) != 0)
+    flow->caller_ended = true;
+  if ((packet->flags & GALENA_PACKET_RESETS) != 0)
+    agent_request_dropped (plane, flow);
+  if (packet->data_size == 0 || (int32_t)(next - flow->caller_next) <= 0)
+    return;
+  flow->caller_next = next;
+  agent_request_began (plane, flow);
+}
+
+static struct agent_flow *
+flow_for (struct galena_plane *plane, struct galena_endpoint peer,
+          const struct galena_peer_message *message)
+{
+  struct galena_handle handle;
+  struct agent_flow *flow = find_flow (plane, message->flow, &handle);
+
+  if (flow == NULL)
+    {
+      flow = add_flow (plane, message->flow, AGENT_FLOW_PROBED);
+      if (flow == NULL)
+        return NULL;
+      flow->caller_next = message->packet.sequence;
+    }
+  flow->entry = peer;
+  return flow;
+}
+
+void
+agent_take_forward (struct galena_plane *plane, struct galena_endpoint peer,
+                    const struct galena_peer_message *message)
+{
+  struct agent_flow *flow;
+
+  hear_entry (plane, peer, message);
+  flow = flow_for (plane, peer, message);
+  if (flow != NULL)
+    note_caller_packet (plane, flow, &message->packet);
+  send_to_upstream (plane, message);
+}
+
+static void
+answer_search (struct galena_plane *plane, struct galena_endpoint entry,
+               struct galena_flow_key key, enum galena_peer_type type,
+               const struct galena_packet *packet)
+{
+  struct galena_peer_message answer = { .type = type, .flow = key };
+
+  if (packet != NULL)
+    {
+      answer.bytes = packet->bytes;
+      answer.size = packet->size;
+    }
+  agent_reply (plane, entry, &answer);
+}
+
+void
+agent_take_find (struct galena_plane *plane, struct galena_endpoint peer,
+                 const struct galena_peer_message *message)
+{
+  struct galena_handle handle;
+  struct agent_flow *flow = find_flow (plane, message->flow, &handle);
+
+  hear_entry (plane, peer, message);
+  if (flow == NULL && plane->agent->complete)
+    {
+      answer_search (plane, peer, message->flow, GALENA_PEER_DISOWNED, NULL);
+      return;
+    }
+  flow = flow_for (plane, peer, message);
+  if (flow == NULL)
+    return;
+  if (flow->state == AGENT_FLOW_OPEN)
+    {
+      answer_search (plane, peer, message->flow, GALENA_PEER_OWNED, NULL);
+      note_caller_packet (plane, flow, &message->packet);
+    }
+  else
+    {
+      /* A request is counted once the upstream is known to hold the flow.  */
+      flow->asked = true;
+      flow->active = plane->now;
+    }
+  send_to_upstream (plane, message);
+}
+
+/* The upstream returned PACKET.  */
+static void
+take_returned (struct galena_plane *plane, const struct galena_packet *packet)
+{
+  struct galena_flow_key key = { packet->source, packet->destination };
+  struct galena_handle handle;
+  struct agent_flow *flow = find_flow (plane, key, &handle);
+  struct galena_endpoint entry;
+  enum agent_flow_state state;
+  bool ended;
+
+  plane_count (plane, GALENA_PLANE_RETURNED);
+  if (flow == NULL)
+    return;
+  entry = flow->entry;
+  state = flow->state;
+  ended = flow->caller_ended && flow->upstream_ended;
+  if (galena_packet_is_open (packet))
+    {
+      if (state == AGENT_FLOW_HALF)
+        remove_flow (plane, flow, handle);
+      refuse (plane, entry, key, GALENA_REFUSED_BY_UPSTREAM);
+      return;
+    }
+  remove_flow (plane, flow, handle);
+  if (ended)
+    return;
+  if (state != AGENT_FLOW_OPEN)
+    answer_search (plane, entry, key, GALENA_PEER_DISOWNED, packet);
+  else if (packet->data_size > 0)
+    answer_search (plane, entry, key, GALENA_PEER_LOST, packet);
+}
+
+static void
+note_accept (struct galena_plane *plane, const struct agent_flow *flow,
+             const struct galena_packet *packet)
+{
+  struct galena_peer_message opened = { .type = GALENA_PEER_OPENED,
+                                        .flow = flow->key,
+                                        .sequence = packet->sequence };
+
+  plane_count (plane, GALENA_PLANE_OPENED);
+  agent_reply (plane, flow->entry, &opened);
+}
+
+/* Notes what PACKET of the upstream means for FLOW.  */
+static void
+note_upstream_packet (struct galena_plane *plane, struct agent_flow *flow,
+                      const struct galena_packet *packet)
+{
+  become_open (plane, flow);
+  if (flow->asked)
+    answer_search (plane, flow->entry, flow->key, GALENA_PEER_OWNED, NULL);
+  flow->asked = false;
+  if (packet->data_size > 0)
+    agent_answer_began (plane, flow);
+  if ((packet->flags & (GALENA_PACKET_ENDS | GALENA_PACKET_RESETS)) == 0)
+    return;
+  agent_request_dropped (plane, flow);
+  if (!flow->upstream_ended)
+    plane->agent->open--;
+  flow->upstream_ended = true;
+}
+
+void
+agent_take_packet (struct galena_plane *plane,
+                   const struct galena_packet *packet)
+{
+  struct galena_flow_key key = { packet->destination, packet->source };
+  struct galena_handle handle;
+  struct agent_flow *flow;
+
+  plane_count (plane, GALENA_PLANE_FROM_UPSTREAM);
+  if ((packet->flags & GALENA_PACKET_RETURNED) != 0)
+    {
+      take_returned (plane, packet);
+      return;
+    }
+  plane_send_packet (plane, GALENA_LINK_CALLER, packet);
+  flow = find_flow (plane, key, &handle);
+  if (flow == NULL)
+    flow = add_flow (plane, key, AGENT_FLOW_PROBED);
+  if (flow == NULL)
+    return;
+  flow->active = plane->now;
+  if (galena_packet_is_accept (packet))
+    note_accept (plane, flow, packet);
+  else
+    note_upstream_packet (plane, flow, packet);
+}
+
+static int64_t
+linger_ms (const struct galena_plane *plane, const struct agent_flow *flow)
+{
+  if (flow->upstream_ended || flow->caller_ended)
+    return ENDED_LINGER_MS;
+  return flow->state == AGENT_FLOW_OPEN ? plane->options.flow_idle_ms
+                                        : PROBED_LINGER_MS;
+}
+
+void
+agent_run_expire (struct galena_plane *plane)
+{
+  struct agent_flow *flow;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  if (plane->agent->started.ms == 0)
+    plane->agent->started = plane->now;
+  if (galena_clock_between (plane->agent->started, plane->now)
+      > plane->options.flow_idle_ms)
+    plane->agent->complete = true;
+  while ((flow = galena_table_next (plane->agent->flows, &cursor, &handle))
+         != NULL)
+    if (galena_clock_between (flow->active, plane->now)
+        > linger_ms (plane, flow))
+      remove_flow (plane, flow, handle);
+}
--- /dev/null
+++ b/packages/flows/src/agent_load.c
@@ -0,0 +1,123 @@
+/* What an agent sees of its upstream, and telling it to entries.  */
+
+#include <string.h>
+
+#include "agent_tables.h"
+
+enum
+{
+  /* Part of a new sample in the mean of the service time: one in so many.  */
+  MEAN_SHARE = 8,
+  /* Longest time that counts as a sample; a longer one is an upstream that
+     was paused or cut off.  */
+  SAMPLE_MAX_MS = 10000,
+  /* Entries that sent an open this lately are told each change of load.  */
+  INTERESTED_MS = 1000,
+  /* Entries that are told in one round.  */
+  ROUND_MAX = 16,
+  US_PER_MS = 1000
+};
+
+void
+agent_request_began (struct galena_plane *plane, struct agent_flow *flow)
+{
+  if (flow->running)
+    return;
+  flow->running = true;
+  flow->request_began = plane->now;
+  flow->rank = ++plane->agent->running;
+}
+
+/* Takes a sample of the service time from a request that did not queue.  */
+static void
+take_sample (struct agent_tables *agent, uint32_t us)
+{
+  if (agent->service_us == 0)
+    agent->service_us = us;
+  else
+    agent->service_us += (us > agent->service_us)
+                             ? (us - agent->service_us) / MEAN_SHARE
+                             : 0U - (agent->service_us - us) / MEAN_SHARE;
+}
+
+void
+agent_answer_began (struct galena_plane *plane, struct agent_flow *flow)
+{
+  struct agent_tables *agent = plane->agent;
+  int64_t took_ms;
+
+  if (!flow->running)
+    return;
+  flow->running = false;
+  agent->running--;
+  took_ms = galena_clock_between (flow->request_began, plane->now);
+  if (took_ms <= SAMPLE_MAX_MS
+      && flow->rank <= (agent->slots > 0 ? agent->slots : 1))
+    take_sample (agent, (uint32_t)took_ms * US_PER_MS + US_PER_MS / 2);
+}
+
+void
+agent_request_dropped (struct galena_plane *plane, struct agent_flow *flow)
+{
+  if (flow->running)
+    plane->agent->running--;
+  flow->running = false;
+}
+
+struct galena_load
+agent_load (const struct galena_plane *plane)
+{
+  const struct agent_tables *agent = plane->agent;
+
+  return (struct galena_load){
+    .running = agent->running,
+    .flows = agent->open,
+    .service_us = agent->service_us,
+    .leaving = plane->draining,
+  };
+}
+
+void
+agent_reply (struct galena_plane *plane, struct galena_endpoint peer,
+             struct galena_peer_message *message)
+{
+  if (peer.ip == 0)
+    return;
+  message->service = plane->options.service;
+  message->load = agent_load (plane);
+  plane_send_message (plane, peer, message);
+}
+
+static void
+tell (struct galena_plane *plane, struct member *member)
+{
+  struct galena_peer_message message = { .type = GALENA_PEER_LOAD };
+
+  agent_reply (plane, member->address, &message);
+}
+
+static void
+tell_interested (struct galena_plane *plane, struct member *member)
+{
+  if (member->opened.ms != 0
+      && galena_clock_between (member->opened, plane->now) < INTERESTED_MS)
+    tell (plane, member);
+}
+
+void
+agent_run_load (struct galena_plane *plane)
+{
+  struct galena_load load = agent_load (plane);
+
+  if (load.running == plane->agent->told.running
+      && load.leaving == plane->agent->told.leaving)
+    return;
+  plane->agent->told = load;
+  members_visit (plane, ROUND_MAX, tell_interested);
+}
+
+void
+agent_run_announce (struct galena_plane *plane)
+{
+  members_visit (plane, ROUND_MAX, tell);
+}
--- /dev/null
+++ b/packages/flows/src/catalog.c
@@ -0,0 +1,392 @@
+/* Lists and watches of what is published, and the directory made of it.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include <galenaford/catalog.h>
+#include <galenaford/map.h>
+#include <galenaford/random.h>
+#include <galenaford/table.h>
+
+enum
+{
+  /* A list is answered in milliseconds; a slow store takes a hundred times as
+     long.  */
+  LIST_TIMEOUT_MS = 1200,
+  /* Beyond its wait, a watch is given as long as a list.  */
+  WATCH_EXTRA_MS = 1200,
+  /* Pause before a failed call is tried again: doubles up to the most.  */
+  RETRY_MIN_MS = 100,
+  RETRY_MAX_MS = 800,
+  /* Changes that come in quick succession are read together: a tenth of the
+     least bound on taking one up.  */
+  GATHER_MS = 200,
+  /* An upstream whose entry lapsed may be back within two seconds.  */
+  RETURN_MS = 2000
+};
+
+/* An upstream as published.  */
+struct item
+{
+  uint64_t key;
+  struct galena_listed_upstream upstream;
+  /* Round of the list that named it last.  */
+  uint32_t round;
+  /* When it counts as removed; ms 0 while it is published.  */
+  struct galena_clock removed_at;
+};
+
+struct stream
+{
+  enum galena_call_kind kind;
+  bool busy;
+  /* A list was read in full once.  */
+  bool known;
+  /* Revision up to which changes were taken.  */
+  uint64_t revision;
+  /* Revision of the first page of the present list.  */
+  uint64_t list_revision;
+  uint32_t round;
+  char after[GALENA_CATALOG_KEY_BYTES];
+  bool changed;
+  uint32_t failures;
+  struct galena_clock due;
+  /* When it last got a reply; ms 0 when never.  */
+  struct galena_clock replied;
+};
+
+struct galena_catalog
+{
+  struct galena_catalog_options options;
+  struct galena_random random;
+  struct stream streams[GALENA_STREAM_COUNT];
+  struct galena_table *items;
+  struct galena_map *items_by_key;
+  uint64_t version;
+  uint32_t route_count;
+  struct galena_route *routes;
+  bool changed;
+};
+
+enum galena_result
+galena_catalog_create (const struct galena_catalog_options *options,
+                       struct galena_catalog **out)
+{
+  struct galena_table_options rows
+      = { sizeof (struct item), options->upstreams };
+  struct galena_map_options keys = { options->upstreams, options->seed };
+  struct galena_catalog *catalog = calloc (1, sizeof *catalog);
+  enum galena_result result;
+
+  if (catalog == NULL)
+    return GALENA_ERR_MEMORY;
+  catalog->options = *options;
+  catalog->random = (struct galena_random){ options->seed, 0 };
+  result = galena_table_create (&rows, &catalog->items);
+  if (result == GALENA_OK)
+    result = galena_map_create (&keys, &catalog->items_by_key);
+  if (result != GALENA_OK)
+    {
+      galena_catalog_destroy (catalog);
+      return result;
+    }
+  *out = catalog;
+  return GALENA_OK;
+}
+
+void
+galena_catalog_destroy (struct galena_catalog *catalog)
+{
+  if (catalog == NULL)
+    return;
+  galena_table_destroy (catalog->items);
+  galena_map_destroy (catalog->items_by_key);
+  free (catalog->routes);
+  free (catalog);
+}
+
+bool
+galena_catalog_next (struct galena_catalog *catalog,
+                     enum galena_stream_kind kind, struct galena_clock now,
+                     struct galena_catalog_call *call)
+{
+  struct stream *stream = &catalog->streams[kind];
+
+  if (stream->busy || !galena_clock_reached (now, stream->due))
+    return false;
+  stream->busy = true;
+  stream->changed = false;
+  memset (call, 0, sizeof *call);
+  call->stream = kind;
+  call->kind = stream->kind;
+  call->timeout_ms = LIST_TIMEOUT_MS;
+  if (stream->kind == GALENA_CALL_LIST)
+    {
+      memcpy (call->after, stream->after, sizeof call->after);
+      return true;
+    }
+  call->revision = stream->revision;
+  call->wait_ms = catalog->options.wait_ms;
+  call->timeout_ms = call->wait_ms + WATCH_EXTRA_MS;
+  return true;
+}
+
+static struct item *
+find_item (const struct galena_catalog *catalog, uint64_t key)
+{
+  uint64_t packed;
+
+  if (!galena_map_find (catalog->items_by_key, key, &packed))
+    return NULL;
+  return galena_table_get (catalog->items, galena_handle_unpack (packed));
+}
+
+static struct item *
+add_item (struct galena_catalog *catalog, uint64_t key)
+{
+  struct galena_handle handle;
+  struct item *item = galena_table_insert (catalog->items, &handle);
+
+  if (item == NULL)
+    return NULL;
+  item->key = key;
+  galena_map_insert (catalog->items_by_key, key, galena_handle_pack (handle));
+  return item;
+}
+
+static void
+take_config (struct galena_catalog *catalog,
+             const struct galena_published_config *config)
+{
+  struct galena_route *routes;
+
+  /* Never back to an older version, whatever a reply holds.  */
+  if (config->version <= catalog->version)
+    return;
+  routes = calloc ((size_t)config->route_count + 1, sizeof *routes);
+  if (routes == NULL)
+    return;
+  memcpy (routes, config->routes, config->route_count * sizeof *routes);
+  free (catalog->routes);
+  catalog->routes = routes;
+  catalog->route_count = config->route_count;
+  catalog->version = config->version;
+  catalog->changed = true;
+}
+
+/* Begins the removal of ITEM: at once when it was draining, else once it had
+   the time to come back.  */
+static void
+begin_removal (struct galena_catalog *catalog, struct item *item,
+               struct galena_clock now)
+{
+  if (item->removed_at.ms != 0)
+    return;
+  item->removed_at = now;
+  if (item->upstream.state == GALENA_LISTING_READY)
+    item->removed_at = galena_clock_after (now, RETURN_MS);
+  catalog->changed = true;
+}
+
+void
+galena_catalog_change (struct galena_catalog *catalog,
+                       enum galena_stream_kind kind, struct galena_clock now,
+                       const struct galena_change *change)
+{
+  struct stream *stream = &catalog->streams[kind];
+  uint64_t key = XXH64 (change->key, strlen (change->key), 0);
+  struct item *item;
+
+  stream->changed = true;
+  if (change->kind == GALENA_CHANGE_CONFIG)
+    take_config (catalog, &change->config);
+  if (kind != GALENA_STREAM_UPSTREAMS)
+    return;
+  item = find_item (catalog, key);
+  if (change->kind != GALENA_CHANGE_UPSTREAM)
+    {
+      if (item != NULL)
+        begin_removal (catalog, item, now);
+      return;
+    }
+  if (item == NULL)
+    item = add_item (catalog, key);
+  if (item == NULL)
+    return;
+  item->round = stream->round;
+  item->removed_at = (struct galena_clock){ 0 };
+  if (memcmp (&item->upstream, &change->upstream, sizeof item->upstream) == 0)
+    return;
+  item->upstream = change->upstream;
+  catalog->changed = true;
+}
+
+/* Removes what the list that has just ended did not name.  */
+static void
+end_list (struct galena_catalog *catalog, struct stream *stream,
+          struct galena_clock now)
+{
+  struct item *item;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  if (stream == &catalog->streams[GALENA_STREAM_UPSTREAMS])
+    while ((item = galena_table_next (catalog->items, &cursor, &handle))
+           != NULL)
+      if (item->round != stream->round)
+        begin_removal (catalog, item, now);
+  if (!stream->known)
+    catalog->changed = true;
+  stream->known = true;
+  stream->kind = GALENA_CALL_WATCH;
+  stream->revision = stream->list_revision;
+}
+
+static void
+begin_list (struct stream *stream)
+{
+  stream->kind = GALENA_CALL_LIST;
+  stream->after[0] = '\0';
+  stream->round++;
+}
+
+static void
+fail (struct galena_catalog *catalog, struct stream *stream,
+      struct galena_clock now)
+{
+  uint32_t pause_ms = RETRY_MIN_MS
+                      << (stream->failures < 3 ? stream->failures : 3);
+
+  if (pause_ms > RETRY_MAX_MS)
+    pause_ms = RETRY_MAX_MS;
+  stream->failures++;
+  pause_ms += galena_random_below (&catalog->random, pause_ms);
+  stream->due = galena_clock_after (now, pause_ms);
+  if (stream->kind == GALENA_CALL_LIST)
+    begin_list (stream);
+}
+
+static void
+take_list_page (struct galena_catalog *catalog, struct stream *stream,
+                struct galena_clock now,
+                const struct galena_catalog_reply *reply)
+{
+  if (stream->after[0] == '\0')
+    stream->list_revision = reply->revision;
+  if (reply->more)
+    memcpy (stream->after, reply->next, sizeof stream->after);
+  else
+    end_list (catalog, stream, now);
+}
+
+void
+galena_catalog_end (struct galena_catalog *catalog,
+                    enum galena_stream_kind kind, struct galena_clock now,
+                    enum galena_call_result result,
+                    const struct galena_catalog_reply *reply)
+{
+  struct stream *stream = &catalog->streams[kind];
+
+  stream->busy = false;
+  stream->due = now;
+  if (result == GALENA_CALL_FAILED)
+    {
+      fail (catalog, stream, now);
+      return;
+    }
+  stream->replied = now;
+  stream->failures = 0;
+  if (result == GALENA_CALL_HISTORY_GONE)
+    begin_list (stream);
+  else if (stream->kind == GALENA_CALL_LIST)
+    take_list_page (catalog, stream, now, reply);
+  else
+    {
+      if (reply->revision > stream->revision)
+        stream->revision = reply->revision;
+      if (stream->changed)
+        stream->due = galena_clock_after (now, GATHER_MS);
+    }
+}
+
+struct galena_clock
+galena_catalog_due (const struct galena_catalog *catalog)
+{
+  struct galena_clock first = { INT64_MAX };
+  const struct item *item;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  for (uint32_t i = 0; i < GALENA_STREAM_COUNT; i++)
+    if (!catalog->streams[i].busy && catalog->streams[i].due.ms < first.ms)
+      first = catalog->streams[i].due;
+  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
+    if (item->removed_at.ms != 0 && item->removed_at.ms < first.ms)
+      first = item->removed_at;
+  return first;
+}
+
+/* Removes the items whose time has come.  */
+static void
+remove_due (struct galena_catalog *catalog, struct galena_clock now)
+{
+  struct item *item;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
+    if (item->removed_at.ms != 0
+        && galena_clock_reached (now, item->removed_at))
+      {
+        galena_map_remove (catalog->items_by_key, item->key);
+        galena_table_remove (catalog->items, handle);
+        catalog->changed = true;
+      }
+}
+
+bool
+galena_catalog_build (struct galena_catalog *catalog, struct galena_clock now,
+                      struct galena_directory **out)
+{
+  struct galena_directory_options options
+      = { .version = catalog->version,
+          .routes = catalog->routes,
+          .route_count = catalog->route_count };
+  uint32_t count = galena_table_count (catalog->items);
+  struct galena_listed_upstream *upstreams;
+  const struct item *item;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  remove_due (catalog, now);
+  if (!catalog->changed || !galena_catalog_is_known (catalog))
+    return false;
+  upstreams = calloc ((size_t)count + 1, sizeof *upstreams);
+  if (upstreams == NULL)
+    return false;
+  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
+    upstreams[options.upstream_count++] = item->upstream;
+  options.upstreams = upstreams;
+  catalog->changed = galena_directory_create (&options, out) != GALENA_OK;
+  free (upstreams);
+  return !catalog->changed;
+}
+
+bool
+galena_catalog_is_known (const struct galena_catalog *catalog)
+{
+  return catalog->version != 0
+         && catalog->streams[GALENA_STREAM_UPSTREAMS].known;
+}
+
+int64_t
+galena_catalog_age_ms (const struct galena_catalog *catalog,
+                       enum galena_stream_kind kind, struct galena_clock now)
+{
+  const struct stream *stream = &catalog->streams[kind];
+
+  return stream->replied.ms == 0 ? -1
+                                 : galena_clock_between (stream->replied, now);
+}
--- /dev/null
+++ b/packages/flows/src/directory.c
@@ -0,0 +1,125 @@
+/* Routes by address, and the published upstreams.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include <galenaford/directory.h>
+#include <galenaford/map.h>
+
+struct galena_directory
+{
+  uint64_t version;
+  uint64_t number;
+  uint32_t route_count;
+  uint32_t upstream_count;
+  struct galena_route *routes;
+  struct galena_listed_upstream *upstreams;
+  /* Index of a route by its address.  */
+  struct galena_map *by_address;
+};
+
+static uint64_t
+address_key (struct galena_endpoint address)
+{
+  return ((uint64_t)address.ip << 16) | address.port;
+}
+
+galena_service_key
+galena_service_key_of (const char *name)
+{
+  return XXH64 (name, strlen (name), 0) | 1;
+}
+
+/* Copies COUNT rows of SIZE bytes; NULL only when memory is short.  */
+static void *
+copy_rows (const void *rows, uint32_t count, size_t size)
+{
+  void *copy = calloc ((size_t)count + 1, size);
+
+  if (copy != NULL && count > 0)
+    memcpy (copy, rows, count * size);
+  return copy;
+}
+
+enum galena_result
+galena_directory_create (const struct galena_directory_options *options,
+                         struct galena_directory **out)
+{
+  static uint64_t numbers;
+  struct galena_map_options map = { options->route_count + 1, 0 };
+  struct galena_directory *directory = calloc (1, sizeof *directory);
+
+  if (directory == NULL)
+    return GALENA_ERR_MEMORY;
+  directory->version = options->version;
+  directory->number = __atomic_add_fetch (&numbers, 1, __ATOMIC_RELAXED);
+  directory->route_count = options->route_count;
+  directory->upstream_count = options->upstream_count;
+  directory->routes = copy_rows (options->routes, options->route_count,
+                                 sizeof *options->routes);
+  directory->upstreams = copy_rows (
+      options->upstreams, options->upstream_count, sizeof *options->upstreams);
+  if (directory->routes == NULL || directory->upstreams == NULL
+      || galena_map_create (&map, &directory->by_address) != GALENA_OK)
+    goto fail;
+  for (uint32_t i = 0; i < directory->route_count; i++)
+    if (galena_map_insert (directory->by_address,
+                           address_key (directory->routes[i].address), i)
+        == GALENA_ERR_FULL)
+      goto fail;
+  *out = directory;
+  return GALENA_OK;
+
+fail:
+  galena_directory_destroy (directory);
+  return GALENA_ERR_MEMORY;
+}
+
+void
+galena_directory_destroy (struct galena_directory *directory)
+{
+  if (directory == NULL)
+    return;
+  galena_map_destroy (directory->by_address);
+  free (directory->routes);
+  free (directory->upstreams);
+  free (directory);
+}
+
+uint64_t
+galena_directory_version (const struct galena_directory *directory)
+{
+  return directory->version;
+}
+
+uint64_t
+galena_directory_number (const struct galena_directory *directory)
+{
+  return directory->number;
+}
+
+const struct galena_route *
+galena_directory_route (const struct galena_directory *directory,
+                        struct galena_endpoint address)
+{
+  uint64_t index;
+
+  if (!galena_map_find (directory->by_address, address_key (address), &index))
+    return NULL;
+  return &directory->routes[index];
+}
+
+uint32_t
+galena_directory_upstream_count (const struct galena_directory *directory)
+{
+  return directory->upstream_count;
+}
+
+const struct galena_listed_upstream *
+galena_directory_upstream (const struct galena_directory *directory,
+                           uint32_t index)
+{
+  return &directory->upstreams[index];
+}
--- /dev/null
+++ b/packages/flows/src/entry.c
@@ -0,0 +1,149 @@
+/* The role of an entry: its tables, handlers and systems.  */
+
+#include <stdlib.h>
+
+#include "entry_tables.h"
+
+enum
+{
+  OPENINGS_PERIOD_MS = 20,
+  EXPIRE_PERIOD_MS = 1000,
+  HELLO_PERIOD_MS = 500
+};
+
+static void
+take_load (struct galena_plane *plane, struct galena_endpoint peer,
+           const struct galena_peer_message *message)
+{
+  struct galena_handle handle;
+
+  entry_hear (plane, peer, message, &handle);
+}
+
+static void
+take_hello (struct galena_plane *plane, struct galena_endpoint peer,
+            const struct galena_peer_message *message)
+{
+  members_take_hello (plane, peer, message);
+}
+
+static const struct plane_system SYSTEMS[] = {
+  { "directory", 0, entry_run_directory },
+  { "openings", OPENINGS_PERIOD_MS, entry_run_openings },
+  { "expire", EXPIRE_PERIOD_MS, entry_run_expire },
+  { "hello", HELLO_PERIOD_MS, entry_run_hello },
+  { "members", HELLO_PERIOD_MS, members_run },
+};
+
+static void
+destroy (struct galena_plane *plane)
+{
+  struct entry_tables *entry = plane->entry;
+
+  if (entry == NULL)
+    return;
+  galena_table_destroy (entry->upstreams);
+  galena_map_destroy (entry->upstreams_by_ip);
+  galena_table_destroy (entry->flows);
+  galena_map_destroy (entry->flows_by_key);
+  galena_table_destroy (entry->openings);
+  galena_table_destroy (entry->searches);
+  free (entry);
+  plane->entry = NULL;
+}
+
+static enum galena_result
+create_tables (struct galena_plane *plane, struct entry_tables *entry)
+{
+  uint32_t flows = plane->options.flows;
+  struct galena_table_options upstream_rows
+      = { sizeof (struct upstream_row), ENTRY_UPSTREAMS_MAX };
+  struct galena_table_options flow_rows
+      = { sizeof (struct entry_flow), flows };
+  struct galena_table_options opening_rows
+      = { sizeof (struct opening_row), ENTRY_OPENINGS_MAX };
+  struct galena_table_options search_rows
+      = { sizeof (struct search_row), ENTRY_SEARCHES_MAX };
+  struct galena_map_options upstream_keys
+      = { ENTRY_UPSTREAMS_MAX, plane->options.seed };
+  struct galena_map_options flow_keys = { flows, plane->options.seed };
+  enum galena_result result
+      = galena_table_create (&upstream_rows, &entry->upstreams);
+
+  if (result == GALENA_OK)
+    result = galena_map_create (&upstream_keys, &entry->upstreams_by_ip);
+  if (result == GALENA_OK)
+    result = galena_table_create (&flow_rows, &entry->flows);
+  if (result == GALENA_OK)
+    result = galena_map_create (&flow_keys, &entry->flows_by_key);
+  if (result == GALENA_OK)
+    result = galena_table_create (&opening_rows, &entry->openings);
+  if (result == GALENA_OK)
+    result = galena_table_create (&search_rows, &entry->searches);
+  return result;
+}
+
+static enum galena_result
+create (struct galena_plane *plane)
+{
+  struct entry_tables *entry = calloc (1, sizeof *entry);
+  enum galena_result result;
+
+  if (entry == NULL)
+    return GALENA_ERR_MEMORY;
+  plane->entry = entry;
+  entry->choice = entry_choice_named (plane->options.choice);
+  result = entry->choice == NULL ? GALENA_ERR_NOT_FOUND
+                                 : create_tables (plane, entry);
+  return result;
+}
+
+/* What was heard before a pause is not called silent: agents get the time
+   that the pause took.  */
+static void
+wake (struct galena_plane *plane, int64_t gap_ms)
+{
+  struct upstream_row *upstream;
+  struct opening_row *opening;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((upstream
+          = galena_table_next (plane->entry->upstreams, &cursor, &handle))
+         != NULL)
+    {
+      upstream->heard = galena_clock_after (upstream->heard, gap_ms);
+      upstream->absent_since = plane->now;
+    }
+  cursor = 0;
+  while (
+      (opening = galena_table_next (plane->entry->openings, &cursor, &handle))
+      != NULL)
+    opening->sent = plane->now;
+}
+
+static uint32_t
+flow_count (const struct galena_plane *plane)
+{
+  return galena_table_count (plane->entry->flows);
+}
+
+const struct plane_role entry_plane_role = {
+  .create = create,
+  .destroy = destroy,
+  .wake = wake,
+  .flow_count = flow_count,
+  .packets = { [GALENA_LINK_CALLER] = entry_take_packet },
+  .messages = {
+    [GALENA_PEER_OPENED] = entry_take_opened,
+    [GALENA_PEER_REFUSED] = entry_take_refused,
+    [GALENA_PEER_OWNED] = entry_take_owned,
+    [GALENA_PEER_DISOWNED] = entry_take_disowned,
+    [GALENA_PEER_LOST] = entry_take_lost,
+    [GALENA_PEER_LOAD] = take_load,
+    [GALENA_PEER_HELLO] = take_hello,
+    [GALENA_PEER_MEMBERS] = members_take_list,
+  },
+  .systems = SYSTEMS,
+  .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
+};
--- /dev/null
+++ b/packages/flows/src/entry_choice.c
@@ -0,0 +1,164 @@
+/* Which upstream gets a new flow.  */
+
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "entry_tables.h"
+
+enum
+{
+  /* Service time that is assumed before an agent has told one, the same for
+     all, so that only queues count.  */
+  ASSUMED_SERVICE_US = 20000,
+  /* Draws of the default policy.  */
+  DRAWS = 3
+};
+
+/* A warming upstream takes so many times as long, until it is known better. */
+static const double WARM_UP_FACTOR = 1.6;
+/* Added for an upstream that is avoided: more than any queue costs.  */
+static const double SUSPECT_COST = 1e9;
+
+/* Expected time from now until one more request would be answered, in
+   microseconds.  */
+static double
+wait_cost (const struct galena_plane *plane,
+           const struct upstream_row *upstream)
+{
+  double slots = upstream->slots > 0 ? upstream->slots : 1;
+  double service = upstream->load.service_us > 0 ? upstream->load.service_us
+                                                 : ASSUMED_SERVICE_US;
+  double ahead = (double)upstream->load.running + upstream->placed;
+  double rounds = (ahead + 1) / slots;
+  /* Among idle upstreams the one with more free slots.  */
+  double cost = service * (rounds > 1 ? rounds : 1 + rounds / 8);
+
+  if (!galena_clock_reached (plane->now, upstream->warm_at))
+    cost *= WARM_UP_FACTOR;
+  return cost;
+}
+
+static double
+queue_cost (const struct galena_plane *plane,
+            const struct upstream_row *upstream)
+{
+  (void)plane;
+  return (double)upstream->load.running + upstream->placed;
+}
+
+static double
+no_cost (const struct galena_plane *plane, const struct upstream_row *upstream)
+{
+  (void)plane;
+  (void)upstream;
+  return 0;
+}
+
+static const struct choice_policy POLICIES[] = {
+  { "least-wait", wait_cost, DRAWS },
+  { "least-queue", queue_cost, DRAWS },
+  { "random", no_cost, 1 },
+};
+
+const struct choice_policy *
+entry_choice_named (const char *name)
+{
+  if (name == NULL)
+    return &POLICIES[0];
+  for (size_t i = 0; i < sizeof POLICIES / sizeof POLICIES[0]; i++)
+    if (strcmp (POLICIES[i].name, name) == 0)
+      return &POLICIES[i];
+  return NULL;
+}
+
+galena_service_key
+entry_share_of (const struct galena_route *route, struct galena_flow_key key)
+{
+  uint64_t caller = ((uint64_t)key.caller.ip << 16) | key.caller.port;
+  uint64_t total = 0;
+  uint64_t draw;
+
+  for (uint32_t i = 0; i < route->share_count; i++)
+    total += route->shares[i].weight;
+  if (total == 0)
+    return 0;
+  /* Copies of an open, at any entry, draw the same.  */
+  draw = XXH64 (&caller, sizeof caller, key.service.port) % total;
+  for (uint32_t i = 0; i < route->share_count; i++)
+    {
+      if (draw < route->shares[i].weight)
+        return route->shares[i].service;
+      draw -= route->shares[i].weight;
+    }
+  return 0;
+}
+
+static bool
+was_tried (const struct entry_flow *flow, struct galena_handle handle)
+{
+  for (uint32_t i = 0; i < flow->try_count; i++)
+    if (galena_handle_pack (flow->tries[i].upstream)
+        == galena_handle_pack (handle))
+      return true;
+  return false;
+}
+
+static bool
+takes_flows (const struct upstream_row *upstream, galena_service_key service)
+{
+  return upstream->listing == GALENA_LISTING_READY && !upstream->load.leaving
+         && entry_service_of (upstream) == service;
+}
+
+static double
+cost_of (struct galena_plane *plane, const struct upstream_row *upstream)
+{
+  double cost = plane->entry->choice->cost (plane, upstream);
+
+  /* Up to a sixteenth at random, so that entries that know the same don't all
+     choose the same.  */
+  cost *= 1 + (double)galena_random_below (&plane->random, 64) / 1024;
+  if (!galena_clock_reached (plane->now, upstream->suspect_until))
+    cost += SUSPECT_COST;
+  return cost;
+}
+
+bool
+entry_choose (struct galena_plane *plane, galena_service_key service,
+              const struct entry_flow *flow, struct galena_handle *chosen)
+{
+  struct galena_handle fit[ENTRY_UPSTREAMS_MAX];
+  const struct upstream_row *upstream;
+  struct galena_handle handle;
+  uint32_t draws = plane->entry->choice->draws;
+  uint32_t count = 0;
+  uint32_t cursor = 0;
+  double best = 0;
+
+  while ((upstream
+          = galena_table_next (plane->entry->upstreams, &cursor, &handle))
+         != NULL)
+    if (takes_flows (upstream, service) && !was_tried (flow, handle))
+      fit[count++] = handle;
+  if (count == 0)
+    return false;
+  if (draws == 0 || draws > count)
+    draws = count;
+  for (uint32_t i = 0; i < draws; i++)
+    {
+      uint32_t at
+          = i + (uint32_t)galena_random_below (&plane->random, count - i);
+      struct galena_handle drawn = fit[at];
+      double cost = cost_of (plane, entry_upstream (plane, drawn));
+
+      fit[at] = fit[i];
+      fit[i] = drawn;
+      if (i == 0 || cost < best)
+        {
+          best = cost;
+          *chosen = drawn;
+        }
+    }
+  return true;
+}
--- /dev/null
+++ b/packages/flows/src/entry_flows.c
@@ -0,0 +1,292 @@
+/* Packets from callers: to the owner of their flow, as far as it is known.  */
+
+#include "entry_tables.h"
+
+enum
+{
+  /* A flow that its caller closed is kept for late packets: the longest
+     interval of retransmissions, twice.  */
+  ENDED_LINGER_MS = 3200,
+  /* A flow that was not opened by then never will be: callers give an opening
+     up after 1.4 s.  */
+  OPENING_LINGER_MS = 2000
+};
+
+struct entry_flow *
+entry_flow (const struct galena_plane *plane, struct galena_handle handle)
+{
+  return galena_table_get (plane->entry->flows, handle);
+}
+
+struct entry_flow *
+entry_flow_find (const struct galena_plane *plane, struct galena_flow_key key,
+                 struct galena_handle *handle)
+{
+  const struct entry_tables *entry = plane->entry;
+  struct entry_flow *flow;
+  uint64_t packed;
+
+  if (!galena_map_find (entry->flows_by_key,
+                        plane_flow_hash (entry->flows_by_key, key), &packed))
+    return NULL;
+  *handle = galena_handle_unpack (packed);
+  flow = entry_flow (plane, *handle);
+  return flow != NULL && plane_flow_equal (flow->key, key) ? flow : NULL;
+}
+
+static struct entry_flow *
+add_flow (struct galena_plane *plane, struct galena_flow_key key,
+          struct galena_handle *handle)
+{
+  struct entry_tables *entry = plane->entry;
+  struct entry_flow *flow = galena_table_insert (entry->flows, handle);
+
+  if (flow == NULL)
+    {
+      plane_count (plane, GALENA_PLANE_TABLE_FULL);
+      return NULL;
+    }
+  flow->key = key;
+  flow->began = plane->now;
+  flow->active = plane->now;
+  if (galena_map_insert (entry->flows_by_key,
+                         plane_flow_hash (entry->flows_by_key, key),
+                         galena_handle_pack (*handle))
+      == GALENA_OK)
+    return flow;
+  galena_table_remove (entry->flows, *handle);
+  plane_count (plane, GALENA_PLANE_TABLE_FULL);
+  return NULL;
+}
+
+void
+entry_flow_remove (struct galena_plane *plane, struct galena_handle handle)
+{
+  struct entry_tables *entry = plane->entry;
+  struct entry_flow *flow = entry_flow (plane, handle);
+
+  if (flow == NULL)
+    return;
+  entry_opening_end (plane, flow);
+  entry_search_end (plane, flow);
+  galena_map_remove (entry->flows_by_key,
+                     plane_flow_hash (entry->flows_by_key, flow->key));
+  galena_table_remove (entry->flows, handle);
+}
+
+void
+entry_flow_reset (struct galena_plane *plane, struct galena_handle handle,
+                  enum galena_result reason)
+{
+  const struct entry_flow *flow = entry_flow (plane, handle);
+  const struct upstream_row *owner;
+
+  if (flow == NULL)
+    return;
+  owner = entry_upstream (plane, flow->owner);
+  plane_send_reset (plane, flow->key, flow->acknowledged);
+  plane_note (plane,
+              (struct galena_plane_note){
+                  .event = GALENA_EVENT_RESET,
+                  .flow = flow->key,
+                  .agent = owner != NULL ? owner->agent
+                                         : (struct galena_endpoint){ 0, 0 },
+                  .version = plane->entry->version,
+                  .result = reason,
+                  .age_ms = galena_clock_between (flow->began, plane->now),
+                  .detail = flow->try_count });
+  entry_flow_remove (plane, handle);
+}
+
+void
+entry_flow_settle (struct galena_plane *plane, struct entry_flow *flow,
+                   struct galena_handle owner)
+{
+  entry_opening_end (plane, flow);
+  entry_search_end (plane, flow);
+  flow->state = FLOW_OPEN;
+  flow->owner = owner;
+}
+
+void
+entry_flow_send (struct galena_plane *plane, const struct entry_flow *flow,
+                 struct galena_handle handle, enum galena_peer_type type,
+                 const uint8_t *bytes, uint32_t size)
+{
+  const struct upstream_row *upstream = entry_upstream (plane, handle);
+  struct galena_peer_message message
+      = { .type = type, .flow = flow->key, .bytes = bytes, .size = size };
+
+  if (upstream == NULL)
+    return;
+  message.slots = upstream->slots;
+  plane_send_message (plane, upstream->agent, &message);
+}
+
+/* Returns the try whose sequence numbers the caller acknowledges, or the last
+   one when none is known to have accepted.  */
+static const struct flow_try *
+acknowledged_try (const struct entry_flow *flow, uint32_t acknowledged)
+{
+  const struct flow_try *best = NULL;
+
+  for (uint32_t i = 0; i < flow->try_count; i++)
+    {
+      const struct flow_try *at = &flow->tries[i];
+
+      if (at->accepted
+          && (best == NULL
+              || acknowledged - at->sequence < acknowledged - best->sequence))
+        best = at;
+    }
+  if (best == NULL && flow->try_count > 0)
+    best = &flow->tries[flow->try_count - 1];
+  return best;
+}
+
+/* The first packet after the opening one: the flow is open at the upstream
+   that it acknowledges.  */
+static void
+settle_opening (struct galena_plane *plane, struct entry_flow *flow,
+                const struct galena_packet *packet)
+{
+  const struct flow_try *opened
+      = acknowledged_try (flow, packet->acknowledged);
+
+  if (opened != NULL)
+    entry_flow_settle (plane, flow, opened->upstream);
+}
+
+static void
+send_to_owner (struct galena_plane *plane, struct galena_handle handle,
+               const struct galena_packet *packet)
+{
+  struct entry_flow *flow = entry_flow (plane, handle);
+  const struct upstream_row *owner = entry_upstream (plane, flow->owner);
+
+  if (owner == NULL || entry_is_gone (plane, owner))
+    {
+      if (packet->data_size > 0 || (packet->flags & GALENA_PACKET_ENDS) != 0)
+        entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
+      return;
+    }
+  entry_flow_send (plane, flow, flow->owner, GALENA_PEER_FORWARD,
+                   packet->bytes, packet->size);
+}
+
+static void
+take_flow_packet (struct galena_plane *plane, struct galena_handle handle,
+                  const struct galena_packet *packet)
+{
+  struct entry_flow *flow = entry_flow (plane, handle);
+
+  flow->active = plane->now;
+  if ((packet->flags & GALENA_PACKET_ACKNOWLEDGES) != 0)
+    flow->acknowledged = packet->acknowledged;
+  if ((packet->flags & (GALENA_PACKET_ENDS | GALENA_PACKET_RESETS)) != 0)
+    flow->ended = true;
+  if (flow->state == FLOW_OPENING)
+    settle_opening (plane, flow, packet);
+  if (flow->state == FLOW_OPEN)
+    send_to_owner (plane, handle, packet);
+  else
+    entry_search_packet (plane, handle, packet->bytes, packet->size);
+}
+
+/* Takes a packet of a flow that is not known here.  */
+static void
+take_stray_packet (struct galena_plane *plane, struct galena_flow_key key,
+                   const struct galena_packet *packet)
+{
+  struct galena_handle handle;
+  struct entry_flow *flow;
+
+  if ((packet->flags & GALENA_PACKET_RESETS) != 0)
+    return;
+  flow = add_flow (plane, key, &handle);
+  if (flow == NULL)
+    return;
+  flow->acknowledged = packet->acknowledged;
+  flow->ended = (packet->flags & GALENA_PACKET_ENDS) != 0;
+  entry_seek (plane, handle, packet->bytes, packet->size);
+}
+
+/* Tells whether KEY has a route; without one its caller is sent a reset, also
+   when the flow is open: the configuration dropped it.  */
+static bool
+has_route (struct galena_plane *plane, struct galena_flow_key key,
+           struct galena_handle handle, const struct galena_packet *packet)
+{
+  if (plane->directory == NULL
+      || galena_directory_version (plane->directory) == 0)
+    {
+      plane_count (plane, GALENA_PLANE_NO_CONFIG);
+      return false;
+    }
+  if (galena_directory_route (plane->directory, key.service) != NULL)
+    return true;
+  plane_count (plane, GALENA_PLANE_NO_ROUTE);
+  if (entry_flow (plane, handle) != NULL)
+    entry_flow_reset (plane, handle, GALENA_REFUSED_NO_SERVICE);
+  else if ((packet->flags & GALENA_PACKET_RESETS) == 0)
+    plane_send_reset (plane, key, packet->acknowledged);
+  return false;
+}
+
+void
+entry_take_packet (struct galena_plane *plane,
+                   const struct galena_packet *packet)
+{
+  struct galena_flow_key key = { packet->source, packet->destination };
+  struct galena_handle handle = { 0, 0 };
+  struct entry_flow *flow;
+
+  plane_count (plane, GALENA_PLANE_FROM_CALLERS);
+  if (galena_packet_is_accept (packet)
+      || (packet->flags & GALENA_PACKET_RETURNED) != 0)
+    {
+      plane_count (plane, GALENA_PLANE_UNEXPECTED);
+      return;
+    }
+  flow = entry_flow_find (plane, key, &handle);
+  if (!has_route (plane, key, handle, packet))
+    return;
+  if (!galena_packet_is_open (packet))
+    {
+      if (flow != NULL)
+        take_flow_packet (plane, handle, packet);
+      else
+        take_stray_packet (plane, key, packet);
+      return;
+    }
+  if (flow == NULL)
+    {
+      plane_count (plane, GALENA_PLANE_OPENS);
+      flow = add_flow (plane, key, &handle);
+    }
+  if (flow != NULL)
+    entry_take_open (plane, flow, handle, packet);
+}
+
+/* Returns the milliseconds without a packet after which FLOW is forgotten.  */
+static int64_t
+linger_ms (const struct galena_plane *plane, const struct entry_flow *flow)
+{
+  if (flow->state == FLOW_OPENING)
+    return OPENING_LINGER_MS;
+  return flow->ended ? ENDED_LINGER_MS : plane->options.flow_idle_ms;
+}
+
+void
+entry_run_expire (struct galena_plane *plane)
+{
+  struct entry_flow *flow;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((flow = galena_table_next (plane->entry->flows, &cursor, &handle))
+         != NULL)
+    if (galena_clock_between (flow->active, plane->now)
+        > linger_ms (plane, flow))
+      entry_flow_remove (plane, handle);
+}
--- /dev/null
+++ b/packages/flows/src/entry_open.c
@@ -0,0 +1,232 @@
+/* Opens: to one upstream, and to another when it refuses or is silent.  */
+
+#include <string.h>
+
+#include "entry_tables.h"
+
+enum
+{
+  /* An open without a reply goes to another upstream after so long: forty
+     times the way between two availability zones, and before the caller's
+     first copy.  */
+  OPEN_PATIENCE_MS = 60
+};
+
+/* Keeps PACKET to be sent again.  */
+static void
+keep_open (struct galena_plane *plane, struct entry_flow *flow,
+           struct galena_handle handle, galena_service_key service,
+           const struct galena_packet *packet)
+{
+  struct opening_row *opening;
+
+  if (packet->size > GALENA_OPENING_BYTES)
+    return;
+  opening = galena_table_insert (plane->entry->openings, &flow->opening);
+  if (opening == NULL)
+    {
+      plane_count (plane, GALENA_PLANE_TABLE_FULL);
+      return;
+    }
+  opening->flow = handle;
+  opening->service = service;
+  opening->size = packet->size;
+  memcpy (opening->bytes, packet->bytes, packet->size);
+}
+
+void
+entry_opening_end (struct galena_plane *plane, struct entry_flow *flow)
+{
+  if (!galena_handle_is_none (flow->opening))
+    galena_table_remove (plane->entry->openings, flow->opening);
+  flow->opening = (struct galena_handle){ 0, 0 };
+}
+
+/* Sends the kept open of FLOW to the upstream that HANDLE names.  */
+static void
+send_open (struct galena_plane *plane, const struct entry_flow *flow,
+           struct galena_handle handle)
+{
+  const struct upstream_row *upstream = entry_upstream (plane, handle);
+  struct opening_row *opening
+      = galena_table_get (plane->entry->openings, flow->opening);
+  struct galena_departure *departure;
+
+  if (upstream == NULL || opening == NULL)
+    return;
+  departure = plane_depart (plane);
+  if (departure == NULL)
+    return;
+  departure->kind = GALENA_DEPARTURE_MESSAGE;
+  departure->link = GALENA_LINK_PEER;
+  departure->peer = upstream->agent;
+  departure->message.type = GALENA_PEER_OPEN;
+  departure->message.role = plane->options.role;
+  departure->message.flow = flow->key;
+  departure->message.service = opening->service;
+  departure->message.slots = upstream->slots;
+  departure->kept_size = opening->size;
+  memcpy (departure->kept, opening->bytes, opening->size);
+  opening->sent = plane->now;
+}
+
+/* Sends the open of FLOW to an upstream that it was not sent to; false when
+   there is none.  */
+static bool
+try_another (struct galena_plane *plane, struct entry_flow *flow)
+{
+  const struct opening_row *opening
+      = galena_table_get (plane->entry->openings, flow->opening);
+  struct galena_handle chosen;
+
+  if (opening == NULL || flow->try_count == ENTRY_TRIES_MAX
+      || !entry_choose (plane, opening->service, flow, &chosen))
+    return false;
+  if (flow->try_count > 0)
+    plane_count (plane, GALENA_PLANE_RETRIED);
+  flow->tries[flow->try_count++] = (struct flow_try){ .upstream = chosen };
+  flow->owner = chosen;
+  entry_upstream (plane, chosen)->placed++;
+  send_open (plane, flow, chosen);
+  return true;
+}
+
+void
+entry_take_open (struct galena_plane *plane, struct entry_flow *flow,
+                 struct galena_handle handle,
+                 const struct galena_packet *packet)
+{
+  const struct galena_route *route;
+
+  flow->active = plane->now;
+  if (flow->try_count > 0 && flow->state == FLOW_OPENING)
+    {
+      /* A copy: openings without a reply are tried elsewhere by the system,
+         and this one's reply may be lost.  */
+      if (!galena_handle_is_none (flow->opening))
+        send_open (plane, flow, flow->owner);
+      return;
+    }
+  if (flow->state == FLOW_OPEN)
+    {
+      entry_flow_send (plane, flow, flow->owner, GALENA_PEER_FORWARD,
+                       packet->bytes, packet->size);
+      return;
+    }
+  route = galena_directory_route (plane->directory, flow->key.service);
+  keep_open (plane, flow, handle, entry_share_of (route, flow->key), packet);
+  if (!try_another (plane, flow))
+    entry_flow_reset (plane, handle, GALENA_REFUSED_NO_UPSTREAM);
+}
+
+static struct flow_try *
+find_try (struct entry_flow *flow, struct galena_handle upstream)
+{
+  for (uint32_t i = 0; i < flow->try_count; i++)
+    if (galena_handle_pack (flow->tries[i].upstream)
+        == galena_handle_pack (upstream))
+      return &flow->tries[i];
+  return NULL;
+}
+
+static struct galena_plane_note
+note_of (const struct galena_plane *plane, enum galena_plane_event event,
+         const struct entry_flow *flow, const struct upstream_row *upstream)
+{
+  return (struct galena_plane_note){
+    .event = event,
+    .flow = flow->key,
+    .agent = upstream->agent,
+    .version = plane->entry->version,
+    .age_ms = galena_clock_between (flow->began, plane->now),
+    .detail = upstream->load.running,
+  };
+}
+
+void
+entry_take_opened (struct galena_plane *plane, struct galena_endpoint peer,
+                   const struct galena_peer_message *message)
+{
+  struct galena_handle at;
+  struct galena_handle handle;
+  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
+  struct flow_try *try;
+
+  if (upstream == NULL || flow == NULL)
+    return;
+  try = find_try (flow, at);
+  if (try == NULL || try->accepted)
+    return;
+  try->accepted = true;
+  try->sequence = message->sequence;
+  plane_count (plane, GALENA_PLANE_OPENED);
+  plane_note (plane, note_of (plane, GALENA_EVENT_OPENED, flow, upstream));
+}
+
+/* Tells whether an upstream of FLOW has accepted it.  */
+static bool
+is_accepted (const struct entry_flow *flow)
+{
+  for (uint32_t i = 0; i < flow->try_count; i++)
+    if (flow->tries[i].accepted)
+      return true;
+  return false;
+}
+
+void
+entry_take_refused (struct galena_plane *plane, struct galena_endpoint peer,
+                    const struct galena_peer_message *message)
+{
+  struct galena_handle at;
+  struct galena_handle handle;
+  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
+  struct galena_plane_note note;
+
+  if (upstream == NULL || flow == NULL || flow->state != FLOW_OPENING
+      || find_try (flow, at) == NULL)
+    return;
+  plane_count (plane, GALENA_PLANE_REFUSED);
+  note = note_of (plane, GALENA_EVENT_REFUSED, flow, upstream);
+  note.result = message->result;
+  plane_note (plane, note);
+  if (galena_handle_pack (flow->owner) != galena_handle_pack (at)
+      || is_accepted (flow))
+    return;
+  if (!try_another (plane, flow))
+    entry_flow_reset (plane, handle, message->result);
+}
+
+void
+entry_run_openings (struct galena_plane *plane)
+{
+  struct opening_row *opening;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while (
+      (opening = galena_table_next (plane->entry->openings, &cursor, &handle))
+      != NULL)
+    {
+      struct entry_flow *flow = entry_flow (plane, opening->flow);
+      const struct upstream_row *upstream;
+
+      if (flow == NULL || is_accepted (flow))
+        {
+          if (flow == NULL)
+            galena_table_remove (plane->entry->openings, handle);
+          continue;
+        }
+      if (galena_clock_between (opening->sent, plane->now) < OPEN_PATIENCE_MS)
+        continue;
+      upstream = entry_upstream (plane, flow->owner);
+      if (upstream != NULL)
+        plane_note (plane,
+                    note_of (plane, GALENA_EVENT_UNANSWERED, flow, upstream));
+      entry_suspect (plane, flow->owner);
+      /* After the last try the caller's own copies go on.  */
+      if (!try_another (plane, flow))
+        opening->sent = plane->now;
+    }
+}
--- /dev/null
+++ b/packages/flows/src/entry_search.c
@@ -0,0 +1,246 @@
+/* The search for a flow's owner: all agents that may own it are asked, and
+   each says whether its upstream holds the flow.  */
+
+#include "entry_tables.h"
+
+enum
+{
+  /* Upstreams of other services are asked after so long: a route may have
+     gone to another service while the flow stayed.  */
+  WIDEN_MS = 100
+};
+
+static struct search_row *
+search_of (const struct galena_plane *plane, const struct entry_flow *flow)
+{
+  return galena_table_get (plane->entry->searches, flow->search);
+}
+
+void
+entry_search_end (struct galena_plane *plane, struct entry_flow *flow)
+{
+  if (!galena_handle_is_none (flow->search))
+    galena_table_remove (plane->entry->searches, flow->search);
+  flow->search = (struct galena_handle){ 0, 0 };
+}
+
+static bool
+is_denied (const struct search_row *search, struct galena_handle upstream)
+{
+  return (search->denied[upstream.index / 64] >> (upstream.index % 64)) & 1;
+}
+
+static void
+deny (struct search_row *search, struct galena_handle upstream)
+{
+  search->denied[upstream.index / 64] |= UINT64_C (1) << (upstream.index % 64);
+}
+
+/* Tells whether SERVICE takes flows of the route at ADDRESS.  */
+static bool
+is_routed (const struct galena_plane *plane, struct galena_endpoint address,
+           galena_service_key service)
+{
+  const struct galena_route *route
+      = plane->directory == NULL
+            ? NULL
+            : galena_directory_route (plane->directory, address);
+
+  if (route == NULL)
+    return false;
+  for (uint32_t i = 0; i < route->share_count; i++)
+    if (route->shares[i].service == service)
+      return true;
+  return false;
+}
+
+/* Sends BYTES to all that may own FLOW; returns how many these are.  */
+static uint32_t
+ask_all (struct galena_plane *plane, const struct entry_flow *flow,
+         const struct search_row *search, const uint8_t *bytes, uint32_t size)
+{
+  const struct upstream_row *upstream;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint32_t asked = 0;
+
+  while ((upstream
+          = galena_table_next (plane->entry->upstreams, &cursor, &handle))
+         != NULL)
+    {
+      if (is_denied (search, handle) || entry_is_gone (plane, upstream)
+          || (!search->wide
+              && !is_routed (plane, flow->key.service,
+                             entry_service_of (upstream))))
+        continue;
+      asked++;
+      if (bytes != NULL)
+        entry_flow_send (plane, flow, handle, GALENA_PEER_FIND, bytes, size);
+    }
+  return asked;
+}
+
+void
+entry_search_packet (struct galena_plane *plane, struct galena_handle handle,
+                     const uint8_t *bytes, uint32_t size)
+{
+  const struct entry_flow *flow = entry_flow (plane, handle);
+  struct search_row *search = search_of (plane, flow);
+
+  if (search == NULL)
+    {
+      entry_seek (plane, handle, bytes, size);
+      return;
+    }
+  if (galena_clock_between (search->began, plane->now) >= WIDEN_MS)
+    search->wide = true;
+  if (ask_all (plane, flow, search, bytes, size) > 0)
+    return;
+  if (!search->wide)
+    {
+      search->wide = true;
+      if (ask_all (plane, flow, search, bytes, size) > 0)
+        return;
+    }
+  entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
+}
+
+void
+entry_seek (struct galena_plane *plane, struct galena_handle handle,
+            const uint8_t *bytes, uint32_t size)
+{
+  struct entry_flow *flow = entry_flow (plane, handle);
+  struct search_row *search;
+
+  entry_opening_end (plane, flow);
+  entry_search_end (plane, flow);
+  flow->state = FLOW_SOUGHT;
+  search = galena_table_insert (plane->entry->searches, &flow->search);
+  if (search == NULL)
+    {
+      plane_count (plane, GALENA_PLANE_TABLE_FULL);
+      entry_flow_remove (plane, handle);
+      return;
+    }
+  search->flow = handle;
+  search->began = plane->now;
+  plane_count (plane, GALENA_PLANE_SOUGHT);
+  plane_note (plane,
+              (struct galena_plane_note){
+                  .event = GALENA_EVENT_SOUGHT,
+                  .flow = flow->key,
+                  .version = plane->entry->version,
+                  .age_ms = galena_clock_between (flow->began, plane->now),
+                  .detail = galena_table_count (plane->entry->upstreams) });
+  if (bytes != NULL)
+    entry_search_packet (plane, handle, bytes, size);
+}
+
+void
+entry_take_owned (struct galena_plane *plane, struct galena_endpoint peer,
+                  const struct galena_peer_message *message)
+{
+  struct galena_handle at;
+  struct galena_handle handle;
+  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
+
+  if (upstream == NULL || flow == NULL || flow->state != FLOW_SOUGHT)
+    return;
+  plane_count (plane, GALENA_PLANE_FOUND);
+  plane_note (plane,
+              (struct galena_plane_note){
+                  .event = GALENA_EVENT_FOUND,
+                  .flow = flow->key,
+                  .agent = peer,
+                  .version = plane->entry->version,
+                  .age_ms = galena_clock_between (flow->began, plane->now) });
+  entry_flow_settle (plane, flow, at);
+}
+
+/* The presumed owner does not hold FLOW: another upstream that accepted it
+   does, or it is looked for.  */
+static void
+leave_owner (struct galena_plane *plane, struct galena_handle handle,
+             struct galena_handle disowner, const uint8_t *bytes,
+             uint32_t size)
+{
+  struct entry_flow *flow = entry_flow (plane, handle);
+  struct search_row *search;
+
+  for (uint32_t i = 0; i < flow->try_count; i++)
+    {
+      struct flow_try *try = &flow->tries[i];
+
+      if (galena_handle_pack (try->upstream) == galena_handle_pack (disowner))
+        try->accepted = false;
+    }
+  for (uint32_t i = 0; i < flow->try_count; i++)
+    if (flow->tries[i].accepted
+        && entry_upstream (plane, flow->tries[i].upstream) != NULL)
+      {
+        flow->owner = flow->tries[i].upstream;
+        entry_flow_send (plane, flow, flow->owner, GALENA_PEER_FORWARD, bytes,
+                         size);
+        return;
+      }
+  entry_seek (plane, handle, NULL, 0);
+  flow = entry_flow (plane, handle);
+  if (flow == NULL)
+    return;
+  search = search_of (plane, flow);
+  deny (search, disowner);
+  entry_search_packet (plane, handle, bytes, size);
+}
+
+void
+entry_take_disowned (struct galena_plane *plane, struct galena_endpoint peer,
+                     const struct galena_peer_message *message)
+{
+  struct galena_handle at;
+  struct galena_handle handle;
+  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
+  struct search_row *search;
+
+  if (upstream == NULL || flow == NULL)
+    return;
+  if (flow->state == FLOW_OPEN)
+    {
+      if (galena_handle_pack (flow->owner) == galena_handle_pack (at)
+          && message->bytes != NULL)
+        leave_owner (plane, handle, at, message->bytes, message->size);
+      return;
+    }
+  search = search_of (plane, flow);
+  if (flow->state != FLOW_SOUGHT || search == NULL)
+    return;
+  deny (search, at);
+  if (ask_all (plane, flow, search, NULL, 0) == 0)
+    entry_search_packet (plane, handle, message->bytes, message->size);
+}
+
+void
+entry_take_lost (struct galena_plane *plane, struct galena_endpoint peer,
+                 const struct galena_peer_message *message)
+{
+  struct galena_handle at;
+  struct galena_handle handle;
+  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  const struct entry_flow *flow
+      = entry_flow_find (plane, message->flow, &handle);
+
+  if (upstream == NULL || flow == NULL
+      || (flow->state == FLOW_OPEN
+          && galena_handle_pack (flow->owner) != galena_handle_pack (at)))
+    return;
+  plane_count (plane, GALENA_PLANE_LOST);
+  plane_note (plane,
+              (struct galena_plane_note){
+                  .event = GALENA_EVENT_LOST,
+                  .flow = flow->key,
+                  .agent = peer,
+                  .version = plane->entry->version,
+                  .age_ms = galena_clock_between (flow->began, plane->now) });
+  entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
+}
--- /dev/null
+++ b/packages/flows/src/entry_tables.h
@@ -0,0 +1,253 @@
+/* The tables of an entry's plane: upstreams, flows, opens without a reply and
+   searches for owners.  */
+
+#ifndef GALENAFORD_ENTRY_TABLES_H
+#define GALENAFORD_ENTRY_TABLES_H
+
+#include "plane_private.h"
+
+enum
+{
+  /* Most upstreams that an entry knows: those of the largest deployment
+     planned for, with room for a replacement of a third of them.  */
+  ENTRY_UPSTREAMS_MAX = 4096,
+  ENTRY_OPENINGS_MAX = 4096,
+  ENTRY_SEARCHES_MAX = 1024,
+  /* Most upstreams that one open is sent to.  */
+  ENTRY_TRIES_MAX = 4,
+  SEARCH_WORDS = ENTRY_UPSTREAMS_MAX / 64
+};
+
+/* What an entry knows of one upstream and the agent beside it.  */
+struct upstream_row
+{
+  struct galena_endpoint agent;
+  /* Service as published, and as the agent itself says; 0 when unknown.  */
+  galena_service_key listed_service;
+  galena_service_key announced_service;
+  enum galena_listing listing;
+  /* Directory that named it last, and since when none does.  */
+  uint64_t directory;
+  struct galena_clock absent_since;
+  uint64_t born_ms;
+  uint32_t slots;
+  struct galena_clock warm_at;
+  /* When the agent was last heard; ms 0 when never.  */
+  struct galena_clock heard;
+  struct galena_load load;
+  /* Flows sent to it since the load was told.  */
+  uint32_t placed;
+  /* Avoided until then, since an open was left unanswered.  */
+  struct galena_clock suspect_until;
+};
+
+enum flow_state
+{
+  /* An open was sent, and no packet of the open flow was seen.  */
+  FLOW_OPENING,
+  /* Packets go to the owner.  */
+  FLOW_OPEN,
+  /* The owner is looked for.  */
+  FLOW_SOUGHT
+};
+
+/* An upstream that a flow's open was sent to.  */
+struct flow_try
+{
+  struct galena_handle upstream;
+  bool accepted;
+  /* The upstream's first sequence number, once accepted.  */
+  uint32_t sequence;
+};
+
+struct entry_flow
+{
+  struct galena_flow_key key;
+  enum flow_state state;
+  /* Caller closed or reset it.  */
+  bool ended;
+  struct galena_handle owner;
+  struct flow_try tries[ENTRY_TRIES_MAX];
+  uint32_t try_count;
+  /* What the caller acknowledged last.  */
+  uint32_t acknowledged;
+  struct galena_clock began;
+  struct galena_clock active;
+  /* Rows of the other tables, or none.  */
+  struct galena_handle opening;
+  struct galena_handle search;
+};
+
+/* An open that no agent has answered yet.  */
+struct opening_row
+{
+  struct galena_handle flow;
+  galena_service_key service;
+  struct galena_clock sent;
+  uint32_t size;
+  uint8_t bytes[GALENA_OPENING_BYTES];
+};
+
+/* A search for a flow's owner.  */
+struct search_row
+{
+  struct galena_handle flow;
+  struct galena_clock began;
+  /* Whether upstreams of all services are asked.  */
+  bool wide;
+  /* Bit of each upstream that does not hold the flow, by its row.  */
+  uint64_t denied[SEARCH_WORDS];
+};
+
+/* How an upstream is chosen for a new flow.  */
+struct choice_policy
+{
+  const char *name;
+  /* Returns the cost of sending one more flow to UPSTREAM; the least one
+     wins.  */
+  double (*cost) (const struct galena_plane *plane,
+                  const struct upstream_row *upstream);
+  /* Upstreams drawn at random for each flow; 0 compares all.  */
+  uint32_t draws;
+};
+
+struct entry_tables
+{
+  struct galena_table *upstreams;
+  struct galena_map *upstreams_by_ip;
+  struct galena_table *flows;
+  struct galena_map *flows_by_key;
+  struct galena_table *openings;
+  struct galena_table *searches;
+  const struct choice_policy *choice;
+  /* Directory that the rows were last compared with.  */
+  uint64_t directory;
+  uint64_t version;
+  /* Where the next round of hellos begins.  */
+  uint32_t hello_cursor;
+};
+
+/* entry_upstreams.c */
+
+struct upstream_row *entry_upstream (const struct galena_plane *plane,
+                                     struct galena_handle handle);
+
+/* Returns the row of the agent at PEER and its handle, or NULL.  */
+struct upstream_row *entry_upstream_at (const struct galena_plane *plane,
+                                        uint32_t ip,
+                                        struct galena_handle *handle);
+
+/* Returns the service that UPSTREAM belongs to; its agent's word goes before
+   the published one.  */
+galena_service_key entry_service_of (const struct upstream_row *upstream);
+
+/* Tells whether UPSTREAM is certain to hold no flow any more.  */
+bool entry_is_gone (const struct galena_plane *plane,
+                    const struct upstream_row *upstream);
+
+/* Takes the load in MESSAGE and notes that its agent was heard.  Returns the
+   agent's row, made when there was none; NULL when the table is full.  */
+struct upstream_row *entry_hear (struct galena_plane *plane,
+                                 struct galena_endpoint peer,
+                                 const struct galena_peer_message *message,
+                                 struct galena_handle *handle);
+
+/* Avoids the upstream that HANDLE names for a while.  */
+void entry_suspect (struct galena_plane *plane, struct galena_handle handle);
+
+/* Systems.  */
+void entry_run_directory (struct galena_plane *plane);
+void entry_run_hello (struct galena_plane *plane);
+
+/* entry_choice.c */
+
+/* Returns the policy with NAME, the default for NULL; NULL when unknown.  */
+const struct choice_policy *entry_choice_named (const char *name);
+
+/* Chooses an upstream of SERVICE for a new flow, none of those that FLOW has
+   tried.  False when there is none.  */
+bool entry_choose (struct galena_plane *plane, galena_service_key service,
+                   const struct entry_flow *flow,
+                   struct galena_handle *chosen);
+
+/* Returns the service that takes new flow KEY on ROUTE.  */
+galena_service_key entry_share_of (const struct galena_route *route,
+                                   struct galena_flow_key key);
+
+/* entry_flows.c */
+
+struct entry_flow *entry_flow (const struct galena_plane *plane,
+                               struct galena_handle handle);
+struct entry_flow *entry_flow_find (const struct galena_plane *plane,
+                                    struct galena_flow_key key,
+                                    struct galena_handle *handle);
+void entry_flow_remove (struct galena_plane *plane,
+                        struct galena_handle handle);
+
+/* Sends a reset to the caller of the flow that HANDLE names and forgets it. */
+void entry_flow_reset (struct galena_plane *plane, struct galena_handle handle,
+                       enum galena_result reason);
+
+/* Makes the upstream that OWNER names the owner of FLOW.  */
+void entry_flow_settle (struct galena_plane *plane, struct entry_flow *flow,
+                        struct galena_handle owner);
+
+/* Sends BYTES of FLOW to the upstream that HANDLE names as TYPE.  */
+void entry_flow_send (struct galena_plane *plane,
+                      const struct entry_flow *flow,
+                      struct galena_handle handle, enum galena_peer_type type,
+                      const uint8_t *bytes, uint32_t size);
+
+/* Handler of packets from callers.  */
+void entry_take_packet (struct galena_plane *plane,
+                        const struct galena_packet *packet);
+
+/* System: forgets flows without packets.  */
+void entry_run_expire (struct galena_plane *plane);
+
+/* entry_open.c */
+
+/* Takes a packet that opens a flow; FLOW is its row or NULL.  */
+void entry_take_open (struct galena_plane *plane, struct entry_flow *flow,
+                      struct galena_handle handle,
+                      const struct galena_packet *packet);
+
+/* Forgets the opening of FLOW, if any.  */
+void entry_opening_end (struct galena_plane *plane, struct entry_flow *flow);
+
+/* Handlers.  */
+void entry_take_opened (struct galena_plane *plane,
+                        struct galena_endpoint peer,
+                        const struct galena_peer_message *message);
+void entry_take_refused (struct galena_plane *plane,
+                         struct galena_endpoint peer,
+                         const struct galena_peer_message *message);
+
+/* System: tries another upstream for opens without a reply.  */
+void entry_run_openings (struct galena_plane *plane);
+
+/* entry_search.c */
+
+/* Begins to look for the owner of FLOW, for a packet of SIZE BYTES.  */
+void entry_seek (struct galena_plane *plane, struct galena_handle handle,
+                 const uint8_t *bytes, uint32_t size);
+
+/* Sends a packet to all upstreams that may own FLOW, or ends the search with
+   a reset when none can.  */
+void entry_search_packet (struct galena_plane *plane,
+                          struct galena_handle handle, const uint8_t *bytes,
+                          uint32_t size);
+
+/* Forgets the search of FLOW, if any.  */
+void entry_search_end (struct galena_plane *plane, struct entry_flow *flow);
+
+/* Handlers.  */
+void entry_take_owned (struct galena_plane *plane, struct galena_endpoint peer,
+                       const struct galena_peer_message *message);
+void entry_take_disowned (struct galena_plane *plane,
+                          struct galena_endpoint peer,
+                          const struct galena_peer_message *message);
+void entry_take_lost (struct galena_plane *plane, struct galena_endpoint peer,
+                      const struct galena_peer_message *message);
+
+#endif
--- /dev/null
+++ b/packages/flows/src/members.c
@@ -0,0 +1,136 @@
+/* Which entries there are: seeds to begin with, then whoever is heard of.  */
+
+#include "plane_private.h"
+
+enum
+{
+  /* An entry that nobody heard for so long is forgotten: ten hellos.  */
+  MEMBER_EXPIRY_MS = 5000,
+  /* An entry is named to others while it was heard itself this lately.  */
+  MEMBER_NAMED_MS = 2000
+};
+
+static struct member *
+find_member (const struct galena_plane *plane, uint32_t ip,
+             struct galena_handle *handle)
+{
+  uint32_t cursor = 0;
+  struct member *member;
+
+  while ((member = galena_table_next (plane->members, &cursor, handle))
+         != NULL)
+    if (member->address.ip == ip)
+      return member;
+  return NULL;
+}
+
+static struct member *
+find_or_add (struct galena_plane *plane, uint32_t ip)
+{
+  struct galena_handle handle;
+  struct member *member = find_member (plane, ip, &handle);
+
+  if (member == NULL)
+    {
+      member = galena_table_insert (plane->members, &handle);
+      if (member == NULL)
+        return NULL;
+      member->address
+          = (struct galena_endpoint){ ip, plane->options.self.port };
+    }
+  member->known = plane->now;
+  return member;
+}
+
+struct member *
+members_hear (struct galena_plane *plane, struct galena_endpoint address)
+{
+  struct member *member = find_or_add (plane, address.ip);
+
+  if (member != NULL)
+    member->heard = plane->now;
+  return member;
+}
+
+void
+members_learn (struct galena_plane *plane, uint32_t ip)
+{
+  if (ip != 0 && ip != plane->options.self.ip)
+    find_or_add (plane, ip);
+}
+
+/* Replies with entries that were heard lately, from a random one on.  */
+void
+members_take_hello (struct galena_plane *plane, struct galena_endpoint peer,
+                    const struct galena_peer_message *message)
+{
+  struct galena_peer_message reply = { .type = GALENA_PEER_MEMBERS };
+  struct member *member;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  if (message->role == GALENA_ROLE_ENTRY)
+    members_hear (plane, peer);
+  if (plane->options.role != GALENA_ROLE_ENTRY)
+    return;
+  reply.members[reply.member_count++] = plane->options.self.ip;
+  while (reply.member_count < GALENA_PEER_MEMBERS_MAX
+         && (member = galena_table_next (plane->members, &cursor, &handle))
+                != NULL)
+    if (member->heard.ms != 0
+        && galena_clock_between (member->heard, plane->now) < MEMBER_NAMED_MS)
+      reply.members[reply.member_count++] = member->address.ip;
+  plane_send_message (plane, peer, &reply);
+}
+
+void
+members_take_list (struct galena_plane *plane, struct galena_endpoint peer,
+                   const struct galena_peer_message *message)
+{
+  members_hear (plane, peer);
+  for (uint32_t i = 0; i < message->member_count; i++)
+    members_learn (plane, message->members[i]);
+}
+
+void
+members_run (struct galena_plane *plane)
+{
+  struct galena_peer_message hello = { .type = GALENA_PEER_HELLO };
+  struct member *member;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  hello.service = plane->options.service;
+  for (uint32_t i = 0; i < plane->options.seed_count; i++)
+    if (plane->options.seeds[i].ip != plane->options.self.ip)
+      plane_send_message (plane, plane->options.seeds[i], &hello);
+  while ((member = galena_table_next (plane->members, &cursor, &handle))
+         != NULL)
+    if (galena_clock_between (member->known, plane->now) > MEMBER_EXPIRY_MS)
+      galena_table_remove (plane->members, handle);
+}
+
+void
+members_visit (struct galena_plane *plane, uint32_t count,
+               void (*send) (struct galena_plane *plane,
+                             struct member *member))
+{
+  uint32_t left = galena_table_count (plane->members);
+
+  if (left > count)
+    left = count;
+  while (left > 0)
+    {
+      struct galena_handle handle;
+      struct member *member
+          = galena_table_next (plane->members, &plane->member_cursor, &handle);
+
+      if (member == NULL)
+        {
+          plane->member_cursor = 0;
+          continue;
+        }
+      send (plane, member);
+      left--;
+    }
+}
--- /dev/null
+++ b/packages/flows/src/plane.c
@@ -0,0 +1,331 @@
+/* A plane's ticks: handlers of what arrived, then the systems that are due. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "plane_private.h"
+
+enum
+{
+  /* A longer time without a tick counts as a pause: the longest period of a
+     system is a second.  */
+  PAUSE_MS = 1500
+};
+
+static const struct plane_role *const ROLES[GALENA_ROLE_COUNT] = {
+  [GALENA_ROLE_ENTRY] = &entry_plane_role,
+  [GALENA_ROLE_AGENT] = &agent_plane_role,
+};
+
+static const char *const EVENT_WORDS[] = {
+#define EVENT_WORD(name, word, meaning) [name] = word,
+  GALENA_PLANE_EVENTS (EVENT_WORD)
+#undef EVENT_WORD
+};
+
+static const char *const COUNTER_WORDS[] = {
+#define COUNTER_WORD(name, word, meaning) [name] = word,
+  GALENA_PLANE_COUNTERS (COUNTER_WORD)
+#undef COUNTER_WORD
+};
+
+static const char *const COUNTER_MEANINGS[] = {
+#define COUNTER_MEANING(name, word, meaning) [name] = meaning,
+  GALENA_PLANE_COUNTERS (COUNTER_MEANING)
+#undef COUNTER_MEANING
+};
+
+static const char *const PEER_WORDS[GALENA_PEER_TYPE_END] = {
+#define PEER_WORD(name, number, word) [name] = word,
+  GALENA_PEER_TYPES (PEER_WORD)
+#undef PEER_WORD
+};
+
+const char *
+galena_plane_event_word (enum galena_plane_event event)
+{
+  return EVENT_WORDS[event];
+}
+
+const char *
+galena_plane_counter_word (enum galena_plane_counter counter)
+{
+  return COUNTER_WORDS[counter];
+}
+
+const char *
+galena_plane_counter_meaning (enum galena_plane_counter counter)
+{
+  return COUNTER_MEANINGS[counter];
+}
+
+const char *
+galena_peer_word (enum galena_peer_type type)
+{
+  if (type >= GALENA_PEER_TYPE_END || PEER_WORDS[type] == NULL)
+    return "unknown";
+  return PEER_WORDS[type];
+}
+
+enum galena_result
+galena_plane_create (const struct galena_plane_options *options,
+                     struct galena_plane **out)
+{
+  struct galena_table_options members
+      = { sizeof (struct member), PLANE_MEMBERS_MAX };
+  struct galena_plane *plane;
+  enum galena_result result = GALENA_ERR_MEMORY;
+
+  if (options->role >= GALENA_ROLE_COUNT || ROLES[options->role] == NULL
+      || options->flows == 0 || options->messages == 0
+      || options->seed_count > GALENA_PLANE_SEEDS_MAX)
+    return GALENA_ERR_INVALID;
+  plane = calloc (1, sizeof *plane);
+  if (plane == NULL)
+    return GALENA_ERR_MEMORY;
+  plane->options = *options;
+  plane->role = ROLES[options->role];
+  plane->random = (struct galena_random){ options->seed, 0 };
+  plane->arrivals = calloc (options->messages, sizeof *plane->arrivals);
+  plane->departures = calloc (options->messages, sizeof *plane->departures);
+  if (plane->arrivals == NULL || plane->departures == NULL)
+    goto fail;
+  result = galena_table_create (&members, &plane->members);
+  if (result != GALENA_OK)
+    goto fail;
+  result = plane->role->create (plane);
+  if (result != GALENA_OK)
+    goto fail;
+  *out = plane;
+  return GALENA_OK;
+
+fail:
+  galena_plane_destroy (plane);
+  return result;
+}
+
+void
+galena_plane_destroy (struct galena_plane *plane)
+{
+  if (plane == NULL)
+    return;
+  plane->role->destroy (plane);
+  galena_table_destroy (plane->members);
+  free (plane->arrivals);
+  free (plane->departures);
+  free (plane);
+}
+
+struct galena_arrival *
+galena_plane_arrival (struct galena_plane *plane)
+{
+  if (plane->arrival_count == plane->options.messages)
+    return NULL;
+  return &plane->arrivals[plane->arrival_count];
+}
+
+void
+galena_plane_push (struct galena_plane *plane)
+{
+  plane->arrival_count++;
+}
+
+struct galena_departure *
+plane_depart (struct galena_plane *plane)
+{
+  struct galena_departure *departure;
+
+  if (plane->departure_count == plane->options.messages)
+    {
+      plane_count (plane, GALENA_PLANE_UNSENT);
+      return NULL;
+    }
+  departure = &plane->departures[plane->departure_count++];
+  memset (departure, 0, offsetof (struct galena_departure, kept));
+  return departure;
+}
+
+void
+plane_send_packet (struct galena_plane *plane, enum galena_link link,
+                   const struct galena_packet *packet)
+{
+  struct galena_departure *departure = plane_depart (plane);
+
+  if (departure == NULL)
+    return;
+  departure->kind = GALENA_DEPARTURE_PACKET;
+  departure->link = link;
+  departure->peer = packet->destination;
+  departure->bytes = packet->bytes;
+  departure->size = packet->size;
+}
+
+void
+plane_send_message (struct galena_plane *plane, struct galena_endpoint peer,
+                    const struct galena_peer_message *message)
+{
+  struct galena_departure *departure = plane_depart (plane);
+
+  if (departure == NULL)
+    return;
+  departure->kind = GALENA_DEPARTURE_MESSAGE;
+  departure->link = GALENA_LINK_PEER;
+  departure->peer = peer;
+  departure->message = *message;
+  departure->message.role = plane->options.role;
+}
+
+void
+plane_send_reset (struct galena_plane *plane, struct galena_flow_key flow,
+                  uint32_t sequence)
+{
+  struct galena_departure *departure = plane_depart (plane);
+
+  if (departure == NULL)
+    return;
+  departure->kind = GALENA_DEPARTURE_RESET;
+  departure->link = GALENA_LINK_CALLER;
+  departure->peer = flow.caller;
+  departure->flow = flow;
+  departure->sequence = sequence;
+  plane_count (plane, GALENA_PLANE_RESETS);
+}
+
+void
+plane_note (struct galena_plane *plane, struct galena_plane_note note)
+{
+  if (plane->note_count < PLANE_NOTES_MAX)
+    plane->notes[plane->note_count++] = note;
+}
+
+uint64_t
+plane_flow_hash (const struct galena_map *map, struct galena_flow_key flow)
+{
+  uint64_t packed[2] = {
+    ((uint64_t)flow.caller.ip << 16) | flow.caller.port,
+    ((uint64_t)flow.service.ip << 16) | flow.service.port,
+  };
+
+  return galena_map_hash (map, packed, sizeof packed);
+}
+
+static void
+take_arrival (struct galena_plane *plane, const struct galena_arrival *arrival)
+{
+  if (arrival->link == GALENA_LINK_PEER)
+    {
+      plane_message_handler *handler
+          = plane->role->messages[arrival->message.type];
+
+      plane_count (plane, GALENA_PLANE_FROM_PEERS);
+      if (handler != NULL)
+        handler (plane, arrival->peer, &arrival->message);
+      else
+        plane_count (plane, GALENA_PLANE_UNEXPECTED);
+      return;
+    }
+  if (plane->role->packets[arrival->link] != NULL)
+    plane->role->packets[arrival->link](plane, &arrival->packet);
+  else
+    plane_count (plane, GALENA_PLANE_UNEXPECTED);
+}
+
+/* Sets the time of the tick.  */
+static void
+move_clock (struct galena_plane *plane, struct galena_clock now)
+{
+  int64_t gap_ms = galena_clock_between (plane->now, now);
+  bool first = plane->now.ms == 0;
+
+  plane->now = now;
+  if (first || gap_ms < PAUSE_MS)
+    return;
+  plane_note (plane, (struct galena_plane_note){ .event = GALENA_EVENT_WOKE,
+                                                 .age_ms = gap_ms });
+  plane->role->wake (plane, gap_ms);
+}
+
+void
+galena_plane_tick (struct galena_plane *plane, struct galena_clock now,
+                   const struct galena_directory *directory)
+{
+  plane->departure_count = 0;
+  plane->note_count = 0;
+  plane->directory = directory;
+  move_clock (plane, now);
+  plane_count (plane, GALENA_PLANE_TICKS);
+  for (uint32_t i = 0; i < plane->arrival_count; i++)
+    take_arrival (plane, &plane->arrivals[i]);
+  plane->arrival_count = 0;
+  for (uint32_t i = 0; i < plane->role->system_count; i++)
+    {
+      const struct plane_system *system = &plane->role->systems[i];
+
+      if (!galena_clock_reached (now, plane->due[i]))
+        continue;
+      system->run (plane);
+      plane->due[i] = galena_clock_after (now, system->period_ms);
+    }
+  plane->directory = NULL;
+}
+
+uint32_t
+galena_plane_departure_count (const struct galena_plane *plane)
+{
+  return plane->departure_count;
+}
+
+const struct galena_departure *
+galena_plane_departure (const struct galena_plane *plane, uint32_t index)
+{
+  return &plane->departures[index];
+}
+
+uint32_t
+galena_plane_note_count (const struct galena_plane *plane)
+{
+  return plane->note_count;
+}
+
+const struct galena_plane_note *
+galena_plane_note_at (const struct galena_plane *plane, uint32_t index)
+{
+  return &plane->notes[index];
+}
+
+struct galena_clock
+galena_plane_due (const struct galena_plane *plane)
+{
+  struct galena_clock first = { INT64_MAX };
+
+  for (uint32_t i = 0; i < plane->role->system_count; i++)
+    if (plane->role->systems[i].period_ms != 0 && plane->due[i].ms < first.ms)
+      first = plane->due[i];
+  return first;
+}
+
+void
+galena_plane_drain (struct galena_plane *plane)
+{
+  plane->draining = true;
+}
+
+void
+galena_plane_count_dropped (struct galena_plane *plane,
+                            enum galena_plane_counter counter, uint32_t count)
+{
+  plane->counters[counter] += count;
+}
+
+uint64_t
+galena_plane_counter_value (const struct galena_plane *plane,
+                            enum galena_plane_counter counter)
+{
+  return plane->counters[counter];
+}
+
+uint32_t
+galena_plane_flow_count (const struct galena_plane *plane)
+{
+  return plane->role->flow_count (plane);
+}
--- a/packages/runtime/include/galenaford/reads.h
+++ b/packages/runtime/include/galenaford/reads.h
@@ -30,6 +30,8 @@
   /* GALENA_ERR_IO, GALENA_ERR_TOO_LARGE, GALENA_ERR_NOT_FOUND for any status
      but 200, or GALENA_OK.  */
   enum galena_result result;
+  /* HTTP status; 0 when there was no answer.  */
+  uint32_t status;
   /* The answer; valid until the next call.  */
   const char *text;
   size_t size;
--- a/packages/runtime/include/galenaford/settings.h
+++ b/packages/runtime/include/galenaford/settings.h
@@ -6,6 +6,7 @@
 #include <stdio.h>
 
 #include <galenaford/config.h>
+#include <galenaford/directory.h>
 #include <galenaford/sync.h>
 #include <galenaford/world.h>
 
@@ -20,11 +21,20 @@
   struct galena_endpoint rows[GALENA_SYNC_SEEDS_MAX];
 };
 
+/* What callers speak.  */
+enum galena_front
+{
+  GALENA_FRONT_MESSAGES,
+  GALENA_FRONT_PACKETS,
+  GALENA_FRONT_COUNT
+};
+
 struct galena_settings
 {
   /* [process] */
   char name[GALENA_NAME_BYTES];
   enum galena_role role;
+  enum galena_front front;
   char zone[GALENA_NAME_BYTES];
   /* [entry] */
   struct galena_endpoint entry_address;
@@ -37,6 +47,15 @@
   uint32_t agent_requests;
   /* 0 keeps the records of all services.  */
   uint32_t agent_service;
+  /* [packets] */
+  struct galena_endpoint packets_address;
+  struct galena_endpoint packets_status;
+  struct galena_endpoint packets_outbound;
+  struct galena_endpoint packets_upstream;
+  char packets_service[GALENA_LABEL_BYTES];
+  uint32_t packets_flows;
+  uint32_t packets_flow_max_s;
+  bool packets_first_start;
   /* [platform] */
   char platform_url[GALENA_SETTING_BYTES];
   uint32_t platform_wait_ms;
--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -1,4 +1,4 @@
-/* Log lines on standard error.  */
+/* Log lines on standard output.  */
 
 #include <pthread.h>
 #include <stdarg.h>
@@ -35,7 +35,7 @@
   if (used < 0)
     return;
   vsnprintf (line + used, sizeof line - (size_t)used - 1, format, arguments);
-  fprintf (stderr, "%s\n", line);
+  printf ("%s\n", line);
 }
 
 static void write_pairs (int severity, const char *event, const char *format,
--- a/packages/runtime/src/reads.c
+++ b/packages/runtime/src/reads.c
@@ -11,7 +11,7 @@
 
 enum
 {
-  ADDRESS_BYTES = 512,
+  ADDRESS_BYTES = 1024,
   CONNECT_TIMEOUT_MS = 1000,
   STATUS_OK = 200,
   FIRST_CAPACITY = 4096,
@@ -33,7 +33,7 @@
 {
   CURLM *multi;
   struct galena_table *rows;
-  char base[ADDRESS_BYTES / 2];
+  char base[ADDRESS_BYTES / 4];
   size_t bytes_max;
   /* Answer of the read handed out last.  */
   char *text;
@@ -200,23 +200,32 @@
 }
 
 static enum galena_result
-result_of (CURL *curl, CURLcode code)
+result_of (CURLcode code, uint32_t status)
 {
-  long status = 0;
-
   if (code == CURLE_WRITE_ERROR)
     return GALENA_ERR_TOO_LARGE;
   if (code != CURLE_OK)
     return GALENA_ERR_IO;
-  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
   return status == STATUS_OK ? GALENA_OK : GALENA_ERR_NOT_FOUND;
 }
 
+/* Returns the HTTP status of a read that ended with CODE.  */
+static uint32_t
+status_of (CURL *curl, CURLcode code)
+{
+  long status = 0;
+
+  if (code == CURLE_OK)
+    curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  return (uint32_t)status;
+}
+
 bool
 galena_reads_next (struct galena_reads *reads, struct galena_read_end *end)
 {
   struct read_row *row = NULL;
   CURLMsg *message;
+  uint32_t status;
   int left;
 
   do
@@ -227,9 +236,11 @@
   curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&row);
   free (reads->text);
   reads->text = row->text;
+  status = status_of (message->easy_handle, message->data.result);
   *end = (struct galena_read_end){
     .user = row->user,
-    .result = result_of (message->easy_handle, message->data.result),
+    .result = result_of (message->data.result, status),
+    .status = status,
     .text = row->text,
     .size = row->size,
   };
--- a/packages/runtime/src/settings.c
+++ b/packages/runtime/src/settings.c
@@ -25,8 +25,20 @@
   /* Range of numbers, or of text lengths.  */
   uint32_t min;
   uint32_t max;
-  /* Role that needs the key, or GALENA_ROLE_COUNT for all.  */
-  enum galena_role role;
+  /* Processes that need the key; see enum needed_by.  */
+  uint8_t needed_by;
+};
+
+/* Bits for the processes that need a key: bit FRONT * 2 for an entry of that
+   front end, the next one for an agent.  */
+enum needed_by
+{
+  BY_ENTRY = 1,
+  BY_AGENT = 2,
+  BY_PACKET_ENTRY = 4,
+  BY_PACKET_AGENT = 8,
+  BY_PACKETS = BY_PACKET_ENTRY | BY_PACKET_AGENT,
+  BY_ALL = 15
 };
 
 static bool
@@ -134,6 +146,31 @@
   return true;
 }
 
+static bool
+read_front (const struct setting_row *row, const char *text, void *at)
+{
+  enum galena_front *front = at;
+
+  (void)row;
+  if (strcmp (text, "messages") == 0)
+    *front = GALENA_FRONT_MESSAGES;
+  else if (strcmp (text, "packets") == 0)
+    *front = GALENA_FRONT_PACKETS;
+  else
+    return false;
+  return true;
+}
+
+static bool
+read_flag (const struct setting_row *row, const char *text, void *at)
+{
+  bool *flag = at;
+
+  (void)row;
+  *flag = strcmp (text, "true") == 0;
+  return *flag || strcmp (text, "false") == 0;
+}
+
 #define PLACE(member)                                                         \
   offsetof (struct galena_settings, member),                                  \
       sizeof (((struct galena_settings *)0)->member)
@@ -144,152 +181,216 @@
     PLACE (name),
     1,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "process", "role", NULL, "entry or agent", "What the process does.",
       NULL },
     read_role,
     PLACE (role),
     0,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "process", "zone", "", "0 to 31 bytes", "Availability zone.", NULL },
     read_text,
     PLACE (zone),
     0,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
+  { { "process", "front", "messages", "messages or packets",
+      "What callers speak: the product's messages, or opaque packets.", NULL },
+    read_front,
+    PLACE (front),
+    0,
+    0,
+    BY_ALL },
   { { "entry", "address", NULL, "A.B.C.D:PORT",
       "Where datagrams of callers arrive.", NULL },
     read_address,
     PLACE (entry_address),
     0,
     0,
-    GALENA_ROLE_ENTRY },
+    BY_ENTRY },
   { { "entry", "threads", "1", "1 to 64", "Threads that move packets.", NULL },
     read_number,
     PLACE (entry_threads),
     1,
     64,
-    GALENA_ROLE_ENTRY },
+    BY_ENTRY },
   { { "entry", "pending_opens", "4096", "16 to 65536",
       "Most opens without a reply, per thread.", NULL },
     read_number,
     PLACE (entry_pending_opens),
     16,
     65536,
-    GALENA_ROLE_ENTRY },
+    BY_ENTRY },
   { { "agent", "address", NULL, "A.B.C.D:PORT",
       "Where datagrams of entries arrive; as in the service's record.", NULL },
     read_address,
     PLACE (agent_address),
     0,
     0,
-    GALENA_ROLE_AGENT },
+    BY_AGENT },
   { { "agent", "upstream", NULL, "1 to 1048575",
       "Number of the upstream beside the agent.", NULL },
     read_number,
     PLACE (agent_upstream),
     1,
     1048575,
-    GALENA_ROLE_AGENT },
+    BY_AGENT },
   { { "agent", "upstream_url", NULL, "http://A.B.C.D:PORT",
       "Where the upstream takes requests.", NULL },
     read_url,
     PLACE (agent_upstream_url),
     8,
     0,
-    GALENA_ROLE_AGENT },
+    BY_AGENT },
   { { "agent", "requests", "4096", "16 to 65536",
       "Most requests held at once.", NULL },
     read_number,
     PLACE (agent_requests),
     16,
     65536,
-    GALENA_ROLE_AGENT },
+    BY_AGENT },
   { { "agent", "service", "0", "0 to 1000000",
       "Number of the service whose record is kept; 0 keeps all.", NULL },
     read_number,
     PLACE (agent_service),
     0,
     1000000,
-    GALENA_ROLE_AGENT },
+    BY_AGENT },
   { { "platform", "url", NULL, "http://A.B.C.D:PORT",
       "The platform's configuration service.", NULL },
     read_url,
     PLACE (platform_url),
     8,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "platform", "wait_ms", "20000", "100 to 60000 milliseconds",
       "Longest wait of one watch.", NULL },
     read_number,
     PLACE (platform_wait_ms),
     100,
     60000,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "platform", "readers", "64", "1 to 100000",
       "Processes that read the platform, at least.", NULL },
     read_number,
     PLACE (platform_readers),
     1,
     100000,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "platform", "reads_per_second", "1500", "1 to 100000",
       "Reads a second by all processes together, at most.", NULL },
     read_number,
     PLACE (platform_reads_per_second),
     1,
     100000,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "peers", "address", "none", "A.B.C.D:PORT or none",
       "Where peers connect by TCP; an agent's is as in the record.", NULL },
     read_optional_address,
     PLACE (peers_address),
     0,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "peers", "seeds", "", "up to 8 of A.B.C.D:PORT, with commas between",
       "Peers to begin with.", NULL },
     read_addresses,
     PLACE (peers_seeds),
     0,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "policy", "choice", "two-wait", "one of",
       "How an entry chooses an upstream.", galena_choice_name },
     read_name,
     PLACE (choice),
     1,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "policy", "admission", "shares", "one of",
       "How an agent chooses the next request.", galena_admission_name },
     read_name,
     PLACE (admission),
     1,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "shutdown", "limit_ms", "30000", "0 to 600000 milliseconds",
       "Longest graceful shutdown.", NULL },
     read_number,
     PLACE (shutdown_limit_ms),
     0,
     600000,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "operator", "address", "none", "A.B.C.D:PORT or none",
       "Where galenactl reads the state of the process.", NULL },
     read_optional_address,
     PLACE (operator_address),
     0,
     0,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
   { { "operator", "connections", "8", "1 to 64",
       "Most connections of operators at once.", NULL },
     read_number,
     PLACE (operator_connections),
     1,
     64,
-    GALENA_ROLE_COUNT },
+    BY_ALL },
+  { { "packets", "address", NULL, "A.B.C.D:PORT",
+      "Where callers' packets arrive at an entry; callers have the same port.",
+      NULL },
+    read_address,
+    PLACE (packets_address),
+    0,
+    0,
+    BY_PACKETS },
+  { { "packets", "status", NULL, "A.B.C.D:PORT",
+      "Where readiness and counters are read by HTTP.", NULL },
+    read_address,
+    PLACE (packets_status),
+    0,
+    0,
+    BY_PACKETS },
+  { { "packets", "outbound", NULL, "A.B.C.D:PORT",
+      "Where the upstream sends its packets to.", NULL },
+    read_address,
+    PLACE (packets_outbound),
+    0,
+    0,
+    BY_PACKET_AGENT },
+  { { "packets", "upstream", NULL, "A.B.C.D:PORT",
+      "Where the upstream receives packets.", NULL },
+    read_address,
+    PLACE (packets_upstream),
+    0,
+    0,
+    BY_PACKET_AGENT },
+  { { "packets", "service", NULL, "1 to 63 bytes", "Service of the upstream.",
+      NULL },
+    read_text,
+    PLACE (packets_service),
+    1,
+    0,
+    BY_PACKET_AGENT },
+  { { "packets", "flows", "32768", "16 to 1000000", "Most flows held at once.",
+      NULL },
+    read_number,
+    PLACE (packets_flows),
+    16,
+    1000000,
+    BY_ALL },
+  { { "packets", "flow_max_s", "60", "1 to 86400 seconds",
+      "A flow without packets for so long is forgotten.", NULL },
+    read_number,
+    PLACE (packets_flow_max_s),
+    1,
+    86400,
+    BY_ALL },
+  { { "packets", "first_start", "false", "true or false",
+      "Whether no flow can be older than the process.", NULL },
+    read_flag,
+    PLACE (packets_first_start),
+    0,
+    0,
+    BY_ALL },
 };
 
 enum
@@ -480,9 +581,16 @@
 static bool
 is_needed (const struct load *load, const struct setting_row *row)
 {
+  enum galena_role role = load->settings->role;
+  unsigned bit = 2U * load->settings->front;
+
   if (row->setting.standard != NULL)
     return false;
-  return row->role == GALENA_ROLE_COUNT || row->role == load->settings->role;
+  if (row->needed_by == BY_ALL)
+    return true;
+  if (role != GALENA_ROLE_ENTRY && role != GALENA_ROLE_AGENT)
+    return false;
+  return (row->needed_by >> (bit + (role == GALENA_ROLE_AGENT)) & 1) != 0;
 }
 
 static void
--- /dev/null
+++ b/packages/wire/src/peer.c
@@ -0,0 +1,217 @@
+/* Peer messages as flat arrays of integers and one binary item: the packet,
+   or the addresses of entries.  */
+
+#include <string.h>
+
+#include <msgpack.h>
+
+#include <galenaford/peer_wire.h>
+#include <galenaford/world.h>
+
+#include "unpack.h"
+
+/* Places in the array.  */
+enum peer_place
+{
+  PLACE_SCHEMA,
+  PLACE_TYPE,
+  PLACE_ROLE,
+  PLACE_CALLER,
+  PLACE_ADDRESS,
+  PLACE_SERVICE,
+  PLACE_SLOTS,
+  PLACE_SEQUENCE,
+  PLACE_RESULT,
+  PLACE_RUNNING,
+  PLACE_FLOWS,
+  PLACE_SERVICE_US,
+  PLACE_LEAVING,
+  PLACE_BODY,
+  PLACE_COUNT
+};
+
+enum
+{
+  ENDPOINT_BITS = 48,
+  IP_SHIFT = 16,
+  ADDRESS_BYTES = 4,
+  RESULT_MAX = 255
+};
+
+/* Largest value in each place.  */
+static const uint64_t LIMITS[PLACE_BODY] = {
+  [PLACE_SCHEMA] = UINT32_MAX,
+  [PLACE_TYPE] = GALENA_PEER_TYPE_END - 1,
+  [PLACE_ROLE] = GALENA_ROLE_COUNT - 1,
+  [PLACE_CALLER] = (UINT64_C (1) << ENDPOINT_BITS) - 1,
+  [PLACE_ADDRESS] = (UINT64_C (1) << ENDPOINT_BITS) - 1,
+  [PLACE_SERVICE] = UINT64_MAX,
+  [PLACE_SLOTS] = UINT32_MAX,
+  [PLACE_SEQUENCE] = UINT32_MAX,
+  [PLACE_RESULT] = RESULT_MAX,
+  [PLACE_RUNNING] = UINT32_MAX,
+  [PLACE_FLOWS] = UINT32_MAX,
+  [PLACE_SERVICE_US] = UINT32_MAX,
+  [PLACE_LEAVING] = 1,
+};
+
+static uint64_t
+pack_endpoint (struct galena_endpoint endpoint)
+{
+  return ((uint64_t)endpoint.ip << IP_SHIFT) | endpoint.port;
+}
+
+static struct galena_endpoint
+unpack_endpoint (uint64_t packed)
+{
+  return (struct galena_endpoint){ (uint32_t)(packed >> IP_SHIFT),
+                                   (uint16_t)packed };
+}
+
+static enum galena_result
+read_members (const struct unpack_item *body,
+              struct galena_peer_message *message)
+{
+  if (body->size % ADDRESS_BYTES != 0)
+    return GALENA_ERR_TYPE;
+  message->member_count = body->size / ADDRESS_BYTES;
+  if (message->member_count > GALENA_PEER_MEMBERS_MAX)
+    return GALENA_ERR_TOO_LARGE;
+  for (uint32_t i = 0; i < message->member_count; i++)
+    {
+      const uint8_t *at = body->data + (size_t)i * ADDRESS_BYTES;
+
+      message->members[i] = ((uint32_t)at[0] << 24) | ((uint32_t)at[1] << 16)
+                            | ((uint32_t)at[2] << 8) | at[3];
+    }
+  return GALENA_OK;
+}
+
+static enum galena_result
+read_body (const struct unpack_item *body, struct galena_peer_message *message)
+{
+  if (body->type != UNPACK_BINARY)
+    return GALENA_ERR_TYPE;
+  message->member_count = 0;
+  message->bytes = NULL;
+  message->size = 0;
+  if (message->type == GALENA_PEER_MEMBERS)
+    return read_members (body, message);
+  if (body->size == 0)
+    return GALENA_OK;
+  message->bytes = body->data;
+  message->size = body->size;
+  return GALENA_OK;
+}
+
+enum galena_result
+galena_peer_decode (const uint8_t *bytes, size_t size,
+                    struct galena_peer_message *message)
+{
+  struct unpack_items items;
+  enum galena_result result = unpack_array (bytes, size, &items);
+  const struct unpack_item *rows = items.rows;
+
+  if (result != GALENA_OK)
+    return result;
+  if (items.count != PLACE_COUNT)
+    return GALENA_ERR_TYPE;
+  for (uint32_t i = 0; i < PLACE_BODY; i++)
+    {
+      if (rows[i].type != UNPACK_UNSIGNED)
+        return GALENA_ERR_TYPE;
+      if (rows[i].value > LIMITS[i])
+        return GALENA_ERR_RANGE;
+    }
+  if (rows[PLACE_SCHEMA].value != GALENA_PEER_SCHEMA)
+    return GALENA_ERR_SCHEMA;
+  if (rows[PLACE_TYPE].value == 0)
+    return GALENA_ERR_RANGE;
+  message->type = (enum galena_peer_type)rows[PLACE_TYPE].value;
+  message->role = (uint32_t)rows[PLACE_ROLE].value;
+  message->flow.caller = unpack_endpoint (rows[PLACE_CALLER].value);
+  message->flow.service = unpack_endpoint (rows[PLACE_ADDRESS].value);
+  message->service = rows[PLACE_SERVICE].value;
+  message->slots = (uint32_t)rows[PLACE_SLOTS].value;
+  message->sequence = (uint32_t)rows[PLACE_SEQUENCE].value;
+  message->result = (enum galena_result)rows[PLACE_RESULT].value;
+  message->load.running = (uint32_t)rows[PLACE_RUNNING].value;
+  message->load.flows = (uint32_t)rows[PLACE_FLOWS].value;
+  message->load.service_us = (uint32_t)rows[PLACE_SERVICE_US].value;
+  message->load.leaving = rows[PLACE_LEAVING].value != 0;
+  return read_body (&rows[PLACE_BODY], message);
+}
+
+struct sink
+{
+  uint8_t *bytes;
+  size_t capacity;
+  size_t used;
+};
+
+static int
+write_sink (void *data, const char *bytes, size_t size)
+{
+  struct sink *sink = data;
+
+  if (size > sink->capacity - sink->used)
+    return -1;
+  memcpy (sink->bytes + sink->used, bytes, size);
+  sink->used += size;
+  return 0;
+}
+
+static int
+write_members (msgpack_packer *packer,
+               const struct galena_peer_message *message)
+{
+  uint8_t body[GALENA_PEER_MEMBERS_MAX * ADDRESS_BYTES];
+  size_t size = (size_t)message->member_count * ADDRESS_BYTES;
+
+  for (uint32_t i = 0; i < message->member_count; i++)
+    for (uint32_t byte = 0; byte < ADDRESS_BYTES; byte++)
+      body[i * ADDRESS_BYTES + byte]
+          = (uint8_t)(message->members[i] >> (24 - 8 * byte));
+  return msgpack_pack_bin (packer, size)
+         | msgpack_pack_bin_body (packer, body, size);
+}
+
+enum galena_result
+galena_peer_encode (const struct galena_peer_message *message, uint8_t *bytes,
+                    size_t capacity, size_t *size)
+{
+  const uint64_t values[PLACE_BODY] = {
+    [PLACE_SCHEMA] = GALENA_PEER_SCHEMA,
+    [PLACE_TYPE] = message->type,
+    [PLACE_ROLE] = message->role,
+    [PLACE_CALLER] = pack_endpoint (message->flow.caller),
+    [PLACE_ADDRESS] = pack_endpoint (message->flow.service),
+    [PLACE_SERVICE] = message->service,
+    [PLACE_SLOTS] = message->slots,
+    [PLACE_SEQUENCE] = message->sequence,
+    [PLACE_RESULT] = message->result,
+    [PLACE_RUNNING] = message->load.running,
+    [PLACE_FLOWS] = message->load.flows,
+    [PLACE_SERVICE_US] = message->load.service_us,
+    [PLACE_LEAVING] = message->load.leaving,
+  };
+  struct sink sink = { bytes, capacity, 0 };
+  msgpack_packer packer;
+  int failed;
+
+  msgpack_packer_init (&packer, &sink, write_sink);
+  failed = msgpack_pack_array (&packer, PLACE_COUNT);
+  for (uint32_t i = 0; i < PLACE_BODY; i++)
+    failed |= msgpack_pack_uint64 (&packer, values[i]);
+  if (message->type == GALENA_PEER_MEMBERS)
+    failed |= write_members (&packer, message);
+  else
+    {
+      failed |= msgpack_pack_bin (&packer, message->size);
+      failed |= msgpack_pack_bin_body (&packer, message->bytes, message->size);
+    }
+  if (failed != 0)
+    return GALENA_ERR_TOO_LARGE;
+  *size = sink.used;
+  return GALENA_OK;
+}
