--- a/packages/daemon/src/control.c
+++ b/packages/daemon/src/control.c
@@ -22,6 +22,7 @@
   AUDIT_ROWS = 1024,
   PATH_BYTES = 128,
   READ_TIMEOUT_MS = 2000,
+  CONNECT_TIMEOUT_MS = 1000,
   READS_MAX = 8,
   WAIT_FDS_MAX = 64
 };
@@ -323,8 +324,10 @@
 create_parts (struct control *control)
 {
   const struct galena_settings *settings = &control->process->settings;
-  struct galena_reads_options reads
-      = { settings->platform_url, GALENA_RECORD_BYTES_MAX, READS_MAX };
+  struct galena_reads_options reads = { .base = settings->platform_url,
+                                        .connect_ms = CONNECT_TIMEOUT_MS,
+                                        .bytes_max = GALENA_RECORD_BYTES_MAX,
+                                        .reads = READS_MAX };
   struct galena_audit_options audit = { AUDIT_ROWS };
   struct relay_options relay = { .address = settings->peers_address,
                                  .take_record = take_relayed,
--- a/packages/daemon/src/packet_reader.c
+++ b/packages/daemon/src/packet_reader.c
@@ -15,6 +15,10 @@
 
 enum
 {
+  /* A lost first packet is sent again by the system only after a second; a
+     new connection is tried long before, after fifty times the way to the
+     platform and back.  */
+  CONNECT_TIMEOUT_MS = 200,
   REPLY_BYTES_MAX = 4 * 1024 * 1024,
   UPSTREAMS_MAX = 8192
 };
@@ -173,6 +177,7 @@
 {
   const struct galena_settings *settings = &packets->process->settings;
   struct galena_reads_options reads = { .base = settings->platform_url,
+                                        .connect_ms = CONNECT_TIMEOUT_MS,
                                         .bytes_max = REPLY_BYTES_MAX,
                                         .reads = GALENA_STREAM_COUNT };
   struct galena_catalog_options catalog
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -19,7 +19,9 @@
   /* Most seeds of a process.  */
   GALENA_PLANE_SEEDS_MAX = 8,
   /* Longest opening packet that is kept to be sent again, in bytes.  */
-  GALENA_OPENING_BYTES = 64
+  GALENA_OPENING_BYTES = 64,
+  /* Longest packet that is kept while its flow's owner is looked for.  */
+  GALENA_KEPT_BYTES = 1280
 };
 
 struct galena_plane_options
@@ -83,7 +85,7 @@
   struct galena_peer_message message;
   /* Bytes of a kept packet, when MESSAGE names none.  */
   uint32_t kept_size;
-  uint8_t kept[GALENA_OPENING_BYTES];
+  uint8_t kept[GALENA_KEPT_BYTES];
 };
 
 /* One row per event of a plane: name, short word, meaning.  */
--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -7,6 +7,7 @@
 enum
 {
   OPENINGS_PERIOD_MS = 20,
+  SEARCHES_PERIOD_MS = 20,
   EXPIRE_PERIOD_MS = 1000,
   HELLO_PERIOD_MS = 500
 };
@@ -29,6 +30,8 @@
 
 static const struct plane_system SYSTEMS[] = {
   { "directory", 0, entry_run_directory },
+  { "parked", 0, entry_run_parked },
+  { "searches", SEARCHES_PERIOD_MS, entry_run_searches },
   { "openings", OPENINGS_PERIOD_MS, entry_run_openings },
   { "expire", EXPIRE_PERIOD_MS, entry_run_expire },
   { "hello", HELLO_PERIOD_MS, entry_run_hello },
@@ -48,6 +51,7 @@
   galena_map_destroy (entry->flows_by_key);
   galena_table_destroy (entry->openings);
   galena_table_destroy (entry->searches);
+  galena_table_destroy (entry->parked);
   free (entry);
   plane->entry = NULL;
 }
@@ -64,6 +68,8 @@
       = { sizeof (struct opening_row), ENTRY_OPENINGS_MAX };
   struct galena_table_options search_rows
       = { sizeof (struct search_row), ENTRY_SEARCHES_MAX };
+  struct galena_table_options parked_rows
+      = { sizeof (struct parked_row), ENTRY_PARKED_MAX };
   struct galena_map_options upstream_keys
       = { ENTRY_UPSTREAMS_MAX, plane->options.seed };
   struct galena_map_options flow_keys = { flows, plane->options.seed };
@@ -80,6 +86,8 @@
     result = galena_table_create (&opening_rows, &entry->openings);
   if (result == GALENA_OK)
     result = galena_table_create (&search_rows, &entry->searches);
+  if (result == GALENA_OK)
+    result = galena_table_create (&parked_rows, &entry->parked);
   return result;
 }
 
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -1,5 +1,7 @@
 /* Packets from callers: to the owner of their flow, as far as it is known.  */
 
+#include <string.h>
+
 #include "entry_tables.h"
 
 enum
@@ -9,7 +11,12 @@
   ENDED_LINGER_MS = 3200,
   /* A flow that was not opened by then never will be: callers give an opening
      up after 1.4 s.  */
-  OPENING_LINGER_MS = 2000
+  OPENING_LINGER_MS = 2000,
+  /* A search without a reply ends once the caller's packets did: the longest
+     interval of retransmissions, twice.  */
+  SOUGHT_LINGER_MS = 3200,
+  /* A parked packet is of no use after its sender has given up opening.  */
+  PARKED_MS = 1400
 };
 
 struct entry_flow *
@@ -123,6 +130,32 @@
   plane_send_message (plane, upstream->agent, &message);
 }
 
+void
+entry_flow_send_copy (struct galena_plane *plane,
+                      const struct entry_flow *flow,
+                      struct galena_handle handle, enum galena_peer_type type,
+                      const uint8_t *bytes, uint32_t size)
+{
+  const struct upstream_row *upstream = entry_upstream (plane, handle);
+  struct galena_departure *departure;
+
+  if (upstream == NULL || size > GALENA_KEPT_BYTES)
+    return;
+  departure = plane_depart (plane);
+  if (departure == NULL)
+    return;
+  departure->kind = GALENA_DEPARTURE_MESSAGE;
+  departure->link = GALENA_LINK_PEER;
+  departure->peer = upstream->agent;
+  departure->message.type = type;
+  departure->message.role = plane->options.role;
+  departure->message.flow = flow->key;
+  departure->message.service = flow->service;
+  departure->message.slots = upstream->slots;
+  departure->kept_size = size;
+  memcpy (departure->kept, bytes, size);
+}
+
 /* Returns the try whose sequence numbers the caller acknowledges, or the last
    one when none is known to have accepted.  */
 static const struct flow_try *
@@ -211,18 +244,65 @@
   entry_seek (plane, handle, packet->bytes, packet->size);
 }
 
+static bool
+has_config (const struct galena_plane *plane)
+{
+  return plane->directory != NULL
+         && galena_directory_version (plane->directory) != 0;
+}
+
+/* Keeps PACKET until a configuration is known.  */
+static void
+park_packet (struct galena_plane *plane, const struct galena_packet *packet)
+{
+  struct galena_handle handle;
+  struct parked_row *parked;
+
+  if (packet->size > GALENA_KEPT_BYTES)
+    return;
+  parked = galena_table_insert (plane->entry->parked, &handle);
+  if (parked == NULL)
+    {
+      plane_count (plane, GALENA_PLANE_NO_CONFIG);
+      return;
+    }
+  parked->since = plane->now;
+  parked->packet = *packet;
+  parked->packet.bytes = parked->bytes;
+  memcpy (parked->bytes, packet->bytes, packet->size);
+}
+
+void
+entry_run_parked (struct galena_plane *plane)
+{
+  const struct parked_row *parked;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((parked = galena_table_next (plane->entry->parked, &cursor, &handle))
+         != NULL)
+    {
+      bool timely
+          = galena_clock_between (parked->since, plane->now) < PARKED_MS;
+
+      if (timely && !has_config (plane))
+        continue;
+      /* The bytes stay as they are until a packet is parked again, which no
+         packet is while a configuration is known.  */
+      galena_table_remove (plane->entry->parked, handle);
+      if (timely)
+        entry_take_packet (plane, &parked->packet);
+      else
+        plane_count (plane, GALENA_PLANE_NO_CONFIG);
+    }
+}
+
 /* Tells whether KEY has a route; without one its caller is sent a reset, also
    when the flow is open: the configuration dropped it.  */
 static bool
 has_route (struct galena_plane *plane, struct galena_flow_key key,
            struct galena_handle handle, const struct galena_packet *packet)
 {
-  if (plane->directory == NULL
-      || galena_directory_version (plane->directory) == 0)
-    {
-      plane_count (plane, GALENA_PLANE_NO_CONFIG);
-      return false;
-    }
   if (galena_directory_route (plane->directory, key.service) != NULL)
     return true;
   plane_count (plane, GALENA_PLANE_NO_ROUTE);
@@ -248,6 +328,11 @@
       plane_count (plane, GALENA_PLANE_UNEXPECTED);
       return;
     }
+  if (!has_config (plane))
+    {
+      park_packet (plane, packet);
+      return;
+    }
   flow = entry_flow_find (plane, key, &handle);
   if (!has_route (plane, key, handle, packet))
     return;
@@ -274,6 +359,8 @@
 {
   if (flow->state == FLOW_OPENING)
     return OPENING_LINGER_MS;
+  if (flow->state == FLOW_SOUGHT)
+    return SOUGHT_LINGER_MS;
   return flow->ended ? ENDED_LINGER_MS : plane->options.flow_idle_ms;
 }
 
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -15,8 +15,7 @@
 /* Keeps PACKET to be sent again.  */
 static void
 keep_open (struct galena_plane *plane, struct entry_flow *flow,
-           struct galena_handle handle, galena_service_key service,
-           const struct galena_packet *packet)
+           struct galena_handle handle, const struct galena_packet *packet)
 {
   struct opening_row *opening;
 
@@ -29,7 +28,6 @@
       return;
     }
   opening->flow = handle;
-  opening->service = service;
   opening->size = packet->size;
   memcpy (opening->bytes, packet->bytes, packet->size);
 }
@@ -47,26 +45,13 @@
 send_open (struct galena_plane *plane, const struct entry_flow *flow,
            struct galena_handle handle)
 {
-  const struct upstream_row *upstream = entry_upstream (plane, handle);
   struct opening_row *opening
       = galena_table_get (plane->entry->openings, flow->opening);
-  struct galena_departure *departure;
 
-  if (upstream == NULL || opening == NULL)
-    return;
-  departure = plane_depart (plane);
-  if (departure == NULL)
+  if (opening == NULL)
     return;
-  departure->kind = GALENA_DEPARTURE_MESSAGE;
-  departure->link = GALENA_LINK_PEER;
-  departure->peer = upstream->agent;
-  departure->message.type = GALENA_PEER_OPEN;
-  departure->message.role = plane->options.role;
-  departure->message.flow = flow->key;
-  departure->message.service = opening->service;
-  departure->message.slots = upstream->slots;
-  departure->kept_size = opening->size;
-  memcpy (departure->kept, opening->bytes, opening->size);
+  entry_flow_send_copy (plane, flow, handle, GALENA_PEER_OPEN, opening->bytes,
+                        opening->size);
   opening->sent = plane->now;
 }
 
@@ -75,12 +60,10 @@
 static bool
 try_another (struct galena_plane *plane, struct entry_flow *flow)
 {
-  const struct opening_row *opening
-      = galena_table_get (plane->entry->openings, flow->opening);
   struct galena_handle chosen;
 
-  if (opening == NULL || flow->try_count == ENTRY_TRIES_MAX
-      || !entry_choose (plane, opening->service, flow, &chosen))
+  if (flow->try_count == ENTRY_TRIES_MAX
+      || !entry_choose (plane, flow->service, flow, &chosen))
     return false;
   if (flow->try_count > 0)
     plane_count (plane, GALENA_PLANE_RETRIED);
@@ -91,6 +74,30 @@
   return true;
 }
 
+/* Sends the open of FLOW again to the upstream that it was sent to longest ago
+   and that has not refused it; false when all have.  */
+static bool
+try_again (struct galena_plane *plane, struct entry_flow *flow)
+{
+  uint32_t last = 0;
+
+  while (last < flow->try_count
+         && galena_handle_pack (flow->tries[last].upstream)
+                != galena_handle_pack (flow->owner))
+    last++;
+  for (uint32_t i = 1; i <= flow->try_count; i++)
+    {
+      const struct flow_try *try = &flow->tries[(last + i) % flow->try_count];
+
+      if (try->refused || entry_upstream (plane, try->upstream) == NULL)
+        continue;
+      flow->owner = try->upstream;
+      send_open (plane, flow, flow->owner);
+      return true;
+    }
+  return false;
+}
+
 void
 entry_take_open (struct galena_plane *plane, struct entry_flow *flow,
                  struct galena_handle handle,
@@ -114,7 +121,8 @@
       return;
     }
   route = galena_directory_route (plane->directory, flow->key.service);
-  keep_open (plane, flow, handle, entry_share_of (route, flow->key), packet);
+  flow->service = entry_share_of (route, flow->key);
+  keep_open (plane, flow, handle, packet);
   if (!try_another (plane, flow))
     entry_flow_reset (plane, handle, GALENA_REFUSED_NO_UPSTREAM);
 }
@@ -188,13 +196,14 @@
       || find_try (flow, at) == NULL)
     return;
   plane_count (plane, GALENA_PLANE_REFUSED);
+  find_try (flow, at)->refused = true;
   note = note_of (plane, GALENA_EVENT_REFUSED, flow, upstream);
   note.result = message->result;
   plane_note (plane, note);
   if (galena_handle_pack (flow->owner) != galena_handle_pack (at)
-      || is_accepted (flow))
+      || is_accepted (flow) || try_another (plane, flow))
     return;
-  if (!try_another (plane, flow))
+  if (!try_again (plane, flow))
     entry_flow_reset (plane, handle, message->result);
 }
 
@@ -225,8 +234,7 @@
         plane_note (plane,
                     note_of (plane, GALENA_EVENT_UNANSWERED, flow, upstream));
       entry_suspect (plane, flow->owner);
-      /* After the last try the caller's own copies go on.  */
-      if (!try_another (plane, flow))
+      if (!try_another (plane, flow) && !try_again (plane, flow))
         opening->sent = plane->now;
     }
 }
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -1,10 +1,16 @@
 /* The search for a flow's owner: all agents that may own it are asked, and
    each says whether its upstream holds the flow.  */
 
+#include <string.h>
+
 #include "entry_tables.h"
 
 enum
 {
+  /* Agents that have not replied are asked again after so long, then after
+     twice as long, up to the most.  */
+  PATIENCE_MIN_MS = 60,
+  PATIENCE_MAX_MS = 480,
   /* Upstreams of other services are asked after so long: a route may have
      gone to another service while the flow stayed.  */
   WIDEN_MS = 100
@@ -54,30 +60,84 @@
   return false;
 }
 
-/* Sends BYTES to all that may own FLOW; returns how many these are.  */
-static uint32_t
+/* Tells whether the upstream that HANDLE names is to be asked for FLOW.  */
+static bool
+may_own (const struct galena_plane *plane, const struct entry_flow *flow,
+         const struct search_row *search, const struct upstream_row *upstream,
+         struct galena_handle handle)
+{
+  if (is_denied (search, handle) || entry_is_gone (plane, upstream))
+    return false;
+  return search->wide
+         || is_routed (plane, flow->key.service, entry_service_of (upstream));
+}
+
+/* Tells whether some upstream is still to be asked for FLOW.  */
+static bool
+has_candidate (const struct galena_plane *plane, const struct entry_flow *flow,
+               const struct search_row *search)
+{
+  const struct upstream_row *upstream;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((upstream
+          = galena_table_next (plane->entry->upstreams, &cursor, &handle))
+         != NULL)
+    if (may_own (plane, flow, search, upstream, handle))
+      return true;
+  return false;
+}
+
+/* Sends the kept packet to all that may own FLOW.  */
+static void
 ask_all (struct galena_plane *plane, const struct entry_flow *flow,
-         const struct search_row *search, const uint8_t *bytes, uint32_t size)
+         struct search_row *search)
 {
   const struct upstream_row *upstream;
   struct galena_handle handle;
   uint32_t cursor = 0;
-  uint32_t asked = 0;
 
+  search->asked = plane->now;
+  if (search->size == 0)
+    return;
   while ((upstream
           = galena_table_next (plane->entry->upstreams, &cursor, &handle))
          != NULL)
+    if (may_own (plane, flow, search, upstream, handle))
+      entry_flow_send_copy (plane, flow, handle, GALENA_PEER_FIND,
+                            search->bytes, search->size);
+}
+
+/* Ends the search with a reset when no upstream can own the flow.  */
+static bool
+end_without_owner (struct galena_plane *plane, struct galena_handle handle)
+{
+  const struct entry_flow *flow = entry_flow (plane, handle);
+  struct search_row *search = search_of (plane, flow);
+
+  if (has_candidate (plane, flow, search))
+    return false;
+  if (!search->wide)
     {
-      if (is_denied (search, handle) || entry_is_gone (plane, upstream)
-          || (!search->wide
-              && !is_routed (plane, flow->key.service,
-                             entry_service_of (upstream))))
-        continue;
-      asked++;
-      if (bytes != NULL)
-        entry_flow_send (plane, flow, handle, GALENA_PEER_FIND, bytes, size);
+      search->wide = true;
+      if (has_candidate (plane, flow, search))
+        {
+          ask_all (plane, flow, search);
+          return false;
+        }
     }
-  return asked;
+  entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
+  return true;
+}
+
+static void
+keep_packet (struct search_row *search, const uint8_t *bytes, uint32_t size)
+{
+  if (bytes == NULL || size > sizeof search->bytes)
+    return;
+  memcpy (search->bytes, bytes, size);
+  search->size = size;
 }
 
 void
@@ -92,17 +152,34 @@
       entry_seek (plane, handle, bytes, size);
       return;
     }
-  if (galena_clock_between (search->began, plane->now) >= WIDEN_MS)
-    search->wide = true;
-  if (ask_all (plane, flow, search, bytes, size) > 0)
-    return;
-  if (!search->wide)
+  keep_packet (search, bytes, size);
+  if (!end_without_owner (plane, handle))
+    ask_all (plane, flow, search);
+}
+
+void
+entry_run_searches (struct galena_plane *plane)
+{
+  struct search_row *search;
+  struct galena_handle row;
+  uint32_t cursor = 0;
+
+  while ((search = galena_table_next (plane->entry->searches, &cursor, &row))
+         != NULL)
     {
-      search->wide = true;
-      if (ask_all (plane, flow, search, bytes, size) > 0)
-        return;
+      const struct entry_flow *flow = entry_flow (plane, search->flow);
+
+      if (flow == NULL
+          || galena_clock_between (search->asked, plane->now)
+                 < search->patience_ms)
+        continue;
+      if (search->patience_ms < PATIENCE_MAX_MS)
+        search->patience_ms *= 2;
+      if (galena_clock_between (search->began, plane->now) >= WIDEN_MS)
+        search->wide = true;
+      if (!end_without_owner (plane, search->flow))
+        ask_all (plane, flow, search);
     }
-  entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
 }
 
 void
@@ -124,6 +201,7 @@
     }
   search->flow = handle;
   search->began = plane->now;
+  search->patience_ms = PATIENCE_MIN_MS;
   plane_count (plane, GALENA_PLANE_SOUGHT);
   plane_note (plane,
               (struct galena_plane_note){
@@ -216,8 +294,7 @@
   if (flow->state != FLOW_SOUGHT || search == NULL)
     return;
   deny (search, at);
-  if (ask_all (plane, flow, search, NULL, 0) == 0)
-    entry_search_packet (plane, handle, message->bytes, message->size);
+  end_without_owner (plane, handle);
 }
 
 void
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -13,8 +13,10 @@
   ENTRY_UPSTREAMS_MAX = 4096,
   ENTRY_OPENINGS_MAX = 4096,
   ENTRY_SEARCHES_MAX = 1024,
+  /* Packets kept while no configuration is known.  */
+  ENTRY_PARKED_MAX = 512,
   /* Most upstreams that one open is sent to.  */
-  ENTRY_TRIES_MAX = 4,
+  ENTRY_TRIES_MAX = 8,
   SEARCH_WORDS = ENTRY_UPSTREAMS_MAX / 64
 };
 
@@ -56,6 +58,7 @@
 {
   struct galena_handle upstream;
   bool accepted;
+  bool refused;
   /* The upstream's first sequence number, once accepted.  */
   uint32_t sequence;
 };
@@ -66,6 +69,8 @@
   enum flow_state state;
   /* Caller closed or reset it.  */
   bool ended;
+  /* Service that the open was meant for; 0 when it was not seen here.  */
+  galena_service_key service;
   struct galena_handle owner;
   struct flow_try tries[ENTRY_TRIES_MAX];
   uint32_t try_count;
@@ -82,7 +87,6 @@
 struct opening_row
 {
   struct galena_handle flow;
-  galena_service_key service;
   struct galena_clock sent;
   uint32_t size;
   uint8_t bytes[GALENA_OPENING_BYTES];
@@ -97,6 +101,20 @@
   bool wide;
   /* Bit of each upstream that does not hold the flow, by its row.  */
   uint64_t denied[SEARCH_WORDS];
+  /* When the upstreams were last asked, and how long to wait for them.  */
+  struct galena_clock asked;
+  uint32_t patience_ms;
+  /* The newest packet, to ask with again.  */
+  uint32_t size;
+  uint8_t bytes[GALENA_KEPT_BYTES];
+};
+
+/* A packet that came before any configuration was known.  */
+struct parked_row
+{
+  struct galena_clock since;
+  struct galena_packet packet;
+  uint8_t bytes[GALENA_KEPT_BYTES];
 };
 
 /* How an upstream is chosen for a new flow.  */
@@ -119,6 +137,7 @@
   struct galena_map *flows_by_key;
   struct galena_table *openings;
   struct galena_table *searches;
+  struct galena_table *parked;
   const struct choice_policy *choice;
   /* Directory that the rows were last compared with.  */
   uint64_t directory;
@@ -198,6 +217,16 @@
                       struct galena_handle handle, enum galena_peer_type type,
                       const uint8_t *bytes, uint32_t size);
 
+/* Sends a copy of BYTES, which may change before they are sent.  */
+void entry_flow_send_copy (struct galena_plane *plane,
+                           const struct entry_flow *flow,
+                           struct galena_handle handle,
+                           enum galena_peer_type type, const uint8_t *bytes,
+                           uint32_t size);
+
+/* System: takes the packets that were kept until a configuration came.  */
+void entry_run_parked (struct galena_plane *plane);
+
 /* Handler of packets from callers.  */
 void entry_take_packet (struct galena_plane *plane,
                         const struct galena_packet *packet);
@@ -238,6 +267,9 @@
                           struct galena_handle handle, const uint8_t *bytes,
                           uint32_t size);
 
+/* System: asks again those that have not replied.  */
+void entry_run_searches (struct galena_plane *plane);
+
 /* Forgets the search of FLOW, if any.  */
 void entry_search_end (struct galena_plane *plane, struct entry_flow *flow);
 
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -1,4 +1,5 @@
-/* A plane's ticks: handlers of what arrived, then the systems that are due. */
+/* A plane's ticks: the systems that are due, a new directory among them, and
+   then the handlers of what arrived.  */
 
 #include <stdlib.h>
 #include <string.h>
@@ -254,9 +255,6 @@
   plane->directory = directory;
   move_clock (plane, now);
   plane_count (plane, GALENA_PLANE_TICKS);
-  for (uint32_t i = 0; i < plane->arrival_count; i++)
-    take_arrival (plane, &plane->arrivals[i]);
-  plane->arrival_count = 0;
   for (uint32_t i = 0; i < plane->role->system_count; i++)
     {
       const struct plane_system *system = &plane->role->systems[i];
@@ -266,6 +264,9 @@
       system->run (plane);
       plane->due[i] = galena_clock_after (now, system->period_ms);
     }
+  for (uint32_t i = 0; i < plane->arrival_count; i++)
+    take_arrival (plane, &plane->arrivals[i]);
+  plane->arrival_count = 0;
   plane->directory = NULL;
 }
 
--- a/packages/runtime/include/galenaford/reads.h
+++ b/packages/runtime/include/galenaford/reads.h
@@ -14,6 +14,8 @@
 {
   /* Start of every address read, as in "http://192.0.2.1:8500".  Copied.  */
   const char *base;
+  /* Most milliseconds until a connection stands.  */
+  uint32_t connect_ms;
   /* Most bytes of one answer.  */
   size_t bytes_max;
   /* Most reads at once.  */
--- a/packages/runtime/src/reads.c
+++ b/packages/runtime/src/reads.c
@@ -12,7 +12,6 @@
 enum
 {
   ADDRESS_BYTES = 1024,
-  CONNECT_TIMEOUT_MS = 1000,
   STATUS_OK = 200,
   FIRST_CAPACITY = 4096,
   WAIT_FDS_MAX = 64
@@ -34,6 +33,7 @@
   CURLM *multi;
   struct galena_table *rows;
   char base[ADDRESS_BYTES / 4];
+  uint32_t connect_ms;
   size_t bytes_max;
   /* Answer of the read handed out last.  */
   char *text;
@@ -84,6 +84,7 @@
   if (reads == NULL)
     return GALENA_ERR_MEMORY;
   snprintf (reads->base, sizeof reads->base, "%s", options->base);
+  reads->connect_ms = options->connect_ms;
   reads->bytes_max = options->bytes_max;
   result = galena_table_create (&rows, &reads->rows);
   if (result != GALENA_OK)
@@ -134,7 +135,8 @@
 }
 
 static void
-set_options (struct read_row *row, const char *address, uint32_t timeout_ms)
+set_options (const struct galena_reads *reads, struct read_row *row,
+             const char *address, uint32_t timeout_ms)
 {
   CURL *curl = row->curl;
 
@@ -144,7 +146,7 @@
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, take_bytes);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, row);
   curl_easy_setopt (curl, CURLOPT_PRIVATE, row);
-  curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, (long)reads->connect_ms);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 }
 
@@ -168,7 +170,7 @@
       return GALENA_ERR_MEMORY;
     }
   snprintf (address, sizeof address, "%s%s", reads->base, path);
-  set_options (row, address, timeout_ms);
+  set_options (reads, row, address, timeout_ms);
   if (curl_multi_add_handle (reads->multi, row->curl) != CURLM_OK)
     {
       end_read (reads, row);
--- /dev/null
+++ b/test/fake/planes.c
@@ -0,0 +1,1007 @@
+/* The fleet of planes: tables of callers, upstreams and messages under way,
+   and systems that run over them each virtual millisecond.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <galenaford/random.h>
+
+#include "planes.h"
+
+enum
+{
+  MESSAGES_MAX = 65536,
+  UPSTREAM_FLOWS_MAX = 1024,
+  PEER_PORT = 7000,
+  ROUTE_IP = 0xC6120001,
+  ROUTE_PORT = 443,
+  ENTRY_IP = 0x0A010001,
+  AGENT_IP = 0x0A020001,
+  CALLER_IP = 0x64400001,
+  LATE_MS = 100,
+  MISPLACED_MS = 3000,
+  GIVE_UP_MS = 1400,
+  RETRANSMIT_MS = 200,
+  RETRANSMIT_MAX_MS = 1600
+};
+
+/* A packet as its own bytes.  */
+struct raw_packet
+{
+  struct galena_endpoint source;
+  struct galena_endpoint destination;
+  uint32_t sequence;
+  uint32_t acknowledged;
+  uint32_t check;
+  uint16_t data_size;
+  uint8_t flags;
+};
+
+enum place
+{
+  AT_NOBODY,
+  AT_ENTRY,
+  AT_AGENT_PEERS,
+  AT_AGENT_UPSTREAM,
+  AT_UPSTREAM,
+  AT_CALLER
+};
+
+struct flight
+{
+  enum place to;
+  uint32_t index;
+  uint32_t at_ms;
+  struct galena_endpoint peer;
+  struct galena_peer_message message;
+  bool has_packet;
+  bool is_message;
+  struct raw_packet packet;
+};
+
+struct upstream_flow
+{
+  bool used;
+  bool open;
+  struct galena_flow_key key;
+  uint32_t sequence;
+  /* When the running or queued request ends; 0 for none.  */
+  uint32_t ends_ms;
+  uint32_t request;
+};
+
+struct fake_upstream
+{
+  bool agent_up;
+  bool frozen;
+  bool full;
+  enum galena_listing listing;
+  uint32_t listing_since;
+  uint32_t answered;
+  struct galena_plane *agent;
+  struct upstream_flow flows[UPSTREAM_FLOWS_MAX];
+  /* When each slot is free.  */
+  uint32_t slots[8];
+};
+
+enum caller_state
+{
+  CALLER_IDLE,
+  CALLER_OPENING,
+  CALLER_WAITING
+};
+
+struct fake_caller
+{
+  enum caller_state state;
+  bool open;
+  uint16_t port;
+  uint32_t copies;
+  uint32_t sequence;
+  uint32_t acknowledged;
+  uint32_t request;
+  /* When the request was first sent, and when something is due.  */
+  uint32_t began_ms;
+  uint32_t opened_ms;
+  uint32_t due_ms;
+  uint32_t interval_ms;
+};
+
+struct fleet
+{
+  const struct planes_options *options;
+  struct planes_report *report;
+  struct galena_random random;
+  uint32_t now_ms;
+  uint64_t version;
+  uint32_t route_service;
+  bool route_dropped;
+  bool entry_up[PLANES_ENTRIES_MAX];
+  bool entry_blind[PLANES_ENTRIES_MAX];
+  struct galena_plane *entries[PLANES_ENTRIES_MAX];
+  struct galena_directory *directories[PLANES_ENTRIES_MAX];
+  struct fake_upstream upstreams[PLANES_UPSTREAMS_MAX];
+  struct fake_caller callers[PLANES_CALLERS_MAX];
+  uint32_t flight_count;
+  struct flight flights[MESSAGES_MAX];
+};
+
+static const char *const SERVICES[] = { "first", "second" };
+
+static uint32_t
+service_of (const struct fleet *fleet, uint32_t upstream)
+{
+  uint32_t second = fleet->options->second_service;
+
+  return second != 0 && upstream >= second ? 1 : 0;
+}
+
+static uint32_t
+check_of (const struct raw_packet *packet)
+{
+  return packet->source.ip * 31 + packet->source.port * 37
+         + packet->destination.ip * 41 + packet->destination.port * 43
+         + packet->sequence * 47 + packet->acknowledged * 53
+         + packet->data_size * 59
+         + (packet->flags & ~GALENA_PACKET_RETURNED) * 61U;
+}
+
+static struct raw_packet
+make_packet (struct galena_endpoint source, struct galena_endpoint destination,
+             uint8_t flags)
+{
+  struct raw_packet packet;
+
+  memset (&packet, 0, sizeof packet);
+  packet.source = source;
+  packet.destination = destination;
+  packet.flags = flags;
+  return packet;
+}
+
+static struct flight *
+launch (struct fleet *fleet, enum place to, uint32_t index, uint32_t delay_ms)
+{
+  struct flight *flight;
+  uint32_t loss = fleet->options->loss;
+
+  if (fleet->flight_count == MESSAGES_MAX)
+    abort ();
+  if (loss != 0 && galena_random_below (&fleet->random, loss) == 0)
+    to = AT_NOBODY;
+  flight = &fleet->flights[fleet->flight_count++];
+  memset (flight, 0, sizeof *flight);
+  flight->to = to;
+  flight->index = index;
+  flight->at_ms = fleet->now_ms + delay_ms;
+  return flight;
+}
+
+static struct galena_endpoint
+caller_end (const struct fleet *fleet, uint32_t index)
+{
+  return (struct galena_endpoint){ CALLER_IP + index,
+                                   fleet->callers[index].port };
+}
+
+static const struct galena_endpoint ROUTE = { ROUTE_IP, ROUTE_PORT };
+
+/* Sends PACKET of a caller to the entry that its flow hashes to.  */
+static void
+send_from_caller (struct fleet *fleet, struct raw_packet packet)
+{
+  uint32_t up[PLANES_ENTRIES_MAX];
+  uint32_t count = 0;
+  struct flight *flight;
+  uint32_t hash
+      = (packet.source.ip * 2654435761U) ^ (packet.source.port * 40503U);
+
+  for (uint32_t i = 0; i < fleet->options->entries; i++)
+    if (fleet->entry_up[i])
+      up[count++] = i;
+  if (count == 0)
+    return;
+  packet.check = check_of (&packet);
+  flight = launch (fleet, AT_ENTRY, up[(hash >> 8) % count], 1);
+  flight->packet = packet;
+  flight->has_packet = true;
+}
+
+static void
+plan_request (struct fleet *fleet, uint32_t index)
+{
+  struct fake_caller *caller = &fleet->callers[index];
+
+  caller->state = CALLER_IDLE;
+  caller->due_ms
+      = fleet->now_ms + fleet->options->think_ms / 2
+        + galena_random_below (&fleet->random, fleet->options->think_ms + 1);
+}
+
+static void
+send_open (struct fleet *fleet, uint32_t index)
+{
+  struct fake_caller *caller = &fleet->callers[index];
+  struct raw_packet packet
+      = make_packet (caller_end (fleet, index), ROUTE, GALENA_PACKET_OPENS);
+
+  packet.acknowledged = caller->copies;
+  send_from_caller (fleet, packet);
+  caller->copies++;
+  caller->due_ms = caller->opened_ms
+                   + (caller->copies == 1   ? 200
+                      : caller->copies == 2 ? 600
+                                            : GIVE_UP_MS);
+}
+
+static void
+begin_open (struct fleet *fleet, uint32_t index)
+{
+  struct fake_caller *caller = &fleet->callers[index];
+
+  caller->port++;
+  caller->state = CALLER_OPENING;
+  caller->open = false;
+  caller->copies = 0;
+  caller->sequence = 1;
+  caller->opened_ms = fleet->now_ms;
+  send_open (fleet, index);
+}
+
+static void
+send_request (struct fleet *fleet, uint32_t index)
+{
+  struct fake_caller *caller = &fleet->callers[index];
+  struct raw_packet packet = make_packet (caller_end (fleet, index), ROUTE,
+                                          GALENA_PACKET_ACKNOWLEDGES);
+
+  packet.sequence = caller->sequence;
+  packet.acknowledged = caller->acknowledged;
+  packet.data_size = 100;
+  send_from_caller (fleet, packet);
+  caller->due_ms = fleet->now_ms + caller->interval_ms;
+  if (caller->interval_ms < RETRANSMIT_MAX_MS)
+    caller->interval_ms *= 2;
+}
+
+static void
+run_callers (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->options->callers; i++)
+    {
+      struct fake_caller *caller = &fleet->callers[i];
+
+      if (fleet->now_ms < caller->due_ms)
+        continue;
+      if (caller->state == CALLER_OPENING)
+        {
+          if (caller->copies == 3)
+            begin_open (fleet, i);
+          else
+            send_open (fleet, i);
+          continue;
+        }
+      if (caller->state == CALLER_IDLE)
+        {
+          caller->began_ms = fleet->now_ms;
+          fleet->report->requests++;
+          if (!caller->open)
+            {
+              begin_open (fleet, i);
+              continue;
+            }
+          caller->state = CALLER_WAITING;
+          caller->interval_ms = RETRANSMIT_MS;
+        }
+      send_request (fleet, i);
+    }
+}
+
+static struct upstream_flow *
+find_flow (struct fake_upstream *upstream, struct galena_flow_key key)
+{
+  for (uint32_t i = 0; i < UPSTREAM_FLOWS_MAX; i++)
+    {
+      struct upstream_flow *flow = &upstream->flows[i];
+
+      if (flow->used && galena_endpoint_equal (flow->key.caller, key.caller))
+        return flow;
+    }
+  return NULL;
+}
+
+/* Tells whether an upstream holds the open flow of caller INDEX.  */
+static bool
+is_held (struct fleet *fleet, uint32_t index)
+{
+  struct galena_flow_key key = { caller_end (fleet, index), ROUTE };
+
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    {
+      const struct upstream_flow *flow = find_flow (&fleet->upstreams[i], key);
+
+      if (flow != NULL && flow->open)
+        return true;
+    }
+  return false;
+}
+
+static void
+finish_request (struct fleet *fleet, uint32_t index)
+{
+  struct fake_caller *caller = &fleet->callers[index];
+  uint32_t took_ms = fleet->now_ms - caller->began_ms;
+
+  fleet->report->answered++;
+  if (took_ms > LATE_MS)
+    fleet->report->late++;
+  if (took_ms > fleet->report->worst_ms)
+    fleet->report->worst_ms = took_ms;
+  caller->sequence += 100;
+  if (fleet->options->fresh)
+    {
+      struct raw_packet packet
+          = make_packet (caller_end (fleet, index), ROUTE,
+                         GALENA_PACKET_ACKNOWLEDGES | GALENA_PACKET_ENDS);
+
+      packet.sequence = caller->sequence;
+      packet.acknowledged = caller->acknowledged;
+      send_from_caller (fleet, packet);
+      caller->open = false;
+    }
+  plan_request (fleet, index);
+}
+
+static void
+take_at_caller (struct fleet *fleet, uint32_t index,
+                const struct raw_packet *packet)
+{
+  struct fake_caller *caller = &fleet->callers[index];
+
+  if (packet->destination.port != caller->port)
+    return;
+  if ((packet->flags & GALENA_PACKET_RESETS) != 0)
+    {
+      fleet->report->resets++;
+      if (caller->open && is_held (fleet, index) && !fleet->route_dropped)
+        fleet->report->broken++;
+      caller->open = false;
+      if (caller->state != CALLER_IDLE)
+        begin_open (fleet, index);
+      return;
+    }
+  if ((packet->flags & GALENA_PACKET_OPENS) != 0)
+    {
+      if (caller->state != CALLER_OPENING)
+        return;
+      caller->open = true;
+      caller->acknowledged = packet->sequence + 1;
+      caller->state = CALLER_WAITING;
+      caller->interval_ms = RETRANSMIT_MS;
+      send_request (fleet, index);
+      return;
+    }
+  if (packet->data_size > 0 && caller->state == CALLER_WAITING
+      && packet->acknowledged == caller->sequence + 100)
+    {
+      caller->acknowledged = packet->sequence + packet->data_size;
+      finish_request (fleet, index);
+    }
+}
+
+/* Sends PACKET from upstream INDEX to the agent beside it.  */
+static void
+send_from_upstream (struct fleet *fleet, uint32_t index,
+                    struct raw_packet packet)
+{
+  struct flight *flight = launch (fleet, AT_AGENT_UPSTREAM, index, 1);
+
+  if ((packet.flags & GALENA_PACKET_RETURNED) == 0)
+    packet.check = check_of (&packet);
+  flight->packet = packet;
+  flight->has_packet = true;
+}
+
+static void
+return_packet (struct fleet *fleet, uint32_t index, struct raw_packet packet)
+{
+  packet.flags |= GALENA_PACKET_RETURNED;
+  send_from_upstream (fleet, index, packet);
+}
+
+static void
+open_at_upstream (struct fleet *fleet, uint32_t index,
+                  const struct raw_packet *packet)
+{
+  struct fake_upstream *upstream = &fleet->upstreams[index];
+  struct galena_flow_key key = { packet->source, packet->destination };
+  struct upstream_flow *flow = find_flow (upstream, key);
+  struct raw_packet accept;
+
+  if (upstream->full)
+    {
+      return_packet (fleet, index, *packet);
+      return;
+    }
+  for (uint32_t i = 0; flow == NULL && i < UPSTREAM_FLOWS_MAX; i++)
+    if (!upstream->flows[i].used)
+      {
+        flow = &upstream->flows[i];
+        *flow = (struct upstream_flow){ .used = true, .key = key };
+        flow->sequence = (uint32_t)galena_random_next (&fleet->random);
+        if (upstream->listing != GALENA_LISTING_READY
+            && fleet->now_ms - upstream->listing_since > MISPLACED_MS)
+          fleet->report->misplaced++;
+        if (service_of (fleet, index) != fleet->route_service)
+          fleet->report->misrouted++;
+      }
+  if (flow == NULL)
+    {
+      return_packet (fleet, index, *packet);
+      return;
+    }
+  accept = make_packet (packet->destination, packet->source,
+                        GALENA_PACKET_OPENS | GALENA_PACKET_ACKNOWLEDGES);
+  accept.sequence = flow->sequence;
+  send_from_upstream (fleet, index, accept);
+}
+
+static uint32_t
+work_ms (const struct fleet *fleet, uint32_t index)
+{
+  uint32_t each = fleet->options->slow_each;
+
+  return fleet->options->service_ms * (each != 0 && index % each == 0 ? 4 : 1);
+}
+
+/* Gives a request of FLOW to the slot that is free first.  */
+static void
+run_request (struct fleet *fleet, uint32_t index, struct upstream_flow *flow,
+             uint32_t request)
+{
+  struct fake_upstream *upstream = &fleet->upstreams[index];
+  uint32_t best = 0;
+
+  if (flow->ends_ms != 0 && flow->request == request)
+    return;
+  for (uint32_t i = 1; i < fleet->options->slots; i++)
+    if (upstream->slots[i] < upstream->slots[best])
+      best = i;
+  if (upstream->slots[best] < fleet->now_ms)
+    upstream->slots[best] = fleet->now_ms;
+  upstream->slots[best] += work_ms (fleet, index);
+  flow->ends_ms = upstream->slots[best];
+  flow->request = request;
+}
+
+static void
+take_at_upstream (struct fleet *fleet, uint32_t index,
+                  const struct raw_packet *packet)
+{
+  struct fake_upstream *upstream = &fleet->upstreams[index];
+  struct galena_flow_key key = { packet->source, packet->destination };
+  struct upstream_flow *flow;
+
+  if (upstream->frozen)
+    return;
+  if (packet->check != check_of (packet))
+    fleet->report->forged++;
+  if ((packet->flags & GALENA_PACKET_OPENS) != 0)
+    {
+      open_at_upstream (fleet, index, packet);
+      return;
+    }
+  flow = find_flow (upstream, key);
+  if (flow == NULL
+      || (!flow->open && packet->acknowledged != flow->sequence + 1))
+    {
+      return_packet (fleet, index, *packet);
+      return;
+    }
+  flow->open = true;
+  if ((packet->flags & GALENA_PACKET_ENDS) != 0)
+    flow->used = false;
+  else if (packet->data_size > 0)
+    run_request (fleet, index, flow, packet->sequence);
+}
+
+static void
+answer_request (struct fleet *fleet, uint32_t index,
+                struct upstream_flow *flow)
+{
+  struct raw_packet packet
+      = make_packet (ROUTE, flow->key.caller, GALENA_PACKET_ACKNOWLEDGES);
+
+  packet.sequence = flow->sequence + 1;
+  packet.acknowledged = flow->request + 100;
+  packet.data_size = 50;
+  flow->ends_ms = 0;
+  fleet->upstreams[index].answered++;
+  send_from_upstream (fleet, index, packet);
+}
+
+static void
+run_upstreams (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    for (uint32_t j = 0; j < UPSTREAM_FLOWS_MAX; j++)
+      {
+        struct upstream_flow *flow = &fleet->upstreams[i].flows[j];
+
+        if (flow->used && flow->ends_ms != 0 && flow->ends_ms <= fleet->now_ms
+            && !fleet->upstreams[i].frozen)
+          answer_request (fleet, i, flow);
+      }
+}
+
+static struct galena_directory *
+make_directory (const struct fleet *fleet)
+{
+  struct galena_listed_upstream rows[PLANES_UPSTREAMS_MAX];
+  struct galena_route route = { .address = ROUTE, .share_count = 1 };
+  struct galena_directory_options options
+      = { .version = fleet->version, .routes = &route, .upstreams = rows };
+  struct galena_directory *directory;
+
+  memset (rows, 0, sizeof rows);
+  options.route_count = fleet->route_dropped ? 0 : 1;
+  route.shares[0] = (struct galena_route_share){
+    galena_service_key_of (SERVICES[fleet->route_service]), 1
+  };
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    {
+      const struct fake_upstream *upstream = &fleet->upstreams[i];
+
+      if (upstream->listing == GALENA_LISTING_ABSENT)
+        continue;
+      rows[options.upstream_count++] = (struct galena_listed_upstream){
+        .service = galena_service_key_of (SERVICES[service_of (fleet, i)]),
+        .address = { AGENT_IP + i, 8080 },
+        .state = upstream->listing,
+        .slots = fleet->options->slots,
+      };
+    }
+  if (galena_directory_create (&options, &directory) != GALENA_OK)
+    abort ();
+  return directory;
+}
+
+/* Publishes the present state to entries FIRST to LAST that see it.  */
+static void
+publish (struct fleet *fleet, uint32_t first, uint32_t last)
+{
+  for (uint32_t i = first; i <= last && i < fleet->options->entries; i++)
+    if (!fleet->entry_blind[i])
+      {
+        galena_directory_destroy (fleet->directories[i]);
+        fleet->directories[i] = make_directory (fleet);
+      }
+}
+
+static struct galena_plane *
+make_plane (struct fleet *fleet, enum galena_role role, uint32_t index,
+            bool first_start)
+{
+  struct galena_plane_options options = {
+    .role = role,
+    .seed = galena_random_next (&fleet->random),
+    .self
+    = { (role == GALENA_ROLE_ENTRY ? ENTRY_IP : AGENT_IP) + index, PEER_PORT },
+    .seed_count = 2,
+    .seeds = { { ENTRY_IP, PEER_PORT }, { ENTRY_IP + 1, PEER_PORT } },
+    .flows = 4096,
+    .messages = 4096,
+    .flow_idle_ms = 60000,
+    .first_start = first_start,
+  };
+  struct galena_plane *plane;
+
+  if (role == GALENA_ROLE_AGENT)
+    options.service
+        = galena_service_key_of (SERVICES[service_of (fleet, index)]);
+  if (galena_plane_create (&options, &plane) != GALENA_OK)
+    abort ();
+  return plane;
+}
+
+static void
+start_entry (struct fleet *fleet, uint32_t index, bool first_start)
+{
+  galena_plane_destroy (fleet->entries[index]);
+  fleet->entries[index]
+      = make_plane (fleet, GALENA_ROLE_ENTRY, index, first_start);
+  galena_directory_destroy (fleet->directories[index]);
+  fleet->directories[index] = NULL;
+  publish (fleet, index, index);
+}
+
+static void
+start_agent (struct fleet *fleet, uint32_t index, bool first_start)
+{
+  struct fake_upstream *upstream = &fleet->upstreams[index];
+
+  galena_plane_destroy (upstream->agent);
+  upstream->agent = make_plane (fleet, GALENA_ROLE_AGENT, index, first_start);
+  upstream->agent_up = true;
+}
+
+static void
+list_upstream (struct fleet *fleet, uint32_t index,
+               enum galena_listing listing)
+{
+  fleet->upstreams[index].listing = listing;
+  fleet->upstreams[index].listing_since = fleet->now_ms;
+  fleet->version++;
+}
+
+typedef void action_runner (struct fleet *fleet, uint32_t index);
+
+static void
+restart_entry (struct fleet *fleet, uint32_t index)
+{
+  start_entry (fleet, index, false);
+}
+
+static void
+stop_entry (struct fleet *fleet, uint32_t index)
+{
+  fleet->entry_up[index] = false;
+}
+
+static void
+join_entry (struct fleet *fleet, uint32_t index)
+{
+  fleet->entry_up[index] = true;
+}
+
+static void
+restart_agent (struct fleet *fleet, uint32_t index)
+{
+  start_agent (fleet, index, false);
+}
+
+static void
+stop_agent (struct fleet *fleet, uint32_t index)
+{
+  fleet->upstreams[index].agent_up = false;
+}
+
+static void
+restart_upstream (struct fleet *fleet, uint32_t index)
+{
+  struct fake_upstream *upstream = &fleet->upstreams[index];
+
+  memset (upstream->flows, 0, sizeof upstream->flows);
+}
+
+static void
+freeze_upstream (struct fleet *fleet, uint32_t index)
+{
+  fleet->upstreams[index].frozen = true;
+}
+
+static void
+wake_upstream (struct fleet *fleet, uint32_t index)
+{
+  fleet->upstreams[index].frozen = false;
+}
+
+static void
+list_ready (struct fleet *fleet, uint32_t index)
+{
+  list_upstream (fleet, index, GALENA_LISTING_READY);
+}
+
+static void
+list_draining (struct fleet *fleet, uint32_t index)
+{
+  list_upstream (fleet, index, GALENA_LISTING_DRAINING);
+}
+
+static void
+list_absent (struct fleet *fleet, uint32_t index)
+{
+  list_upstream (fleet, index, GALENA_LISTING_ABSENT);
+}
+
+static void
+fill_upstream (struct fleet *fleet, uint32_t index)
+{
+  fleet->upstreams[index].full = true;
+}
+
+static void
+empty_upstream (struct fleet *fleet, uint32_t index)
+{
+  fleet->upstreams[index].full = false;
+}
+
+static void
+blind_entry (struct fleet *fleet, uint32_t index)
+{
+  fleet->entry_blind[index] = true;
+}
+
+static void
+unblind_entry (struct fleet *fleet, uint32_t index)
+{
+  fleet->entry_blind[index] = false;
+}
+
+static void
+reroute (struct fleet *fleet, uint32_t index)
+{
+  (void)index;
+  fleet->route_service = 1;
+  fleet->version++;
+}
+
+static void
+drop_route (struct fleet *fleet, uint32_t index)
+{
+  (void)index;
+  fleet->route_dropped = true;
+  fleet->version++;
+}
+
+static action_runner *const RUNNERS[PLANES_ACTION_COUNT] = {
+  [PLANES_RESTART_ENTRIES] = restart_entry,
+  [PLANES_RESTART_AGENTS] = restart_agent,
+  [PLANES_STOP_ENTRIES] = stop_entry,
+  [PLANES_START_ENTRIES] = join_entry,
+  [PLANES_STOP_AGENTS] = stop_agent,
+  [PLANES_START_AGENTS] = restart_agent,
+  [PLANES_RESTART_UPSTREAMS] = restart_upstream,
+  [PLANES_FREEZE_UPSTREAMS] = freeze_upstream,
+  [PLANES_WAKE_UPSTREAMS] = wake_upstream,
+  [PLANES_LIST_READY] = list_ready,
+  [PLANES_LIST_DRAINING] = list_draining,
+  [PLANES_LIST_ABSENT] = list_absent,
+  [PLANES_FILL_UPSTREAMS] = fill_upstream,
+  [PLANES_EMPTY_UPSTREAMS] = empty_upstream,
+  [PLANES_BLIND_ENTRIES] = blind_entry,
+  [PLANES_UNBLIND_ENTRIES] = unblind_entry,
+  [PLANES_REROUTE] = reroute,
+  [PLANES_DROP_ROUTE] = drop_route,
+};
+
+static void
+run_actions (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < PLANES_ACTIONS_MAX; i++)
+    {
+      const struct planes_action *action = &fleet->options->actions[i];
+
+      if (action->kind == PLANES_NOTHING || action->at_ms != fleet->now_ms)
+        continue;
+      for (uint32_t index = action->first; index <= action->last; index++)
+        RUNNERS[action->kind](fleet, index);
+      publish (fleet, 0, fleet->options->entries - 1);
+    }
+}
+
+static void
+read_raw (const struct raw_packet *raw, struct galena_packet *packet)
+{
+  *packet = (struct galena_packet){
+    .source = raw->source,
+    .destination = raw->destination,
+    .sequence = raw->sequence,
+    .acknowledged = raw->acknowledged,
+    .data_size = raw->data_size,
+    .flags = raw->flags,
+    .bytes = (const uint8_t *)raw,
+    .size = sizeof *raw,
+  };
+}
+
+/* Hands FLIGHT to PLANE as what arrives on LINK.  */
+static void
+arrive (struct galena_plane *plane, enum galena_link link,
+        struct flight *flight)
+{
+  struct galena_arrival *arrival = galena_plane_arrival (plane);
+
+  if (arrival == NULL)
+    return;
+  arrival->link = link;
+  arrival->peer = flight->peer;
+  if (link != GALENA_LINK_PEER)
+    {
+      read_raw (&flight->packet, &arrival->packet);
+      flight->packet.flags &= (uint8_t)~GALENA_PACKET_RETURNED;
+    }
+  else
+    {
+      arrival->message = flight->message;
+      arrival->message.bytes = NULL;
+      arrival->message.size = 0;
+      if (flight->has_packet)
+        {
+          read_raw (&flight->packet, &arrival->message.packet);
+          arrival->message.bytes = (const uint8_t *)&flight->packet;
+          arrival->message.size = sizeof flight->packet;
+        }
+    }
+  galena_plane_push (plane);
+}
+
+static void
+land (struct fleet *fleet, struct flight *flight)
+{
+  struct fake_upstream *upstream = &fleet->upstreams[flight->index];
+  enum galena_link link
+      = flight->is_message ? GALENA_LINK_PEER : GALENA_LINK_CALLER;
+
+  switch (flight->to)
+    {
+    case AT_ENTRY:
+      arrive (fleet->entries[flight->index], link, flight);
+      break;
+    case AT_AGENT_PEERS:
+      if (upstream->agent_up)
+        arrive (upstream->agent, GALENA_LINK_PEER, flight);
+      break;
+    case AT_AGENT_UPSTREAM:
+      if (upstream->agent_up)
+        arrive (upstream->agent, GALENA_LINK_APPLICATION, flight);
+      break;
+    case AT_UPSTREAM:
+      take_at_upstream (fleet, flight->index, &flight->packet);
+      break;
+    case AT_CALLER:
+      take_at_caller (fleet, flight->index, &flight->packet);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Sends MESSAGE of DEPARTURE to the process at its address.  */
+static void
+depart_message (struct fleet *fleet, struct galena_endpoint from,
+                const struct galena_departure *departure)
+{
+  bool to_entry = departure->peer.ip < AGENT_IP;
+  uint32_t index = departure->peer.ip - (to_entry ? ENTRY_IP : AGENT_IP);
+  const uint8_t *bytes = departure->message.bytes;
+  struct flight *flight;
+
+  if (index
+      >= (to_entry ? fleet->options->entries : fleet->options->upstreams))
+    return;
+  flight = launch (fleet, to_entry ? AT_ENTRY : AT_AGENT_PEERS, index, 1);
+  flight->is_message = true;
+  flight->peer = from;
+  flight->message = departure->message;
+  if (bytes == NULL && departure->kept_size > 0)
+    bytes = departure->kept;
+  if (bytes == NULL)
+    return;
+  flight->has_packet = true;
+  memcpy (&flight->packet, bytes, sizeof flight->packet);
+}
+
+static void
+depart (struct fleet *fleet, struct galena_endpoint from, uint32_t index,
+        const struct galena_departure *departure)
+{
+  struct flight *flight;
+
+  if (departure->kind == GALENA_DEPARTURE_MESSAGE)
+    {
+      depart_message (fleet, from, departure);
+      return;
+    }
+  if (departure->link == GALENA_LINK_APPLICATION)
+    flight = launch (fleet, AT_UPSTREAM, index, 1);
+  else
+    flight = launch (fleet, AT_CALLER, departure->peer.ip - CALLER_IP, 1);
+  flight->has_packet = true;
+  if (departure->kind == GALENA_DEPARTURE_PACKET)
+    memcpy (&flight->packet, departure->bytes, sizeof flight->packet);
+  else
+    flight->packet = make_packet (
+        departure->flow.service, departure->flow.caller, GALENA_PACKET_RESETS);
+}
+
+static void
+tick (struct fleet *fleet, struct galena_plane *plane,
+      struct galena_endpoint self, uint32_t index,
+      const struct galena_directory *directory)
+{
+  struct galena_clock now = { fleet->now_ms + 1 };
+
+  galena_plane_tick (plane, now, directory);
+  for (uint32_t i = 0; i < galena_plane_departure_count (plane); i++)
+    depart (fleet, self, index, galena_plane_departure (plane, i));
+}
+
+/* Lands what has arrived, and ticks every process.  Flights that landed stay
+   where they are until the ticks have read them.  */
+static void
+run_processes (struct fleet *fleet)
+{
+  uint32_t count = fleet->flight_count;
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (fleet->flights[i].at_ms <= fleet->now_ms)
+      land (fleet, &fleet->flights[i]);
+  for (uint32_t i = 0; i < fleet->options->entries; i++)
+    tick (fleet, fleet->entries[i],
+          (struct galena_endpoint){ ENTRY_IP + i, PEER_PORT }, i,
+          fleet->directories[i]);
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    if (fleet->upstreams[i].agent_up)
+      tick (fleet, fleet->upstreams[i].agent,
+            (struct galena_endpoint){ AGENT_IP + i, PEER_PORT }, i, NULL);
+  for (uint32_t i = 0; i < fleet->flight_count; i++)
+    if (fleet->flights[i].at_ms > fleet->now_ms)
+      fleet->flights[kept++] = fleet->flights[i];
+  fleet->flight_count = kept;
+}
+
+static void
+begin (struct fleet *fleet)
+{
+  fleet->version = 1;
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    {
+      fleet->upstreams[i].listing = GALENA_LISTING_READY;
+      start_agent (fleet, i, true);
+    }
+  for (uint32_t i = 0; i < fleet->options->entries; i++)
+    {
+      fleet->entry_up[i] = true;
+      start_entry (fleet, i, true);
+    }
+  for (uint32_t i = 0; i < fleet->options->callers; i++)
+    {
+      fleet->callers[i].port = (uint16_t)(1024 + 64 * i);
+      fleet->callers[i].due_ms
+          = 1000 + galena_random_below (&fleet->random, 1000);
+    }
+}
+
+static void
+end (struct fleet *fleet)
+{
+  for (uint32_t i = 0; i < fleet->options->entries; i++)
+    {
+      fleet->report->rows += galena_plane_flow_count (fleet->entries[i]);
+      galena_plane_destroy (fleet->entries[i]);
+      galena_directory_destroy (fleet->directories[i]);
+    }
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    {
+      fleet->report->rows
+          += galena_plane_flow_count (fleet->upstreams[i].agent);
+      if (fleet->upstreams[i].answered > fleet->report->busiest)
+        fleet->report->busiest = fleet->upstreams[i].answered;
+      galena_plane_destroy (fleet->upstreams[i].agent);
+    }
+}
+
+void
+planes_run (const struct planes_options *options, struct planes_report *report)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+
+  if (fleet == NULL)
+    abort ();
+  *report = (struct planes_report){ 0 };
+  fleet->options = options;
+  fleet->report = report;
+  fleet->random = (struct galena_random){ options->seed, 0 };
+  begin (fleet);
+  for (; fleet->now_ms < options->length_ms; fleet->now_ms++)
+    {
+      run_actions (fleet);
+      run_callers (fleet);
+      run_upstreams (fleet);
+      run_processes (fleet);
+    }
+  end (fleet);
+  free (fleet);
+}
