Keep the row of an upstream whose later life is published

Ruled out: refusals by upstreams (none returned those flows). Change: the row stays; an agent tells which flows its upstream lost.

--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -111,13 +111,8 @@
   if (upstream != NULL && upstream->directory == directory
       && !is_later_life (upstream, listed))
     return;
-  if (upstream != NULL && is_later_life (upstream, listed))
-    {
-      /* Flows of the earlier life lose their handle, and with it their
-         owner.  */
-      remove_row (plane, upstream, handle);
-      upstream = NULL;
-    }
+  /* A later life keeps its row: flows may have been opened at it before it
+     was published, and those of the earlier one are returned to its agent. */
   if (upstream == NULL)
     upstream = add_row (plane, listed->address.ip, &handle);
   if (upstream == NULL)
--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -77,6 +77,8 @@
   bool full;
   enum galena_listing listing;
   uint32_t listing_since;
+  /* Start of the life that is published.  */
+  uint64_t born;
   uint32_t answered;
   struct galena_plane *agent;
   struct upstream_flow flows[UPSTREAM_FLOWS_MAX];
@@ -559,6 +561,7 @@
         .address = { AGENT_IP + i, 8080 },
         .state = upstream->listing,
         .slots = fleet->options->slots,
+        .born_ms = upstream->born,
       };
     }
   if (galena_directory_create (&options, &directory) != GALENA_OK)
@@ -674,6 +677,13 @@
   memset (upstream->flows, 0, sizeof upstream->flows);
 }
 
+static void
+list_reborn (struct fleet *fleet, uint32_t index)
+{
+  fleet->upstreams[index].born = fleet->now_ms;
+  list_upstream (fleet, index, GALENA_LISTING_READY);
+}
+
 static void
 freeze_upstream (struct fleet *fleet, uint32_t index)
 {
@@ -755,6 +765,7 @@
   [PLANES_FREEZE_UPSTREAMS] = freeze_upstream,
   [PLANES_WAKE_UPSTREAMS] = wake_upstream,
   [PLANES_LIST_READY] = list_ready,
+  [PLANES_LIST_REBORN] = list_reborn,
   [PLANES_LIST_DRAINING] = list_draining,
   [PLANES_LIST_ABSENT] = list_absent,
   [PLANES_FILL_UPSTREAMS] = fill_upstream,
@@ -949,6 +960,7 @@
   for (uint32_t i = 0; i < fleet->options->upstreams; i++)
     {
       fleet->upstreams[i].listing = GALENA_LISTING_READY;
+      fleet->upstreams[i].born = 1;
       start_agent (fleet, i, true);
     }
   for (uint32_t i = 0; i < fleet->options->entries; i++)
--- a/test/fake/planes.h
+++ b/test/fake/planes.h
@@ -36,6 +36,7 @@
   PLANES_WAKE_UPSTREAMS,
   /* What the platform publishes of upstreams.  */
   PLANES_LIST_READY,
+  PLANES_LIST_REBORN,
   PLANES_LIST_DRAINING,
   PLANES_LIST_ABSENT,
   /* Upstreams accept no further flows, or do again.  */
