Count each request, and flows that are about to send one

Cause: an agent compared a caller's first data with sequence 0, so requests of half of all flows were never counted, and told loads were wrong. Ruled out: leaked rows (row counts were right; half of the open flows stood as opened without a request). Change: the opening packet gives the sequence; opens without a reply and flows without their first request count as load.

--- a/packages/flows/include/galenaford/peer.h
+++ b/packages/flows/include/galenaford/peer.h
@@ -53,7 +53,8 @@
 /* What an agent sees of its upstream.  */
 struct galena_load
 {
-  /* Requests whose answer has not begun.  */
+  /* Requests whose answer has not begun, and flows that were opened and are
+     about to send one.  */
   uint32_t running;
   /* Open flows.  */
   uint32_t flows;
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -223,6 +223,10 @@
 uint64_t galena_plane_counter_value (const struct galena_plane *plane,
                                      enum galena_plane_counter counter);
 
+/* Agent only: returns the requests that run at the upstream or are about to
+   come, as the agent sees them.  */
+uint32_t galena_plane_running (const struct galena_plane *plane);
+
 /* Returns the flows held.  */
 uint32_t galena_plane_flow_count (const struct galena_plane *plane);
 
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -8,8 +8,9 @@
   /* An ended flow is kept for late packets: the longest interval of
      retransmissions, twice.  */
   ENDED_LINGER_MS = 3200,
-  /* A packet that the upstream may return is waited for so long.  */
-  PROBED_LINGER_MS = 5000
+  /* A packet that the upstream may return, or the first one after the open,
+     is waited for so long; callers give an opening up after 1.4 s.  */
+  PROBED_LINGER_MS = 1500
 };
 
 static struct agent_flow *
@@ -143,6 +144,11 @@
     {
       plane_count (plane, GALENA_PLANE_OPENS);
       flow = add_flow (plane, message->flow, AGENT_FLOW_HALF);
+      if (flow != NULL)
+        {
+          flow->caller_next = message->packet.sequence;
+          agent_request_expected (plane, flow);
+        }
     }
   if (flow == NULL)
     {
@@ -329,9 +335,12 @@
   plane_send_packet (plane, GALENA_LINK_CALLER, packet);
   flow = find_flow (plane, key, &handle);
   if (flow == NULL)
-    flow = add_flow (plane, key, AGENT_FLOW_PROBED);
-  if (flow == NULL)
-    return;
+    {
+      flow = add_flow (plane, key, AGENT_FLOW_PROBED);
+      if (flow == NULL)
+        return;
+      flow->caller_next = packet->acknowledged;
+    }
   flow->active = plane->now;
   if (galena_packet_is_accept (packet))
     note_accept (plane, flow, packet);
--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -18,9 +18,25 @@
   US_PER_MS = 1000
 };
 
+static void
+end_half (struct galena_plane *plane, struct agent_flow *flow)
+{
+  if (flow->half)
+    plane->agent->half--;
+  flow->half = false;
+}
+
+void
+agent_request_expected (struct galena_plane *plane, struct agent_flow *flow)
+{
+  flow->half = true;
+  plane->agent->half++;
+}
+
 void
 agent_request_began (struct galena_plane *plane, struct agent_flow *flow)
 {
+  end_half (plane, flow);
   if (flow->running)
     return;
   flow->running = true;
@@ -59,6 +75,7 @@
 void
 agent_request_dropped (struct galena_plane *plane, struct agent_flow *flow)
 {
+  end_half (plane, flow);
   if (flow->running)
     plane->agent->running--;
   flow->running = false;
@@ -70,13 +87,19 @@
   const struct agent_tables *agent = plane->agent;
 
   return (struct galena_load){
-    .running = agent->running,
+    .running = agent->running + agent->half,
     .flows = agent->open,
     .service_us = agent->service_us,
     .leaving = plane->draining,
   };
 }
 
+uint32_t
+galena_plane_running (const struct galena_plane *plane)
+{
+  return plane->agent == NULL ? 0 : agent_load (plane).running;
+}
+
 void
 agent_reply (struct galena_plane *plane, struct galena_endpoint peer,
              struct galena_peer_message *message)
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -28,6 +28,8 @@
   bool upstream_ended;
   /* Whether the upstream has had data of a request and sent none since.  */
   bool running;
+  /* Whether it counts as opened without a request.  */
+  bool half;
   /* Requests that ran when this one began, it too.  */
   uint32_t rank;
   /* Next sequence number of the caller's data.  */
@@ -42,6 +44,8 @@
   struct galena_map *flows_by_key;
   /* Flows whose request runs.  */
   uint32_t running;
+  /* Flows that were opened and whose first request has not come yet.  */
+  uint32_t half;
   /* Flows that are open and not ended.  */
   uint32_t open;
   /* Requests that the upstream runs at once; 0 while unknown.  */
@@ -81,6 +85,10 @@
 void agent_request_began (struct galena_plane *plane, struct agent_flow *flow);
 void agent_answer_began (struct galena_plane *plane, struct agent_flow *flow);
 
+/* Notes that FLOW was opened, so that a request is about to come.  */
+void agent_request_expected (struct galena_plane *plane,
+                             struct agent_flow *flow);
+
 /* Notes that FLOW is forgotten.  */
 void agent_request_dropped (struct galena_plane *plane,
                             struct agent_flow *flow);
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -69,7 +69,7 @@
     plane_count (plane, GALENA_PLANE_RETRIED);
   flow->tries[flow->try_count++] = (struct flow_try){ .upstream = chosen };
   flow->owner = chosen;
-  entry_upstream (plane, chosen)->placed++;
+  entry_note_placed (plane, entry_upstream (plane, chosen));
   send_open (plane, flow, chosen);
   return true;
 }
@@ -157,7 +157,7 @@
 {
   struct galena_handle at;
   struct galena_handle handle;
-  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
   struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
   struct flow_try *try;
 
@@ -166,6 +166,7 @@
   try = find_try (flow, at);
   if (try == NULL || try->accepted)
     return;
+  entry_note_reply (upstream);
   try->accepted = true;
   try->sequence = message->sequence;
   plane_count (plane, GALENA_PLANE_OPENED);
@@ -188,7 +189,7 @@
 {
   struct galena_handle at;
   struct galena_handle handle;
-  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
   struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
   struct galena_plane_note note;
 
@@ -196,6 +197,7 @@
       || find_try (flow, at) == NULL)
     return;
   plane_count (plane, GALENA_PLANE_REFUSED);
+  entry_note_reply (upstream);
   find_try (flow, at)->refused = true;
   note = note_of (plane, GALENA_EVENT_REFUSED, flow, upstream);
   note.result = message->result;
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -37,8 +37,9 @@
   /* When the agent was last heard; ms 0 when never.  */
   struct galena_clock heard;
   struct galena_load load;
-  /* Flows sent to it since the load was told.  */
+  /* Opens sent to it that it has not replied to, and when the last was.  */
   uint32_t placed;
+  struct galena_clock placed_at;
   /* Avoided until then, since an open was left unanswered.  */
   struct galena_clock suspect_until;
 };
@@ -171,6 +172,11 @@
                                  const struct galena_peer_message *message,
                                  struct galena_handle *handle);
 
+/* Notes that an open was sent to UPSTREAM, and that it replied to one.  */
+void entry_note_placed (struct galena_plane *plane,
+                        struct upstream_row *upstream);
+void entry_note_reply (struct upstream_row *upstream);
+
 /* Avoids the upstream that HANDLE names for a while.  */
 void entry_suspect (struct galena_plane *plane, struct galena_handle handle);
 
--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -4,6 +4,9 @@
 
 enum
 {
+  /* An open that was not replied to by then won't be: it or the reply was
+     lost.  */
+  REPLY_EXPECTED_MS = 250,
   /* An open that is unanswered makes its agent avoided for so long; a reply
      ends it at once.  */
   SUSPECT_MS = 1000,
@@ -194,10 +197,26 @@
   upstream->heard = plane->now;
   upstream->announced_service = message->service;
   upstream->load = message->load;
-  upstream->placed = 0;
+  if (galena_clock_between (upstream->placed_at, plane->now)
+      > REPLY_EXPECTED_MS)
+    upstream->placed = 0;
   return upstream;
 }
 
+void
+entry_note_placed (struct galena_plane *plane, struct upstream_row *upstream)
+{
+  upstream->placed++;
+  upstream->placed_at = plane->now;
+}
+
+void
+entry_note_reply (struct upstream_row *upstream)
+{
+  if (upstream->placed > 0)
+    upstream->placed--;
+}
+
 void
 entry_suspect (struct galena_plane *plane, struct galena_handle handle)
 {
--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -227,6 +227,7 @@
   struct raw_packet packet
       = make_packet (caller_end (fleet, index), ROUTE, GALENA_PACKET_OPENS);
 
+  packet.sequence = caller->sequence - 1;
   packet.acknowledged = caller->copies;
   send_from_caller (fleet, packet);
   caller->copies++;
@@ -245,7 +246,7 @@
   caller->state = CALLER_OPENING;
   caller->open = false;
   caller->copies = 0;
-  caller->sequence = 1;
+  caller->sequence = (uint32_t)galena_random_next (&fleet->random);
   caller->opened_ms = fleet->now_ms;
   send_open (fleet, index);
 }
@@ -953,6 +954,27 @@
   fleet->flight_count = kept;
 }
 
+/* Compares what agents tell of running requests with what runs.  */
+static void
+check_loads (struct fleet *fleet)
+{
+  if (fleet->now_ms % 1000 != 0 || fleet->now_ms > fleet->options->length_ms / 2)
+    return;
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    {
+      const struct fake_upstream *upstream = &fleet->upstreams[i];
+      uint32_t told = galena_plane_running (upstream->agent);
+      uint32_t runs = 0;
+      uint32_t apart;
+
+      for (uint32_t j = 0; j < UPSTREAM_FLOWS_MAX; j++)
+        runs += upstream->flows[j].used && upstream->flows[j].ends_ms != 0;
+      apart = told > runs ? told - runs : runs - told;
+      if (apart > fleet->report->misjudged)
+        fleet->report->misjudged = apart;
+    }
+}
+
 static void
 begin (struct fleet *fleet)
 {
@@ -1013,6 +1035,7 @@
       run_callers (fleet);
       run_upstreams (fleet);
       run_processes (fleet);
+      check_loads (fleet);
     }
   end (fleet);
   free (fleet);
--- a/test/fake/planes.h
+++ b/test/fake/planes.h
@@ -103,6 +103,9 @@
   uint32_t worst_ms;
   /* Requests that the busiest upstream answered.  */
   uint32_t busiest;
+  /* Greatest difference between the requests that an agent told and those
+     that its upstream had, once a second in the first half of the run.  */
+  uint32_t misjudged;
   /* Flows that processes hold at the end.  */
   uint32_t rows;
 };
--- a/test/unit/test_planes.c
+++ b/test/unit/test_planes.c
@@ -209,6 +209,8 @@
       g_assert_cmpuint (report.misplaced, ==, 0);
       g_assert_cmpuint (report.misrouted, ==, 0);
       g_assert_cmpuint (report.forged, ==, 0);
+      /* Requests and answers on their way.  */
+      g_assert_cmpuint (report.misjudged, <=, 4);
       g_assert_cmpuint (report.late, <=, test->late_max);
       g_assert_cmpuint (report.worst_ms, <=, test->worst_max_ms);
       g_assert_cmpuint (report.resets, >=, test->resets_min);
