Measure the service time by busy slots, and assume the mean where none is told

Change: the busy time of slots between two answers, which holds under queues; answers that shed are left out; entries take the mean of the service.

--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -7,7 +7,7 @@
 enum
 {
   /* Part of a new sample in the mean of the service time: one in so many.  */
-  MEAN_SHARE = 8,
+  MEAN_SHARE = 16,
   /* Longest time that counts as a sample; a longer one is an upstream that
      was paused or cut off.  */
   SAMPLE_MAX_MS = 10000,
@@ -18,6 +18,19 @@
   US_PER_MS = 1000
 };
 
+/* Brings the busy time up to now.  */
+static void
+note_busy (struct galena_plane *plane)
+{
+  struct agent_tables *agent = plane->agent;
+  uint32_t slots = agent->slots > 0 ? agent->slots : 1;
+  uint32_t busy = agent->running < slots ? agent->running : slots;
+
+  agent->busy_us += (double)galena_clock_between (agent->busy_at, plane->now)
+                    * busy * US_PER_MS;
+  agent->busy_at = plane->now;
+}
+
 static void
 end_half (struct galena_plane *plane, struct agent_flow *flow)
 {
@@ -39,45 +52,55 @@
   end_half (plane, flow);
   if (flow->running)
     return;
+  note_busy (plane);
   flow->running = true;
   flow->request_began = plane->now;
   flow->rank = ++plane->agent->running;
 }
 
-/* Takes a sample of the service time from a request that did not queue.  */
-static void
-take_sample (struct agent_tables *agent, uint32_t us)
+/* Tells whether the answer of FLOW came too early for a request that had to
+   queue: the upstream shed it.  */
+static bool
+is_shed (const struct galena_plane *plane, const struct agent_flow *flow)
 {
-  if (agent->service_us == 0)
-    agent->service_us = us;
-  else
-    agent->service_us += (us > agent->service_us)
-                             ? (us - agent->service_us) / MEAN_SHARE
-                             : 0U - (agent->service_us - us) / MEAN_SHARE;
+  const struct agent_tables *agent = plane->agent;
+  double took_us
+      = (double)galena_clock_between (flow->request_began, plane->now)
+        * US_PER_MS;
+
+  return agent->slots > 0 && flow->rank > agent->slots
+         && took_us < agent->service_us / 2;
 }
 
 void
 agent_answer_began (struct galena_plane *plane, struct agent_flow *flow)
 {
   struct agent_tables *agent = plane->agent;
-  int64_t took_ms;
 
   if (!flow->running)
     return;
+  note_busy (plane);
   flow->running = false;
   agent->running--;
-  took_ms = galena_clock_between (flow->request_began, plane->now);
-  if (took_ms <= SAMPLE_MAX_MS
-      && flow->rank <= (agent->slots > 0 ? agent->slots : 1))
-    take_sample (agent, (uint32_t)took_ms * US_PER_MS + US_PER_MS / 2);
+  if (is_shed (plane, flow))
+    return;
+  /* On average the slots are busy for one service time between two answers,
+     whether requests queue or not.  */
+  if (agent->service_us <= 0)
+    agent->service_us = agent->busy_us;
+  else if (agent->busy_us < SAMPLE_MAX_MS * US_PER_MS)
+    agent->service_us += (agent->busy_us - agent->service_us) / MEAN_SHARE;
+  agent->busy_us = 0;
 }
 
 void
 agent_request_dropped (struct galena_plane *plane, struct agent_flow *flow)
 {
   end_half (plane, flow);
-  if (flow->running)
-    plane->agent->running--;
+  if (!flow->running)
+    return;
+  note_busy (plane);
+  plane->agent->running--;
   flow->running = false;
 }
 
@@ -89,7 +112,7 @@
   return (struct galena_load){
     .running = agent->running + agent->half,
     .flows = agent->open,
-    .service_us = agent->service_us,
+    .service_us = (uint32_t)agent->service_us,
     .leaving = plane->draining,
   };
 }
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -51,7 +51,10 @@
   /* Requests that the upstream runs at once; 0 while unknown.  */
   uint32_t slots;
   /* Moving mean of the service time; 0 while unknown.  */
-  uint32_t service_us;
+  double service_us;
+  /* Time that slots were busy since the last answer, up to BUSY_AT.  */
+  double busy_us;
+  struct galena_clock busy_at;
   /* No flow is older than the process.  */
   bool complete;
   struct galena_clock started;
--- a/packages/flows/src/entry_choice.c
+++ b/packages/flows/src/entry_choice.c
@@ -8,8 +8,8 @@
 
 enum
 {
-  /* Service time that is assumed before an agent has told one, the same for
-     all, so that only queues count.  */
+  /* Service time that is assumed before any agent of a service has told one,
+     the same for all, so that only queues count.  */
   ASSUMED_SERVICE_US = 20000,
   /* Draws of the default policy.  */
   DRAWS = 3
@@ -24,33 +24,37 @@
    microseconds.  */
 static double
 wait_cost (const struct galena_plane *plane,
-           const struct upstream_row *upstream)
+           const struct upstream_row *upstream, double usual_us)
 {
   double slots = upstream->slots > 0 ? upstream->slots : 1;
-  double service = upstream->load.service_us > 0 ? upstream->load.service_us
-                                                 : ASSUMED_SERVICE_US;
+  bool known = upstream->load.service_us > 0;
+  double service = known ? upstream->load.service_us : usual_us;
   double ahead = (double)upstream->load.running + upstream->placed;
   double rounds = (ahead + 1) / slots;
   /* Among idle upstreams the one with more free slots.  */
   double cost = service * (rounds > 1 ? rounds : 1 + rounds / 8);
 
-  if (!galena_clock_reached (plane->now, upstream->warm_at))
+  /* A service time that was told has the warming in it.  */
+  if (!known && !galena_clock_reached (plane->now, upstream->warm_at))
     cost *= WARM_UP_FACTOR;
   return cost;
 }
 
 static double
 queue_cost (const struct galena_plane *plane,
-            const struct upstream_row *upstream)
+            const struct upstream_row *upstream, double usual_us)
 {
   (void)plane;
+  (void)usual_us;
   return (double)upstream->load.running + upstream->placed;
 }
 
 static double
-no_cost (const struct galena_plane *plane, const struct upstream_row *upstream)
+no_cost (const struct galena_plane *plane, const struct upstream_row *upstream,
+         double usual_us)
 {
   (void)plane;
+  (void)usual_us;
   (void)upstream;
   return 0;
 }
@@ -112,9 +116,10 @@
 }
 
 static double
-cost_of (struct galena_plane *plane, const struct upstream_row *upstream)
+cost_of (struct galena_plane *plane, const struct upstream_row *upstream,
+         double usual_us)
 {
-  double cost = plane->entry->choice->cost (plane, upstream);
+  double cost = plane->entry->choice->cost (plane, upstream, usual_us);
 
   /* Up to a sixteenth at random, so that entries that know the same don't all
      choose the same.  */
@@ -124,6 +129,25 @@
   return cost;
 }
 
+/* Returns the mean of the service times told by the agents of COUNT FIT
+   upstreams, in microseconds.  */
+static double
+usual_service_us (const struct galena_plane *plane,
+                  const struct galena_handle *fit, uint32_t count)
+{
+  double sum = 0;
+  uint32_t known = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t us = entry_upstream (plane, fit[i])->load.service_us;
+
+      sum += us;
+      known += us > 0;
+    }
+  return known > 0 ? sum / known : ASSUMED_SERVICE_US;
+}
+
 bool
 entry_choose (struct galena_plane *plane, galena_service_key service,
               const struct entry_flow *flow, struct galena_handle *chosen)
@@ -135,6 +159,7 @@
   uint32_t count = 0;
   uint32_t cursor = 0;
   double best = 0;
+  double usual_us;
 
   while ((upstream
           = galena_table_next (plane->entry->upstreams, &cursor, &handle))
@@ -145,12 +170,13 @@
     return false;
   if (draws == 0 || draws > count)
     draws = count;
+  usual_us = usual_service_us (plane, fit, count);
   for (uint32_t i = 0; i < draws; i++)
     {
       uint32_t at
           = i + (uint32_t)galena_random_below (&plane->random, count - i);
       struct galena_handle drawn = fit[at];
-      double cost = cost_of (plane, entry_upstream (plane, drawn));
+      double cost = cost_of (plane, entry_upstream (plane, drawn), usual_us);
 
       fit[at] = fit[i];
       fit[i] = drawn;
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -123,9 +123,9 @@
 {
   const char *name;
   /* Returns the cost of sending one more flow to UPSTREAM; the least one
-     wins.  */
+     wins.  USUAL_US is the service time where none was told.  */
   double (*cost) (const struct galena_plane *plane,
-                  const struct upstream_row *upstream);
+                  const struct upstream_row *upstream, double usual_us);
   /* Upstreams drawn at random for each flow; 0 compares all.  */
   uint32_t draws;
 };
--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -958,7 +958,8 @@
 static void
 check_loads (struct fleet *fleet)
 {
-  if (fleet->now_ms % 1000 != 0 || fleet->now_ms > fleet->options->length_ms / 2)
+  if (fleet->now_ms % 1000 != 0
+      || fleet->now_ms > fleet->options->length_ms / 2)
     return;
   for (uint32_t i = 0; i < fleet->options->upstreams; i++)
     {
