--- a/packages/daemon/src/packet_loop.c
+++ b/packages/daemon/src/packet_loop.c
@@ -19,7 +19,7 @@
   /* A batch from each socket, and four times as much for packets that go to
      several agents and for announcements.  */
   TICK_MESSAGES = 12 * GALENA_BATCH_MAX,
-  COUNTERS_PERIOD_MS = 500,
+  SHARE_PERIOD_MS = 500,
   MS_PER_S = 1000
 };
 
@@ -41,7 +41,7 @@
   struct galena_datagrams *sockets[SOCKET_COUNT];
   /* Side on which packets come in.  */
   enum galena_link side;
-  struct galena_clock counters_due;
+  struct galena_clock shared_due;
 };
 
 static enum galena_result
@@ -250,17 +250,24 @@
   poll (fds, SOCKET_COUNT + 1, (int)left_ms);
 }
 
+/* Shows counters and peers to the other threads.  */
 static void
-share_counters (struct packet_loop *loop, struct galena_clock now)
+share_state (struct packet_loop *loop, struct galena_clock now)
 {
-  if (!galena_clock_reached (now, loop->counters_due))
+  uint32_t peers[PACKET_PEERS_MAX];
+  uint32_t peer_count;
+
+  if (!galena_clock_reached (now, loop->shared_due))
     return;
-  loop->counters_due = galena_clock_after (now, COUNTERS_PERIOD_MS);
+  loop->shared_due = galena_clock_after (now, SHARE_PERIOD_MS);
   for (int i = 0; i < GALENA_PLANE_COUNTER_COUNT; i++)
     atomic_store_explicit (&loop->packets->counters[i],
                            galena_plane_counter_value (loop->plane, i),
                            memory_order_relaxed);
   atomic_store (&loop->packets->flows, galena_plane_flow_count (loop->plane));
+  peer_count = galena_plane_peers (loop->plane, peers, PACKET_PEERS_MAX);
+  for (uint32_t i = 0; i < PACKET_PEERS_MAX; i++)
+    atomic_store (&loop->packets->peers[i], i < peer_count ? peers[i] : 0);
 }
 
 static void
@@ -276,7 +283,7 @@
   rcu_read_unlock ();
   send_departures (loop);
   packet_log_notes (loop->plane);
-  share_counters (loop, now);
+  share_state (loop, now);
 }
 
 static void
--- a/packages/daemon/src/packet_reader.c
+++ b/packages/daemon/src/packet_reader.c
@@ -2,6 +2,7 @@
    the directory made of their replies.  */
 
 #include <pthread.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <urcu.h>
@@ -10,6 +11,7 @@
 #include <galenaford/monotonic.h>
 #include <galenaford/platform/store.h>
 #include <galenaford/reads.h>
+#include <galenaford/snapshot_wire.h>
 
 #include "packets.h"
 
@@ -20,7 +22,13 @@
      platform and back.  */
   CONNECT_TIMEOUT_MS = 200,
   REPLY_BYTES_MAX = 4 * 1024 * 1024,
-  UPSTREAMS_MAX = 8192
+  UPSTREAMS_MAX = 8192,
+  /* A peer answers at once or not at all.  */
+  PEER_TIMEOUT_MS = 500,
+  /* Number of the read from a peer, after those of the streams.  */
+  PEER_READ = GALENA_STREAM_COUNT,
+  READS_MAX = PEER_READ + 1,
+  ADDRESS_BYTES = GALENA_PLATFORM_PATH_BYTES + GALENA_SETTING_BYTES
 };
 
 struct packet_reader
@@ -32,6 +40,9 @@
   struct galena_catalog_call calls[GALENA_STREAM_COUNT];
   /* Whether the last call of each stream failed.  */
   bool failing[GALENA_STREAM_COUNT];
+  /* A read from a peer is in progress, and which peer is next.  */
+  bool asking;
+  uint32_t next_peer;
   pthread_t thread;
 };
 
@@ -79,6 +90,73 @@
                          change);
 }
 
+/* Returns the address of the next peer to ask: seeds, and entries that were
+   heard lately.  0 when there is none.  */
+static uint32_t
+next_peer (struct packet_reader *reader)
+{
+  const struct galena_settings *settings = &reader->packets->process->settings;
+  uint32_t seeds = settings->peers_seeds.count;
+
+  for (uint32_t i = 0; i < seeds + PACKET_PEERS_MAX; i++)
+    {
+      uint32_t at = reader->next_peer++ % (seeds + PACKET_PEERS_MAX);
+      uint32_t ip = at < seeds
+                        ? settings->peers_seeds.rows[at].ip
+                        : atomic_load (&reader->packets->peers[at - seeds]);
+
+      if (ip != 0 && ip != settings->peers_address.ip)
+        return ip;
+    }
+  return 0;
+}
+
+/* Asks a peer for its snapshot when the platform does not reply.  */
+static void
+ask_peer (struct packet_reader *reader)
+{
+  const struct galena_settings *settings = &reader->packets->process->settings;
+  char address[ADDRESS_BYTES];
+  uint32_t ip;
+
+  if (reader->asking
+      || !galena_catalog_wants_peer (reader->catalog, galena_monotonic_now ()))
+    return;
+  ip = next_peer (reader);
+  if (ip == 0)
+    return;
+  snprintf (address, sizeof address, "http://%u.%u.%u.%u:%u/snapshot",
+            ip >> 24, (ip >> 16) & 255, (ip >> 8) & 255, ip & 255,
+            settings->packets_status.port);
+  reader->asking
+      = galena_reads_start (reader->reads, address, PEER_TIMEOUT_MS, PEER_READ)
+        == GALENA_OK;
+}
+
+static void
+take_peer (struct packet_reader *reader, const struct galena_read_end *end)
+{
+  struct galena_catalog_snapshot snapshot;
+  enum galena_result result = end->result;
+
+  reader->asking = false;
+  if (result == GALENA_OK)
+    result = galena_snapshot_decode ((const uint8_t *)end->text, end->size,
+                                     &snapshot);
+  if (result != GALENA_OK)
+    {
+      galena_log (LOG_INFO, "peer-unanswered", "result=%s status=%u",
+                  galena_result_word (result), end->status);
+      return;
+    }
+  galena_log (LOG_INFO, "peer-snapshot", "version=%llu revision=%llu",
+              (unsigned long long)snapshot.version,
+              (unsigned long long)snapshot.revision);
+  galena_catalog_take_snapshot (reader->catalog, galena_monotonic_now (),
+                                &snapshot);
+  galena_snapshot_release (&snapshot);
+}
+
 static void
 take_end (struct packet_reader *reader, const struct galena_read_end *end)
 {
@@ -103,7 +181,9 @@
 start_calls (struct packet_reader *reader)
 {
   struct galena_clock now = galena_monotonic_now ();
+  const char *url = reader->packets->process->settings.platform_url;
   char path[GALENA_PLATFORM_PATH_BYTES];
+  char address[ADDRESS_BYTES];
 
   for (uint32_t i = 0; i < GALENA_STREAM_COUNT; i++)
     {
@@ -113,8 +193,9 @@
                                 now, call))
         continue;
       galena_platform_call_path (call, path);
+      snprintf (address, sizeof address, "%s%s", url, path);
       atomic_fetch_add (&reader->packets->platform_calls, 1);
-      if (galena_reads_start (reader->reads, path, call->timeout_ms, i)
+      if (galena_reads_start (reader->reads, address, call->timeout_ms, i)
           != GALENA_OK)
         {
           struct galena_read_end end = { .result = GALENA_ERR_MEMORY };
@@ -133,11 +214,22 @@
   struct packets *packets = reader->packets;
   struct galena_directory *directory;
   struct galena_directory *before;
+  struct galena_catalog_snapshot snapshot;
+  uint8_t *bytes = NULL;
+  size_t size = 0;
 
   if (!galena_catalog_build (reader->catalog, galena_monotonic_now (),
                              &directory))
     return;
   atomic_store (&packets->version, galena_directory_version (directory));
+  galena_catalog_snapshot (reader->catalog, directory, &snapshot);
+  if (galena_snapshot_encode (&snapshot, &bytes, &size) != GALENA_OK)
+    galena_log (LOG_ERR, "snapshot-failed", "result=memory");
+  pthread_mutex_lock (&packets->snapshot_lock);
+  free (packets->snapshot);
+  packets->snapshot = bytes;
+  packets->snapshot_size = size;
+  pthread_mutex_unlock (&packets->snapshot_lock);
   before = rcu_xchg_pointer (&packets->directory, directory);
   synchronize_rcu ();
   galena_directory_destroy (before);
@@ -160,12 +252,18 @@
       if (atomic_load (&process->draining))
         atomic_store (&reader->packets->ready, false);
       start_calls (reader);
+      ask_peer (reader);
       galena_reads_wait (
           reader->reads, &wake, 1,
           galena_clock_left (galena_monotonic_now (),
                              galena_catalog_due (reader->catalog)));
       while (galena_reads_next (reader->reads, &end))
-        take_end (reader, &end);
+        {
+          if (end.user == PEER_READ)
+            take_peer (reader, &end);
+          else
+            take_end (reader, &end);
+        }
       publish (reader);
     }
   rcu_unregister_thread ();
@@ -176,10 +274,11 @@
 packet_reader_start (struct packets *packets, struct packet_reader **out)
 {
   const struct galena_settings *settings = &packets->process->settings;
-  struct galena_reads_options reads = { .base = settings->platform_url,
+  /* Platform and peers have addresses of their own.  */
+  struct galena_reads_options reads = { .base = "",
                                         .connect_ms = CONNECT_TIMEOUT_MS,
                                         .bytes_max = REPLY_BYTES_MAX,
-                                        .reads = GALENA_STREAM_COUNT };
+                                        .reads = READS_MAX };
   struct galena_catalog_options catalog
       = { .seed = packets->process->seed,
           .wait_ms = settings->platform_wait_ms,
--- a/packages/daemon/src/packet_status.c
+++ b/packages/daemon/src/packet_status.c
@@ -1,4 +1,5 @@
-/* Readiness and counters over HTTP, on a thread of libmicrohttpd.  */
+/* Readiness, counters and the snapshot for peers over HTTP, on a thread of
+ * libmicrohttpd.  */
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -57,10 +58,11 @@
 }
 
 static enum MHD_Result
-reply (struct MHD_Connection *connection, unsigned status, const char *text)
+reply_bytes (struct MHD_Connection *connection, unsigned status,
+             const void *bytes, size_t size)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
-      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+      size, (void *)bytes, MHD_RESPMEM_MUST_COPY);
   enum MHD_Result result;
 
   if (response == NULL)
@@ -70,13 +72,63 @@
   return result;
 }
 
+static enum MHD_Result
+reply (struct MHD_Connection *connection, unsigned status, const char *text)
+{
+  return reply_bytes (connection, status, text, strlen (text));
+}
+
+static enum MHD_Result
+answer_ready (struct packets *packets, struct MHD_Connection *connection)
+{
+  bool ready = atomic_load (&packets->ready)
+               && !atomic_load (&packets->process->draining);
+
+  return reply (connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                "");
+}
+
+static enum MHD_Result
+answer_metrics (struct packets *packets, struct MHD_Connection *connection)
+{
+  char text[METRICS_BYTES] = "";
+
+  write_metrics (packets, text, sizeof text);
+  return reply (connection, MHD_HTTP_OK, text);
+}
+
+/* What the process knows, for a peer that the platform does not answer.  */
+static enum MHD_Result
+answer_snapshot (struct packets *packets, struct MHD_Connection *connection)
+{
+  enum MHD_Result result;
+
+  pthread_mutex_lock (&packets->snapshot_lock);
+  result = packets->snapshot == NULL
+               ? reply (connection, MHD_HTTP_SERVICE_UNAVAILABLE, "")
+               : reply_bytes (connection, MHD_HTTP_OK, packets->snapshot,
+                              packets->snapshot_size);
+  pthread_mutex_unlock (&packets->snapshot_lock);
+  return result;
+}
+
+static const struct
+{
+  const char *path;
+  enum MHD_Result (*answer) (struct packets *packets,
+                             struct MHD_Connection *connection);
+} PAGES[] = {
+  { "/readyz", answer_ready },
+  { "/metrics", answer_metrics },
+  { "/snapshot", answer_snapshot },
+};
+
 static enum MHD_Result
 answer (void *data, struct MHD_Connection *connection, const char *url,
         const char *method, const char *version, const char *upload,
         size_t *upload_size, void **request)
 {
   struct packets *packets = data;
-  char text[METRICS_BYTES] = "";
 
   (void)version;
   (void)upload;
@@ -84,17 +136,10 @@
   (void)request;
   if (strcmp (method, "GET") != 0)
     return reply (connection, MHD_HTTP_METHOD_NOT_ALLOWED, "");
-  if (strcmp (url, "/readyz") == 0)
-    return reply (connection,
-                  atomic_load (&packets->ready)
-                          && !atomic_load (&packets->process->draining)
-                      ? MHD_HTTP_OK
-                      : MHD_HTTP_SERVICE_UNAVAILABLE,
-                  "");
-  if (strcmp (url, "/metrics") != 0)
-    return reply (connection, MHD_HTTP_NOT_FOUND, "");
-  write_metrics (packets, text, sizeof text);
-  return reply (connection, MHD_HTTP_OK, text);
+  for (size_t i = 0; i < sizeof PAGES / sizeof PAGES[0]; i++)
+    if (strcmp (url, PAGES[i].path) == 0)
+      return PAGES[i].answer (packets, connection);
+  return reply (connection, MHD_HTTP_NOT_FOUND, "");
 }
 
 enum galena_result
--- a/packages/daemon/src/packets.c
+++ b/packages/daemon/src/packets.c
@@ -15,6 +15,7 @@
   enum galena_result result;
 
   packets.process = process;
+  pthread_mutex_init (&packets.snapshot_lock, NULL);
   galena_log (LOG_NOTICE, "started", "role=%s zone=%s version=%s",
               process->settings.role == GALENA_ROLE_ENTRY ? "entry" : "agent",
               process->settings.zone, GALENA_VERSION);
@@ -33,6 +34,8 @@
   packet_reader_stop (reader);
   packet_status_stop (status);
   galena_directory_destroy (packets.directory);
+  free (packets.snapshot);
+  pthread_mutex_destroy (&packets.snapshot_lock);
   galena_log (LOG_NOTICE, "ended", "result=%s", galena_result_word (result));
   return result;
 }
--- a/packages/daemon/src/packets.h
+++ b/packages/daemon/src/packets.h
@@ -4,15 +4,29 @@
 #ifndef GALENAFORD_PACKETS_H
 #define GALENAFORD_PACKETS_H
 
+#include <pthread.h>
+
 #include <galenaford/directory.h>
 #include <galenaford/plane.h>
 
 #include "process.h"
 
+enum
+{
+  /* Most peers that are asked for a snapshot in turn.  */
+  PACKET_PEERS_MAX = 16
+};
+
 /* What the threads of the front end share.  */
 struct packets
 {
   struct process *process;
+  /* Addresses of entries that were heard lately; 0 for none.  */
+  atomic_uint peers[PACKET_PEERS_MAX];
+  /* Encoded snapshot for peers, under its lock.  */
+  pthread_mutex_t snapshot_lock;
+  uint8_t *snapshot;
+  size_t snapshot_size;
   /* Read under RCU; replaced by the thread that reads the platform.  */
   struct galena_directory *directory;
   /* Whether routes and upstreams are known, and the process does not stop. */
--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -76,7 +76,7 @@
 struct galena_change
 {
   enum galena_change_kind kind;
-  /* Names the item; borrowed.  */
+  /* Names the item: the published name of an upstream; borrowed.  */
   const char *key;
   /* Revision of the change.  */
   uint64_t revision;
@@ -134,6 +134,37 @@
                          enum galena_call_result result,
                          const struct galena_catalog_reply *reply);
 
+/* What a process knows, for its peers.  */
+struct galena_catalog_snapshot
+{
+  /* Version of the configuration.  */
+  uint64_t version;
+  /* Revision of the platform's store up to which upstreams are known.  */
+  uint64_t revision;
+  uint32_t route_count;
+  uint32_t upstream_count;
+  /* Borrowed.  */
+  const struct galena_route *routes;
+  const struct galena_listed_upstream *upstreams;
+};
+
+/* Tells whether a peer should be asked for its snapshot at NOW, since the
+   platform does not reply, and counts that as done.  */
+bool galena_catalog_wants_peer (struct galena_catalog *catalog,
+                                struct galena_clock now);
+
+/* Takes of SNAPSHOT, a peer's, what is newer than what is known.  */
+void
+galena_catalog_take_snapshot (struct galena_catalog *catalog,
+                              struct galena_clock now,
+                              const struct galena_catalog_snapshot *snapshot);
+
+/* Stores what is known in *SNAPSHOT; valid while DIRECTORY, which
+   galena_catalog_build made last, is.  */
+void galena_catalog_snapshot (const struct galena_catalog *catalog,
+                              const struct galena_directory *directory,
+                              struct galena_catalog_snapshot *snapshot);
+
 /* Returns when something is due if no reply comes.  */
 struct galena_clock galena_catalog_due (const struct galena_catalog *catalog);
 
@@ -143,7 +174,8 @@
                            struct galena_clock now,
                            struct galena_directory **out);
 
-/* Tells whether both streams have been read in full once.  */
+/* Tells whether configuration and upstreams are known, from the platform or
+   from a peer.  */
 bool galena_catalog_is_known (const struct galena_catalog *catalog);
 
 /* Returns the milliseconds since STREAM last got a reply, or -1 when it never
--- a/packages/flows/include/galenaford/directory.h
+++ b/packages/flows/include/galenaford/directory.h
@@ -98,17 +98,17 @@
 /* Returns a number that no other directory of the process has.  */
 uint64_t galena_directory_number (const struct galena_directory *directory);
 
+/* Returns all routes and upstreams, owned by DIRECTORY.  */
+const struct galena_route *
+galena_directory_routes (const struct galena_directory *directory,
+                         uint32_t *count);
+const struct galena_listed_upstream *
+galena_directory_upstreams (const struct galena_directory *directory,
+                            uint32_t *count);
+
 /* Returns the route at ADDRESS, or NULL.  */
 const struct galena_route *
 galena_directory_route (const struct galena_directory *directory,
                         struct galena_endpoint address);
 
-uint32_t
-galena_directory_upstream_count (const struct galena_directory *directory);
-
-/* Returns upstream INDEX.  */
-const struct galena_listed_upstream *
-galena_directory_upstream (const struct galena_directory *directory,
-                           uint32_t index);
-
 #endif
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -223,6 +223,11 @@
 uint64_t galena_plane_counter_value (const struct galena_plane *plane,
                                      enum galena_plane_counter counter);
 
+/* Stores the addresses of at most MAX entries that were heard lately in IPS;
+   returns how many.  */
+uint32_t galena_plane_peers (const struct galena_plane *plane, uint32_t *ips,
+                             uint32_t max);
+
 /* Agent only: returns the requests that run at the upstream or are about to
    come, as the agent sees them.  */
 uint32_t galena_plane_running (const struct galena_plane *plane);
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -23,6 +23,9 @@
   /* Changes that come in quick succession are read together: a tenth of the
      least bound on taking one up.  */
   GATHER_MS = 200,
+  /* A peer is asked when the platform has not replied for so long: many times
+     its usual 4 ms; and again after as long.  */
+  PEER_AFTER_MS = 200,
   /* An upstream whose entry lapsed may be back within two seconds.  */
   RETURN_MS = 2000
 };
@@ -68,6 +71,12 @@
   uint32_t route_count;
   struct galena_route *routes;
   bool changed;
+  /* Whether a peer told the upstreams.  */
+  bool told;
+  /* Since when a stream has no reply, and when a peer was last asked; ms 0
+     when neither.  */
+  struct galena_clock lost;
+  struct galena_clock asked;
 };
 
 enum galena_result
@@ -118,6 +127,8 @@
     return false;
   stream->busy = true;
   stream->changed = false;
+  if (stream->kind == GALENA_CALL_LIST && catalog->lost.ms == 0)
+    catalog->lost = now;
   memset (call, 0, sizeof *call);
   call->stream = kind;
   call->kind = stream->kind;
@@ -190,6 +201,25 @@
   catalog->changed = true;
 }
 
+static void
+take_upstream (struct galena_catalog *catalog, uint32_t round,
+               const struct galena_listed_upstream *upstream)
+{
+  uint64_t key = XXH64 (upstream->id, strlen (upstream->id), 0);
+  struct item *item = find_item (catalog, key);
+
+  if (item == NULL)
+    item = add_item (catalog, key);
+  if (item == NULL)
+    return;
+  item->round = round;
+  item->removed_at = (struct galena_clock){ 0 };
+  if (memcmp (&item->upstream, upstream, sizeof item->upstream) == 0)
+    return;
+  item->upstream = *upstream;
+  catalog->changed = true;
+}
+
 void
 galena_catalog_change (struct galena_catalog *catalog,
                        enum galena_stream_kind kind, struct galena_clock now,
@@ -204,39 +234,36 @@
     take_config (catalog, &change->config);
   if (kind != GALENA_STREAM_UPSTREAMS)
     return;
-  item = find_item (catalog, key);
-  if (change->kind != GALENA_CHANGE_UPSTREAM)
+  if (change->kind == GALENA_CHANGE_UPSTREAM)
     {
-      if (item != NULL)
-        begin_removal (catalog, item, now);
+      take_upstream (catalog, stream->round, &change->upstream);
       return;
     }
-  if (item == NULL)
-    item = add_item (catalog, key);
-  if (item == NULL)
-    return;
-  item->round = stream->round;
-  item->removed_at = (struct galena_clock){ 0 };
-  if (memcmp (&item->upstream, &change->upstream, sizeof item->upstream) == 0)
-    return;
-  item->upstream = change->upstream;
-  catalog->changed = true;
+  item = find_item (catalog, key);
+  if (item != NULL)
+    begin_removal (catalog, item, now);
 }
 
-/* Removes what the list that has just ended did not name.  */
+/* Begins the removal of what ROUND did not name.  */
 static void
-end_list (struct galena_catalog *catalog, struct stream *stream,
-          struct galena_clock now)
+remove_unnamed (struct galena_catalog *catalog, uint32_t round,
+                struct galena_clock now)
 {
   struct item *item;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
+  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
+    if (item->round != round)
+      begin_removal (catalog, item, now);
+}
+
+static void
+end_list (struct galena_catalog *catalog, struct stream *stream,
+          struct galena_clock now)
+{
   if (stream == &catalog->streams[GALENA_STREAM_UPSTREAMS])
-    while ((item = galena_table_next (catalog->items, &cursor, &handle))
-           != NULL)
-      if (item->round != stream->round)
-        begin_removal (catalog, item, now);
+    remove_unnamed (catalog, stream->round, now);
   if (!stream->known)
     catalog->changed = true;
   stream->known = true;
@@ -262,6 +289,8 @@
   if (pause_ms > RETRY_MAX_MS)
     pause_ms = RETRY_MAX_MS;
   stream->failures++;
+  if (catalog->lost.ms == 0)
+    catalog->lost = now;
   pause_ms += galena_random_below (&catalog->random, pause_ms);
   stream->due = galena_clock_after (now, pause_ms);
   if (stream->kind == GALENA_CALL_LIST)
@@ -281,6 +310,17 @@
     end_list (catalog, stream, now);
 }
 
+/* Ends the loss of the platform once no stream misses a reply.  */
+static void
+note_reply (struct galena_catalog *catalog)
+{
+  for (uint32_t i = 0; i < GALENA_STREAM_COUNT; i++)
+    if (catalog->streams[i].failures > 0
+        || catalog->streams[i].replied.ms == 0)
+      return;
+  catalog->lost = (struct galena_clock){ 0 };
+}
+
 void
 galena_catalog_end (struct galena_catalog *catalog,
                     enum galena_stream_kind kind, struct galena_clock now,
@@ -298,6 +338,7 @@
     }
   stream->replied = now;
   stream->failures = 0;
+  note_reply (catalog);
   if (result == GALENA_CALL_HISTORY_GONE)
     begin_list (stream);
   else if (stream->kind == GALENA_CALL_LIST)
@@ -311,6 +352,53 @@
     }
 }
 
+bool
+galena_catalog_wants_peer (struct galena_catalog *catalog,
+                           struct galena_clock now)
+{
+  if (catalog->lost.ms == 0
+      || galena_clock_between (catalog->lost, now) < PEER_AFTER_MS
+      || galena_clock_between (catalog->asked, now) < PEER_AFTER_MS)
+    return false;
+  catalog->asked = now;
+  return true;
+}
+
+void
+galena_catalog_take_snapshot (struct galena_catalog *catalog,
+                              struct galena_clock now,
+                              const struct galena_catalog_snapshot *snapshot)
+{
+  struct stream *stream = &catalog->streams[GALENA_STREAM_UPSTREAMS];
+  struct galena_published_config config
+      = { snapshot->version, snapshot->route_count, snapshot->routes };
+
+  take_config (catalog, &config);
+  if (snapshot->version == 0 || snapshot->revision <= stream->revision)
+    return;
+  /* The stream's own list or watch goes on from where it was, and sees the
+     same changes again.  */
+  stream->revision = snapshot->revision;
+  stream->round++;
+  for (uint32_t i = 0; i < snapshot->upstream_count; i++)
+    take_upstream (catalog, stream->round, &snapshot->upstreams[i]);
+  remove_unnamed (catalog, stream->round, now);
+  catalog->told = true;
+}
+
+void
+galena_catalog_snapshot (const struct galena_catalog *catalog,
+                         const struct galena_directory *directory,
+                         struct galena_catalog_snapshot *snapshot)
+{
+  snapshot->version = galena_directory_version (directory);
+  snapshot->revision = catalog->streams[GALENA_STREAM_UPSTREAMS].revision;
+  snapshot->routes
+      = galena_directory_routes (directory, &snapshot->route_count);
+  snapshot->upstreams
+      = galena_directory_upstreams (directory, &snapshot->upstream_count);
+}
+
 struct galena_clock
 galena_catalog_due (const struct galena_catalog *catalog)
 {
@@ -319,6 +407,10 @@
   struct galena_handle handle;
   uint32_t cursor = 0;
 
+  if (catalog->lost.ms != 0)
+    first = galena_clock_after (
+        catalog->lost.ms > catalog->asked.ms ? catalog->lost : catalog->asked,
+        PEER_AFTER_MS);
   for (uint32_t i = 0; i < GALENA_STREAM_COUNT; i++)
     if (!catalog->streams[i].busy && catalog->streams[i].due.ms < first.ms)
       first = catalog->streams[i].due;
@@ -378,7 +470,7 @@
 galena_catalog_is_known (const struct galena_catalog *catalog)
 {
   return catalog->version != 0
-         && catalog->streams[GALENA_STREAM_UPSTREAMS].known;
+         && (catalog->told || catalog->streams[GALENA_STREAM_UPSTREAMS].known);
 }
 
 int64_t
--- a/packages/flows/src/directory.c
+++ b/packages/flows/src/directory.c
@@ -111,15 +111,18 @@
   return &directory->routes[index];
 }
 
-uint32_t
-galena_directory_upstream_count (const struct galena_directory *directory)
+const struct galena_route *
+galena_directory_routes (const struct galena_directory *directory,
+                         uint32_t *count)
 {
-  return directory->upstream_count;
+  *count = directory->route_count;
+  return directory->routes;
 }
 
 const struct galena_listed_upstream *
-galena_directory_upstream (const struct galena_directory *directory,
-                           uint32_t index)
+galena_directory_upstreams (const struct galena_directory *directory,
+                            uint32_t *count)
 {
-  return &directory->upstreams[index];
+  *count = directory->upstream_count;
+  return directory->upstreams;
 }
--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -156,7 +156,9 @@
 entry_run_directory (struct galena_plane *plane)
 {
   const struct galena_directory *directory = plane->directory;
+  const struct galena_listed_upstream *upstreams;
   uint64_t number;
+  uint32_t count;
 
   if (directory == NULL)
     return;
@@ -164,8 +166,9 @@
   if (number == plane->entry->directory)
     return;
   plane->entry->directory = number;
-  for (uint32_t i = 0; i < galena_directory_upstream_count (directory); i++)
-    take_listed (plane, galena_directory_upstream (directory, i), number);
+  upstreams = galena_directory_upstreams (directory, &count);
+  for (uint32_t i = 0; i < count; i++)
+    take_listed (plane, &upstreams[i], number);
   mark_absent (plane, number);
   if (galena_directory_version (directory) == plane->entry->version)
     return;
--- a/packages/flows/src/members.c
+++ b/packages/flows/src/members.c
@@ -59,27 +59,39 @@
     find_or_add (plane, ip);
 }
 
-/* Replies with entries that were heard lately, from a random one on.  */
+uint32_t
+galena_plane_peers (const struct galena_plane *plane, uint32_t *ips,
+                    uint32_t max)
+{
+  const struct member *member;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+
+  while (count < max
+         && (member = galena_table_next (plane->members, &cursor, &handle))
+                != NULL)
+    if (member->heard.ms != 0
+        && galena_clock_between (member->heard, plane->now) < MEMBER_NAMED_MS)
+      ips[count++] = member->address.ip;
+  return count;
+}
+
+/* Replies with entries that were heard lately.  */
 void
 members_take_hello (struct galena_plane *plane, struct galena_endpoint peer,
                     const struct galena_peer_message *message)
 {
   struct galena_peer_message reply = { .type = GALENA_PEER_MEMBERS };
-  struct member *member;
-  struct galena_handle handle;
-  uint32_t cursor = 0;
 
   if (message->role == GALENA_ROLE_ENTRY)
     members_hear (plane, peer);
   if (plane->options.role != GALENA_ROLE_ENTRY)
     return;
-  reply.members[reply.member_count++] = plane->options.self.ip;
-  while (reply.member_count < GALENA_PEER_MEMBERS_MAX
-         && (member = galena_table_next (plane->members, &cursor, &handle))
-                != NULL)
-    if (member->heard.ms != 0
-        && galena_clock_between (member->heard, plane->now) < MEMBER_NAMED_MS)
-      reply.members[reply.member_count++] = member->address.ip;
+  reply.members[0] = plane->options.self.ip;
+  reply.member_count = 1
+                       + galena_plane_peers (plane, reply.members + 1,
+                                             GALENA_PEER_MEMBERS_MAX - 1);
   plane_send_message (plane, peer, &reply);
 }
 
--- /dev/null
+++ b/packages/wire/src/snapshot.c
@@ -0,0 +1,302 @@
+/* Snapshots as a row of msgpack arrays, each after its length in four bytes:
+   a head, the routes, the upstreams.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include <galenaford/snapshot_wire.h>
+
+#include "unpack.h"
+
+enum
+{
+  LENGTH_BYTES = 4,
+  IP_SHIFT = 16,
+  ENDPOINT_BITS = 48,
+  HEAD_ITEMS = 5,
+  ROUTE_ITEMS = 1,
+  SHARE_ITEMS = 2,
+  UPSTREAM_ITEMS = 7
+};
+
+/* Appends the array in ITEM with its length to OUT, and empties ITEM.  */
+static int
+add_item (msgpack_sbuffer *out, msgpack_sbuffer *item)
+{
+  uint8_t length[LENGTH_BYTES];
+  int failed;
+
+  for (uint32_t i = 0; i < LENGTH_BYTES; i++)
+    length[i] = (uint8_t)(item->size >> (24 - 8 * i));
+  failed = msgpack_sbuffer_write (out, (const char *)length, sizeof length)
+           | msgpack_sbuffer_write (out, item->data, item->size);
+  msgpack_sbuffer_clear (item);
+  return failed;
+}
+
+static int
+pack_numbers (msgpack_packer *packer, const uint64_t *numbers, uint32_t count)
+{
+  int failed = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    failed |= msgpack_pack_uint64 (packer, numbers[i]);
+  return failed;
+}
+
+static uint64_t
+pack_endpoint (struct galena_endpoint endpoint)
+{
+  return ((uint64_t)endpoint.ip << IP_SHIFT) | endpoint.port;
+}
+
+static int
+pack_head (msgpack_packer *packer,
+           const struct galena_catalog_snapshot *snapshot)
+{
+  const uint64_t numbers[HEAD_ITEMS]
+      = { GALENA_SNAPSHOT_SCHEMA, snapshot->version, snapshot->revision,
+          snapshot->route_count, snapshot->upstream_count };
+
+  return msgpack_pack_array (packer, HEAD_ITEMS)
+         | pack_numbers (packer, numbers, HEAD_ITEMS);
+}
+
+static int
+pack_route (msgpack_packer *packer, const struct galena_route *route)
+{
+  uint64_t address = pack_endpoint (route->address);
+  int failed = msgpack_pack_array (
+      packer, ROUTE_ITEMS + SHARE_ITEMS * (size_t)route->share_count);
+
+  failed |= pack_numbers (packer, &address, 1);
+  for (uint32_t i = 0; i < route->share_count; i++)
+    {
+      const uint64_t share[SHARE_ITEMS]
+          = { route->shares[i].service, route->shares[i].weight };
+
+      failed |= pack_numbers (packer, share, SHARE_ITEMS);
+    }
+  return failed;
+}
+
+static int
+pack_upstream (msgpack_packer *packer,
+               const struct galena_listed_upstream *upstream)
+{
+  const uint64_t numbers[UPSTREAM_ITEMS - 1]
+      = { upstream->service,    pack_endpoint (upstream->address),
+          upstream->state,      upstream->slots,
+          upstream->warm_up_ms, upstream->born_ms };
+  size_t length = strlen (upstream->id);
+
+  return msgpack_pack_array (packer, UPSTREAM_ITEMS)
+         | msgpack_pack_bin (packer, length)
+         | msgpack_pack_bin_body (packer, upstream->id, length)
+         | pack_numbers (packer, numbers, UPSTREAM_ITEMS - 1);
+}
+
+enum galena_result
+galena_snapshot_encode (const struct galena_catalog_snapshot *snapshot,
+                        uint8_t **bytes, size_t *size)
+{
+  msgpack_sbuffer out;
+  msgpack_sbuffer item;
+  msgpack_packer packer;
+  int failed;
+
+  msgpack_sbuffer_init (&out);
+  msgpack_sbuffer_init (&item);
+  msgpack_packer_init (&packer, &item, msgpack_sbuffer_write);
+  failed = pack_head (&packer, snapshot) | add_item (&out, &item);
+  for (uint32_t i = 0; i < snapshot->route_count; i++)
+    failed
+        |= pack_route (&packer, &snapshot->routes[i]) | add_item (&out, &item);
+  for (uint32_t i = 0; i < snapshot->upstream_count; i++)
+    failed |= pack_upstream (&packer, &snapshot->upstreams[i])
+              | add_item (&out, &item);
+  msgpack_sbuffer_destroy (&item);
+  if (failed != 0)
+    {
+      msgpack_sbuffer_destroy (&out);
+      return GALENA_ERR_MEMORY;
+    }
+  *size = out.size;
+  *bytes = (uint8_t *)msgpack_sbuffer_release (&out);
+  return GALENA_OK;
+}
+
+/* What is left to read.  */
+struct source
+{
+  const uint8_t *bytes;
+  size_t left;
+};
+
+/* Reads the next array into *ITEMS.  */
+static enum galena_result
+read_item (struct source *source, struct unpack_items *items)
+{
+  enum galena_result result;
+  size_t length = 0;
+
+  if (source->left < LENGTH_BYTES)
+    return GALENA_ERR_TRUNCATED;
+  for (uint32_t i = 0; i < LENGTH_BYTES; i++)
+    length = (length << 8) | source->bytes[i];
+  if (length > source->left - LENGTH_BYTES)
+    return GALENA_ERR_TRUNCATED;
+  result = unpack_array (source->bytes + LENGTH_BYTES, length, items);
+  source->bytes += LENGTH_BYTES + length;
+  source->left -= LENGTH_BYTES + length;
+  return result;
+}
+
+/* Tells whether items FIRST to the last are numbers.  */
+static bool
+are_numbers (const struct unpack_items *items, uint32_t first)
+{
+  for (uint32_t i = first; i < items->count; i++)
+    if (items->rows[i].type != UNPACK_UNSIGNED)
+      return false;
+  return true;
+}
+
+static bool
+read_endpoint (uint64_t packed, struct galena_endpoint *endpoint)
+{
+  *endpoint = (struct galena_endpoint){ (uint32_t)(packed >> IP_SHIFT),
+                                        (uint16_t)packed };
+  return packed >> ENDPOINT_BITS == 0;
+}
+
+static enum galena_result
+read_route (struct source *source, struct galena_route *route)
+{
+  struct unpack_items items;
+  enum galena_result result = read_item (source, &items);
+
+  if (result != GALENA_OK)
+    return result;
+  if (items.count < ROUTE_ITEMS || !are_numbers (&items, 0)
+      || (items.count - ROUTE_ITEMS) % SHARE_ITEMS != 0)
+    return GALENA_ERR_TYPE;
+  route->share_count = (items.count - ROUTE_ITEMS) / SHARE_ITEMS;
+  if (route->share_count > GALENA_ROUTE_SHARES_MAX)
+    return GALENA_ERR_TOO_LARGE;
+  for (uint32_t i = 0; i < route->share_count; i++)
+    {
+      const struct unpack_item *share
+          = &items.rows[ROUTE_ITEMS + (size_t)SHARE_ITEMS * i];
+
+      if (share[1].value > UINT32_MAX)
+        return GALENA_ERR_RANGE;
+      route->shares[i]
+          = (struct galena_route_share){ share[0].value,
+                                         (uint32_t)share[1].value };
+    }
+  return read_endpoint (items.rows[0].value, &route->address)
+             ? GALENA_OK
+             : GALENA_ERR_RANGE;
+}
+
+static enum galena_result
+read_upstream (struct source *source, struct galena_listed_upstream *upstream)
+{
+  struct unpack_items items;
+  enum galena_result result = read_item (source, &items);
+  const struct unpack_item *rows = items.rows;
+
+  if (result != GALENA_OK)
+    return result;
+  if (items.count != UPSTREAM_ITEMS || rows[0].type != UNPACK_BINARY
+      || !are_numbers (&items, 1))
+    return GALENA_ERR_TYPE;
+  if (rows[0].size >= sizeof upstream->id)
+    return GALENA_ERR_TOO_LARGE;
+  if (!read_endpoint (rows[2].value, &upstream->address)
+      || rows[3].value > GALENA_LISTING_DRAINING || rows[4].value > UINT32_MAX
+      || rows[5].value > INT32_MAX)
+    return GALENA_ERR_RANGE;
+  memcpy (upstream->id, rows[0].data, rows[0].size);
+  upstream->service = rows[1].value;
+  upstream->state = (enum galena_listing)rows[3].value;
+  upstream->slots = (uint32_t)rows[4].value;
+  upstream->warm_up_ms = (uint32_t)rows[5].value;
+  upstream->born_ms = rows[6].value;
+  return GALENA_OK;
+}
+
+/* Reads the head into *SNAPSHOT.  */
+static enum galena_result
+read_head (struct source *source, struct galena_catalog_snapshot *snapshot)
+{
+  struct unpack_items items;
+  enum galena_result result = read_item (source, &items);
+
+  if (result != GALENA_OK)
+    return result;
+  if (items.count != HEAD_ITEMS || !are_numbers (&items, 0))
+    return GALENA_ERR_TYPE;
+  if (items.rows[0].value != GALENA_SNAPSHOT_SCHEMA)
+    return GALENA_ERR_SCHEMA;
+  if (items.rows[3].value > GALENA_SNAPSHOT_ROWS_MAX
+      || items.rows[4].value > GALENA_SNAPSHOT_ROWS_MAX)
+    return GALENA_ERR_TOO_LARGE;
+  snapshot->version = items.rows[1].value;
+  snapshot->revision = items.rows[2].value;
+  snapshot->route_count = (uint32_t)items.rows[3].value;
+  snapshot->upstream_count = (uint32_t)items.rows[4].value;
+  /* Each row has a length at least: rows that can't be there are not made
+     room for.  */
+  if (((size_t)snapshot->route_count + snapshot->upstream_count) * LENGTH_BYTES
+      > source->left)
+    return GALENA_ERR_TRUNCATED;
+  return GALENA_OK;
+}
+
+enum galena_result
+galena_snapshot_decode (const uint8_t *bytes, size_t size,
+                        struct galena_catalog_snapshot *snapshot)
+{
+  struct source source = { bytes, size };
+  struct galena_route *routes = NULL;
+  struct galena_listed_upstream *upstreams = NULL;
+  enum galena_result result;
+
+  *snapshot = (struct galena_catalog_snapshot){ 0 };
+  result = read_head (&source, snapshot);
+  if (result != GALENA_OK)
+    goto fail;
+  routes = calloc ((size_t)snapshot->route_count + 1, sizeof *routes);
+  upstreams = calloc ((size_t)snapshot->upstream_count + 1, sizeof *upstreams);
+  result = routes == NULL || upstreams == NULL ? GALENA_ERR_MEMORY : GALENA_OK;
+  for (uint32_t i = 0; result == GALENA_OK && i < snapshot->route_count; i++)
+    result = read_route (&source, &routes[i]);
+  for (uint32_t i = 0; result == GALENA_OK && i < snapshot->upstream_count;
+       i++)
+    result = read_upstream (&source, &upstreams[i]);
+  if (result == GALENA_OK && source.left != 0)
+    result = GALENA_ERR_TOO_LARGE;
+  if (result != GALENA_OK)
+    goto fail;
+  snapshot->routes = routes;
+  snapshot->upstreams = upstreams;
+  return GALENA_OK;
+
+fail:
+  free (routes);
+  free (upstreams);
+  *snapshot = (struct galena_catalog_snapshot){ 0 };
+  return result;
+}
+
+void
+galena_snapshot_release (struct galena_catalog_snapshot *snapshot)
+{
+  free ((void *)snapshot->routes);
+  free ((void *)snapshot->upstreams);
+  *snapshot = (struct galena_catalog_snapshot){ 0 };
+}
