Prefer the own zone among equals; histograms; log lines never wait

Ruled out: choosing by zone first, which would undo the choice by wait. Change: another zone costs a sixteenth more; opening, search and answer times as histograms; a pipe at standard output does not block, and lines it has no room for are counted.

--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -231,7 +231,6 @@
     return EXIT_USAGE;
   if (arguments.check)
     return EXIT_SUCCESS;
-  setvbuf (stdout, NULL, _IOLBF, 0);
   galena_log_name (process.settings.name);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   result = run_process (&process);
--- a/packages/daemon/src/packet_loop.c
+++ b/packages/daemon/src/packet_loop.c
@@ -72,6 +72,7 @@
     .flows = settings->packets_flows,
     .messages = TICK_MESSAGES,
     .flow_idle_ms = settings->packets_flow_max_s * MS_PER_S,
+    .zone = galena_service_key_of (settings->zone),
     .first_start = settings->packets_first_start,
   };
 
@@ -250,6 +251,19 @@
   poll (fds, SOCKET_COUNT + 1, (int)left_ms);
 }
 
+static void
+share_histogram (struct packet_loop *loop, int index)
+{
+  const struct galena_histogram *row
+      = galena_plane_histogram_of (loop->plane, index);
+
+  for (uint32_t i = 0; i < GALENA_HISTOGRAM_BUCKETS; i++)
+    atomic_store_explicit (&loop->packets->buckets[index][i], row->buckets[i],
+                           memory_order_relaxed);
+  atomic_store_explicit (&loop->packets->sums_ms[index], row->sum_ms,
+                         memory_order_relaxed);
+}
+
 /* Shows counters and peers to the other threads.  */
 static void
 share_state (struct packet_loop *loop, struct galena_clock now)
@@ -264,6 +278,8 @@
     atomic_store_explicit (&loop->packets->counters[i],
                            galena_plane_counter_value (loop->plane, i),
                            memory_order_relaxed);
+  for (int i = 0; i < GALENA_PLANE_HISTOGRAM_COUNT; i++)
+    share_histogram (loop, i);
   atomic_store (&loop->packets->flows, galena_plane_flow_count (loop->plane));
   peer_count = galena_plane_peers (loop->plane, peers, PACKET_PEERS_MAX);
   for (uint32_t i = 0; i < PACKET_PEERS_MAX; i++)
--- a/packages/daemon/src/packet_status.c
+++ b/packages/daemon/src/packet_status.c
@@ -25,7 +25,33 @@
   struct MHD_Daemon *daemon;
 };
 
-/* Writes counters and gauges in the text format of Prometheus.  */
+/* Writes histogram INDEX with buckets that add up.  */
+static void
+write_histogram (struct packets *packets, int index, FILE *out)
+{
+  const char *word = galena_plane_histogram_word (index);
+  unsigned long long count = 0;
+
+  fprintf (out,
+           "# HELP galenaford_%s %s\n"
+           "# TYPE galenaford_%s histogram\n",
+           word, galena_plane_histogram_meaning (index), word);
+  for (uint32_t i = 0; i < GALENA_HISTOGRAM_BUCKETS; i++)
+    {
+      count += atomic_load (&packets->buckets[index][i]);
+      if (i + 1 < GALENA_HISTOGRAM_BUCKETS)
+        fprintf (out, "galenaford_%s_bucket{le=\"%u\"} %llu\n", word, 1U << i,
+                 count);
+    }
+  fprintf (out,
+           "galenaford_%s_bucket{le=\"+Inf\"} %llu\n"
+           "galenaford_%s_sum %llu\n"
+           "galenaford_%s_count %llu\n",
+           word, count, word, atomic_load (&packets->sums_ms[index]), word,
+           count);
+}
+
+/* Writes counters, histograms and gauges in the text format of Prometheus.  */
 static void
 write_metrics (struct packets *packets, char *text, size_t size)
 {
@@ -41,6 +67,8 @@
              galena_plane_counter_word (i), galena_plane_counter_meaning (i),
              galena_plane_counter_word (i), galena_plane_counter_word (i),
              atomic_load (&packets->counters[i]));
+  for (int i = 0; i < GALENA_PLANE_HISTOGRAM_COUNT; i++)
+    write_histogram (packets, i, out);
   fprintf (out,
            "# TYPE galenaford_flows gauge\n"
            "galenaford_flows %u\n"
--- a/packages/daemon/src/packets.h
+++ b/packages/daemon/src/packets.h
@@ -33,6 +33,9 @@
   atomic_bool ready;
   /* Counters as of the last copy, and the gauges.  */
   atomic_ullong counters[GALENA_PLANE_COUNTER_COUNT];
+  atomic_ullong buckets[GALENA_PLANE_HISTOGRAM_COUNT]
+                       [GALENA_HISTOGRAM_BUCKETS];
+  atomic_ullong sums_ms[GALENA_PLANE_HISTOGRAM_COUNT];
   atomic_uint flows;
   atomic_ullong platform_calls;
   atomic_ullong platform_failures;
--- a/packages/flows/include/galenaford/directory.h
+++ b/packages/flows/include/galenaford/directory.h
@@ -61,6 +61,8 @@
   /* Where the upstream itself listens.  */
   struct galena_endpoint address;
   enum galena_listing state;
+  /* Key of its availability zone, made as a service's.  */
+  uint64_t zone;
   /* Requests that it runs at once.  */
   uint32_t slots;
   /* Milliseconds, when published, until it has warmed up.  */
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -44,6 +44,8 @@
   galena_service_key service;
   /* Agent only: whether no flow can be older than this process.  */
   bool first_start;
+  /* Entry only: key of the availability zone, made as a service's.  */
+  uint64_t zone;
   /* Entry only: name of the choice policy, or NULL for the default.  */
   const char *choice;
 };
@@ -176,6 +178,42 @@
 /* Returns one sentence on COUNTER.  */
 const char *galena_plane_counter_meaning (enum galena_plane_counter counter);
 
+/* One row per histogram of milliseconds: name, short word, meaning.  */
+#define GALENA_PLANE_HISTOGRAMS(X)                                            \
+  X (GALENA_PLANE_OPENING_MS, "opening_ms",                                   \
+     "From a flow's opening packet to an upstream's acceptance.")             \
+  X (GALENA_PLANE_SEARCH_MS, "search_ms",                                     \
+     "From a packet of an unknown flow until its owner was found.")           \
+  X (GALENA_PLANE_ANSWER_MS, "answer_ms",                                     \
+     "From a request's first data until its answer began.")
+
+enum galena_plane_histogram
+{
+#define GALENA_PLANE_HISTOGRAM_ENUM(name, word, meaning) name,
+  GALENA_PLANE_HISTOGRAMS (GALENA_PLANE_HISTOGRAM_ENUM)
+#undef GALENA_PLANE_HISTOGRAM_ENUM
+      GALENA_PLANE_HISTOGRAM_COUNT
+};
+
+enum
+{
+  /* Bucket I holds times below 2 to the I milliseconds, the last one all
+     longer ones too.  */
+  GALENA_HISTOGRAM_BUCKETS = 13
+};
+
+struct galena_histogram
+{
+  uint64_t buckets[GALENA_HISTOGRAM_BUCKETS];
+  uint64_t sum_ms;
+};
+
+/* Returns the short word of HISTOGRAM, and one sentence on it.  */
+const char *
+galena_plane_histogram_word (enum galena_plane_histogram histogram);
+const char *
+galena_plane_histogram_meaning (enum galena_plane_histogram histogram);
+
 struct galena_plane;
 
 /* Creates a plane in *OUT; the caller owns it.
@@ -223,6 +261,11 @@
 uint64_t galena_plane_counter_value (const struct galena_plane *plane,
                                      enum galena_plane_counter counter);
 
+/* Returns HISTOGRAM; valid while PLANE is.  */
+const struct galena_histogram *
+galena_plane_histogram_of (const struct galena_plane *plane,
+                           enum galena_plane_histogram histogram);
+
 /* Stores the addresses of at most MAX entries that were heard lately in IPS;
    returns how many.  */
 uint32_t galena_plane_peers (const struct galena_plane *plane, uint32_t *ips,
--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -84,6 +84,7 @@
   if (!flow->running)
     return;
   note_busy (plane);
+  plane_measure (plane, GALENA_PLANE_ANSWER_MS, flow->request_began);
   flow->running = false;
   agent->running--;
   if (is_shed (plane, flow))
--- a/packages/flows/src/entry_choice.c
+++ b/packages/flows/src/entry_choice.c
@@ -116,6 +116,10 @@
          && entry_service_of (upstream) == service;
 }
 
+/* Another availability zone costs as much more as two equal upstreams may
+   differ by chance: own ones go first among equals.  */
+static const double OTHER_ZONE_FACTOR = 1.0625;
+
 static double
 cost_of (struct galena_plane *plane, const struct upstream_row *upstream,
          double usual_us)
@@ -124,6 +128,8 @@
 
   /* Up to a sixteenth at random, so that entries that know the same don't all
      choose the same.  */
+  if (upstream->zone != plane->options.zone)
+    cost *= OTHER_ZONE_FACTOR;
   cost *= 1 + (double)galena_random_below (&plane->random, 64) / 1024;
   return cost;
 }
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -175,6 +175,7 @@
   try->accepted = true;
   try->sequence = message->sequence;
   plane_count (plane, GALENA_PLANE_OPENED);
+  plane_measure (plane, GALENA_PLANE_OPENING_MS, flow->began);
   plane_note (plane, note_of (plane, GALENA_EVENT_OPENED, flow, upstream));
 }
 
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -223,9 +223,12 @@
   const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
   struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
 
-  if (upstream == NULL || flow == NULL || flow->state != FLOW_SOUGHT)
+  if (upstream == NULL || flow == NULL || flow->state != FLOW_SOUGHT
+      || search_of (plane, flow) == NULL)
     return;
   plane_count (plane, GALENA_PLANE_FOUND);
+  plane_measure (plane, GALENA_PLANE_SEARCH_MS,
+                 search_of (plane, flow)->began);
   plane_note (plane,
               (struct galena_plane_note){
                   .event = GALENA_EVENT_FOUND,
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -32,6 +32,7 @@
   uint64_t directory;
   struct galena_clock absent_since;
   uint64_t born_ms;
+  uint64_t zone;
   uint32_t slots;
   struct galena_clock warm_at;
   /* When the agent was last heard; ms 0 when never.  */
--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -123,6 +123,7 @@
   upstream->directory = directory;
   upstream->listed_service = listed->service;
   upstream->born_ms = listed->born_ms;
+  upstream->zone = listed->zone;
   upstream->slots = listed->slots;
   upstream->warm_at = galena_clock_after (plane->now, listed->warm_up_ms);
   if (upstream->listing == listed->state)
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -36,6 +36,18 @@
 #undef COUNTER_MEANING
 };
 
+static const char *const HISTOGRAM_WORDS[] = {
+#define HISTOGRAM_WORD(name, word, meaning) [name] = word,
+  GALENA_PLANE_HISTOGRAMS (HISTOGRAM_WORD)
+#undef HISTOGRAM_WORD
+};
+
+static const char *const HISTOGRAM_MEANINGS[] = {
+#define HISTOGRAM_MEANING(name, word, meaning) [name] = meaning,
+  GALENA_PLANE_HISTOGRAMS (HISTOGRAM_MEANING)
+#undef HISTOGRAM_MEANING
+};
+
 static const char *const PEER_WORDS[GALENA_PEER_TYPE_END] = {
 #define PEER_WORD(name, number, word) [name] = word,
   GALENA_PEER_TYPES (PEER_WORD)
@@ -60,6 +72,18 @@
   return COUNTER_MEANINGS[counter];
 }
 
+const char *
+galena_plane_histogram_word (enum galena_plane_histogram histogram)
+{
+  return HISTOGRAM_WORDS[histogram];
+}
+
+const char *
+galena_plane_histogram_meaning (enum galena_plane_histogram histogram)
+{
+  return HISTOGRAM_MEANINGS[histogram];
+}
+
 const char *
 galena_peer_word (enum galena_peer_type type)
 {
@@ -192,6 +216,29 @@
   plane_count (plane, GALENA_PLANE_RESETS);
 }
 
+void
+plane_measure (struct galena_plane *plane,
+               enum galena_plane_histogram histogram,
+               struct galena_clock since)
+{
+  struct galena_histogram *row = &plane->histograms[histogram];
+  int64_t ms = galena_clock_between (since, plane->now);
+  uint32_t bucket = 0;
+
+  while (bucket + 1 < GALENA_HISTOGRAM_BUCKETS
+         && ms >= (INT64_C (1) << bucket))
+    bucket++;
+  row->buckets[bucket]++;
+  row->sum_ms += (uint64_t)ms;
+}
+
+const struct galena_histogram *
+galena_plane_histogram_of (const struct galena_plane *plane,
+                           enum galena_plane_histogram histogram)
+{
+  return &plane->histograms[histogram];
+}
+
 void
 plane_note (struct galena_plane *plane, struct galena_plane_note note)
 {
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -73,6 +73,7 @@
   const struct galena_directory *directory;
   struct galena_random random;
   uint64_t counters[GALENA_PLANE_COUNTER_COUNT];
+  struct galena_histogram histograms[GALENA_PLANE_HISTOGRAM_COUNT];
   bool draining;
   uint32_t arrival_count;
   uint32_t departure_count;
@@ -113,6 +114,11 @@
   plane->counters[counter]++;
 }
 
+/* Counts the time from SINCE until now.  */
+void plane_measure (struct galena_plane *plane,
+                    enum galena_plane_histogram histogram,
+                    struct galena_clock since);
+
 /* Adds NOTE; further ones of a full tick are left out.  */
 void plane_note (struct galena_plane *plane, struct galena_plane_note note);
 
--- a/packages/runtime/include/galenaford/log.h
+++ b/packages/runtime/include/galenaford/log.h
@@ -1,5 +1,6 @@
-/* Log lines: one line of key=value pairs per event on standard error, with
-   the severity of syslog in front.  */
+/* Log lines: one line of key=value pairs per event on standard output, with
+   the severity of syslog in front.  A line that a pipe has no room for is left
+   out and counted: writing never waits for a reader.  */
 
 #ifndef GALENAFORD_LOG_H
 #define GALENAFORD_LOG_H
@@ -15,7 +16,8 @@
 /* Writes how many lines were left out of windows that have ended.  */
 void galena_log_flush (void);
 
-/* Sets the name of the process for all later lines; copied.  */
+/* Sets the name of the process for all later lines; copied.  A pipe at
+   standard output is set not to block.  */
 void galena_log_name (const char *name);
 
 #endif
--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -1,8 +1,13 @@
 /* Log lines on standard output.  */
 
+#include <errno.h>
+#include <fcntl.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <galenaford/log.h>
 #include <galenaford/log_limit.h>
@@ -17,11 +22,55 @@
 static char process_name[NAME_BYTES] = "-";
 static pthread_mutex_t limit_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct galena_log_limit limit;
+/* Lines that standard output did not take since the last one it took.  */
+static unsigned untaken;
 
 void
 galena_log_name (const char *name)
 {
+  struct stat status;
+
   snprintf (process_name, sizeof process_name, "%s", name);
+  /* A reader that does not read must not stop the process.  */
+  if (fstat (STDOUT_FILENO, &status) == 0
+      && (S_ISFIFO (status.st_mode) || S_ISSOCK (status.st_mode)))
+    fcntl (STDOUT_FILENO, F_SETFL,
+           fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+/* Writes the SIZE bytes of a line at once; false when there is no room.  */
+static bool
+write_bytes (const char *line, size_t size)
+{
+  ssize_t written;
+
+  do
+    written = write (STDOUT_FILENO, line, size);
+  while (written < 0 && errno == EINTR);
+  return written == (ssize_t)size;
+}
+
+/* Writes a line, and before it how many were left out.  */
+static void
+emit (const char *line, size_t size)
+{
+  char note[LINE_BYTES];
+  int length;
+
+  if (untaken > 0)
+    {
+      length = snprintf (note, sizeof note,
+                         "<%d>event=log-untaken process=%s lines=%u\n",
+                         LOG_WARNING, process_name, untaken);
+      if (length < 0 || !write_bytes (note, (size_t)length))
+        {
+          untaken++;
+          return;
+        }
+      untaken = 0;
+    }
+  if (!write_bytes (line, size))
+    untaken++;
 }
 
 static void
@@ -35,7 +84,9 @@
   if (used < 0)
     return;
   vsnprintf (line + used, sizeof line - (size_t)used - 1, format, arguments);
-  printf ("%s\n", line);
+  used = (int)strlen (line);
+  line[used] = '\n';
+  emit (line, (size_t)used + 1);
 }
 
 static void write_pairs (int severity, const char *event, const char *format,
--- a/packages/wire/src/snapshot.c
+++ b/packages/wire/src/snapshot.c
@@ -18,7 +18,7 @@
   HEAD_ITEMS = 5,
   ROUTE_ITEMS = 1,
   SHARE_ITEMS = 2,
-  UPSTREAM_ITEMS = 7
+  UPSTREAM_ITEMS = 8
 };
 
 /* Appends the array in ITEM with its length to OUT, and empties ITEM.  */
@@ -89,7 +89,8 @@
   const uint64_t numbers[UPSTREAM_ITEMS - 1]
       = { upstream->service,    pack_endpoint (upstream->address),
           upstream->state,      upstream->slots,
-          upstream->warm_up_ms, upstream->born_ms };
+          upstream->warm_up_ms, upstream->born_ms,
+          upstream->zone };
   size_t length = strlen (upstream->id);
 
   return msgpack_pack_array (packer, UPSTREAM_ITEMS)
@@ -226,6 +227,7 @@
   upstream->slots = (uint32_t)rows[4].value;
   upstream->warm_up_ms = (uint32_t)rows[5].value;
   upstream->born_ms = rows[6].value;
+  upstream->zone = rows[7].value;
   return GALENA_OK;
 }
 
--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -10,6 +10,8 @@
 
 enum
 {
+  /* Processes and upstreams are in these zones in turn.  */
+  ZONES = 3,
   MESSAGES_MAX = 65536,
   UPSTREAM_FLOWS_MAX = 1024,
   PEER_PORT = 7000,
@@ -598,6 +600,7 @@
       rows[options.upstream_count++] = (struct galena_listed_upstream){
         .service = galena_service_key_of (SERVICES[service_of (fleet, i)]),
         .address = { AGENT_IP + i, 8080 },
+        .zone = i % ZONES,
         .state = upstream->listing,
         .slots = fleet->options->slots,
         .born_ms = upstream->born,
@@ -634,6 +637,7 @@
     .flows = 4096,
     .messages = 4096,
     .flow_idle_ms = 60000,
+    .zone = index % ZONES,
     .first_start = first_start,
   };
   struct galena_plane *plane;
@@ -920,6 +924,11 @@
   if (index
       >= (to_entry ? fleet->options->entries : fleet->options->upstreams))
     return;
+  if (departure->message.type == GALENA_PEER_OPEN)
+    {
+      fleet->report->opens++;
+      fleet->report->crossed += (from.ip - ENTRY_IP) % ZONES != index % ZONES;
+    }
   flight = launch (fleet, to_entry ? AT_ENTRY : AT_AGENT_PEERS, index, 1);
   flight->is_message = true;
   flight->peer = from;
--- a/test/fake/planes.h
+++ b/test/fake/planes.h
@@ -90,6 +90,9 @@
 {
   uint32_t requests;
   uint32_t answered;
+  /* Opens that entries sent, and those to another availability zone.  */
+  uint32_t opens;
+  uint32_t crossed;
   /* Shed by their upstream.  */
   uint32_t shed;
   /* Answered later than 100 ms after they were first sent.  */
--- a/test/unit/test_peer_wire.c
+++ b/test/unit/test_peer_wire.c
@@ -95,8 +95,15 @@
 };
 
 static const struct galena_listed_upstream UPSTREAMS[] = {
-  { "i-1", 7, { 0x0a000001, 80 }, GALENA_LISTING_READY, 3, 500, 1700000000 },
-  { "i-2", 9, { 0x0a000002, 80 }, GALENA_LISTING_DRAINING, 1, 0, 0 },
+  { "i-1",
+    7,
+    { 0x0a000001, 80 },
+    GALENA_LISTING_READY,
+    77,
+    3,
+    500,
+    1700000000 },
+  { "i-2", 9, { 0x0a000002, 80 }, GALENA_LISTING_DRAINING, 0, 1, 0, 0 },
 };
 
 static uint8_t *
@@ -132,6 +139,7 @@
   g_assert_cmpuint (read.upstream_count, ==, G_N_ELEMENTS (UPSTREAMS));
   g_assert_cmpstr (read.upstreams[0].id, ==, "i-1");
   g_assert_cmpuint (read.upstreams[0].born_ms, ==, 1700000000);
+  g_assert_cmpuint (read.upstreams[0].zone, ==, 77);
   g_assert_cmpint (read.upstreams[1].state, ==, GALENA_LISTING_DRAINING);
   galena_snapshot_release (&read);
   for (size_t cut = 0; cut < size; cut++)
--- a/test/unit/test_planes.c
+++ b/test/unit/test_planes.c
@@ -5,6 +5,14 @@
 
 #include "planes.h"
 
+enum planes_flag
+{
+  /* The route ends, so that requests go unanswered.  */
+  ROUTE_DROPPED = 1,
+  /* Loads are low enough for own zones to go first.  */
+  OWN_ZONE_FIRST = 2
+};
+
 struct planes_case
 {
   const char *name;
@@ -17,8 +25,8 @@
   uint32_t resets_min;
   /* Most resets.  */
   uint32_t resets_max;
-  /* Whether the route ends, so that requests go unanswered.  */
-  bool dropped;
+  /* Bits of enum planes_flag.  */
+  uint32_t flags;
 };
 
 #define PROCESSES                                                             \
@@ -29,22 +37,28 @@
 #define CROWD PROCESSES, .callers = 200
 
 static const struct planes_case CASES[] = {
-  { "/planes/calm", { FLEET }, 0, 100, 0, 0, false },
-  { "/planes/calm-fresh", { FLEET, .fresh = true }, 0, 100, 0, 0, false },
+  { "/planes/calm", { FLEET }, 0, 100, 0, 0, 0 },
+  { "/planes/calm-fresh",
+    { FLEET, .fresh = ROUTE_DROPPED },
+    0,
+    100,
+    0,
+    0,
+    OWN_ZONE_FIRST },
   { "/planes/entry-restarts",
     { FLEET, .actions = { { 8000, PLANES_RESTART_ENTRIES, 0, 0 } } },
     0,
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/all-entries-restart",
     { FLEET, .actions = { { 8000, PLANES_RESTART_ENTRIES, 0, 2 } } },
     0,
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/rotation",
     { FLEET, .actions = { { 5000, PLANES_STOP_ENTRIES, 0, 0 },
                           { 8000, PLANES_START_ENTRIES, 0, 0 },
@@ -55,14 +69,14 @@
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/agents-restart",
     { FLEET, .actions = { { 8000, PLANES_RESTART_AGENTS, 0, 6 } } },
     0,
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/all-processes-restart",
     { FLEET, .actions = { { 8000, PLANES_RESTART_ENTRIES, 0, 2 },
                           { 8000, PLANES_RESTART_AGENTS, 0, 6 } } },
@@ -70,14 +84,14 @@
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/upstream-restarts",
     { FLEET, .actions = { { 8000, PLANES_RESTART_UPSTREAMS, 0, 0 } } },
     20,
     700,
     1,
     40,
-    false },
+    0 },
   { "/planes/everything-restarts",
     { FLEET, .actions = { { 8000, PLANES_RESTART_ENTRIES, 0, 2 },
                           { 8000, PLANES_RESTART_AGENTS, 0, 6 },
@@ -86,7 +100,7 @@
     700,
     30,
     60,
-    false },
+    0 },
   { "/planes/new-life-listed-late",
     { FLEET, .actions = { { 8000, PLANES_RESTART_UPSTREAMS, 0, 6 },
                           { 9000, PLANES_LIST_REBORN, 0, 6 } } },
@@ -94,7 +108,7 @@
     700,
     30,
     60,
-    false },
+    0 },
   /* All callers come back at once, while two agents are up: four requests a
      slot there, the others wait for more agents.  */
   { "/planes/few-agents-at-first",
@@ -108,7 +122,7 @@
     1500,
     0,
     60,
-    false },
+    0 },
   { "/planes/agents-late",
     { FLEET, .actions = { { 8000, PLANES_STOP_AGENTS, 0, 6 },
                           { 8000, PLANES_RESTART_ENTRIES, 0, 2 },
@@ -118,7 +132,7 @@
     700,
     30,
     60,
-    false },
+    0 },
   { "/planes/agent-silent",
     { FLEET, .fresh = true,
       .actions = { { 8000, PLANES_STOP_AGENTS, 0, 0 } } },
@@ -126,7 +140,7 @@
     700,
     0,
     6,
-    false },
+    0 },
   { "/planes/upstream-full",
     { FLEET, .fresh = true,
       .actions = { { 5000, PLANES_FILL_UPSTREAMS, 0, 5 },
@@ -135,7 +149,7 @@
     1000,
     0,
     0,
-    false },
+    0 },
   { "/planes/drains",
     { FLEET, .fresh = true,
       .actions = { { 5000, PLANES_LIST_DRAINING, 0, 1 },
@@ -144,7 +158,7 @@
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/drained-owner-found",
     { FLEET, .actions = { { 5000, PLANES_LIST_DRAINING, 0, 5 },
                           { 8000, PLANES_RESTART_ENTRIES, 0, 2 } } },
@@ -152,7 +166,7 @@
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/unlisted-owner-found",
     { FLEET, .actions = { { 5000, PLANES_LIST_ABSENT, 0, 3 },
                           { 9000, PLANES_RESTART_ENTRIES, 0, 2 } } },
@@ -160,7 +174,7 @@
     700,
     0,
     0,
-    false },
+    0 },
   { "/planes/entry-misses-new-upstreams",
     { FLEET, .actions = { { 1, PLANES_LIST_ABSENT, 4, 6 },
                           { 4000, PLANES_BLIND_ENTRIES, 0, 0 },
@@ -173,7 +187,7 @@
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/rerouted-owner-found",
     { FLEET, .second_service = 4,
       .actions = { { 5000, PLANES_REROUTE, 0, 0 },
@@ -182,14 +196,14 @@
     100,
     0,
     0,
-    false },
+    0 },
   { "/planes/route-dropped",
     { FLEET, .actions = { { 8000, PLANES_DROP_ROUTE, 0, 0 } } },
     0,
     100,
     60,
     UINT32_MAX,
-    true },
+    ROUTE_DROPPED },
   { "/planes/loss",
     /* Six legs of a request, each with a loss of one in a hundred.  */
     { FLEET, .loss = 100 },
@@ -197,7 +211,7 @@
     1700,
     0,
     0,
-    false },
+    0 },
   { "/planes/slow-upstreams",
     /* A slow one takes 80 ms, and holds at most one request more than it runs
        before its agent has told that.  */
@@ -206,7 +220,7 @@
     170,
     0,
     0,
-    false },
+    0 },
 };
 
 static void
@@ -230,13 +244,16 @@
       g_assert_cmpuint (report.misrouted, ==, 0);
       g_assert_cmpuint (report.forged, ==, 0);
       g_assert_cmpuint (report.shed, ==, 0);
+      /* Two of three upstreams are in other zones; own ones go first.  */
+      if ((test->flags & OWN_ZONE_FIRST) != 0)
+        g_assert_cmpuint (report.crossed * 2, <, report.opens);
       /* Requests and answers on their way: of one caller in fifteen.  */
       g_assert_cmpuint (report.misjudged, <=, options.callers / 15);
       g_assert_cmpuint (report.late, <=, test->late_max);
       g_assert_cmpuint (report.worst_ms, <=, test->worst_max_ms);
       g_assert_cmpuint (report.resets, >=, test->resets_min);
       g_assert_cmpuint (report.resets, <=, test->resets_max);
-      if (!test->dropped)
+      if ((test->flags & ROUTE_DROPPED) == 0)
         g_assert_cmpuint (report.requests - report.answered, <=,
                           options.callers);
     }
