--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -203,6 +203,16 @@
   catalog->changed = true;
 }
 
+static bool
+upstream_equal (const struct galena_listed_upstream *a,
+                const struct galena_listed_upstream *b)
+{
+  return a->service == b->service
+         && galena_endpoint_equal (a->address, b->address)
+         && a->state == b->state && a->zone == b->zone && a->slots == b->slots
+         && a->warm_up_ms == b->warm_up_ms && a->born_ms == b->born_ms;
+}
+
 static void
 take_upstream (struct galena_catalog *catalog, uint32_t round,
                const struct galena_listed_upstream *upstream)
@@ -216,7 +226,7 @@
     return;
   item->round = round;
   item->removed_at = (struct galena_clock){ 0 };
-  if (memcmp (&item->upstream, upstream, sizeof item->upstream) == 0)
+  if (*item->upstream.id != '\0' && upstream_equal (&item->upstream, upstream))
     return;
   item->upstream = *upstream;
   catalog->changed = true;
--- a/packages/flows/src/entry_choice.c
+++ b/packages/flows/src/entry_choice.c
@@ -135,15 +135,15 @@
 }
 
 /* Tells whether UPSTREAM has as much as it can answer soon.  Unanswered opens
-   of one entry are no more than it runs at once, since other entries send it
-   flows as well.  */
+   of one entry are no more than it runs at once and count twice, since other
+   entries send it flows as well and their unanswered opens are not known.  */
 static bool
 is_busy (const struct upstream_row *upstream)
 {
   if (upstream->slots == 0)
     return false;
   return upstream->placed >= upstream->slots
-         || upstream->load.running + upstream->placed
+         || upstream->load.running + 2 * upstream->placed
                 >= REQUESTS_PER_SLOT * upstream->slots;
 }
 
