--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -118,8 +118,9 @@
       GALENA_PLANE_EVENT_COUNT
 };
 
-/* Returns the short word of EVENT.  */
+/* Returns the short word of EVENT, and one sentence on it.  */
 const char *galena_plane_event_word (enum galena_plane_event event);
+const char *galena_plane_event_meaning (enum galena_plane_event event);
 
 /* A decision on a flow, or a change of what the plane believes.  */
 struct galena_plane_note
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -24,6 +24,12 @@
 #undef EVENT_WORD
 };
 
+static const char *const EVENT_MEANINGS[] = {
+#define EVENT_MEANING(name, word, meaning) [name] = meaning,
+  GALENA_PLANE_EVENTS (EVENT_MEANING)
+#undef EVENT_MEANING
+};
+
 static const char *const COUNTER_WORDS[] = {
 #define COUNTER_WORD(name, word, meaning) [name] = word,
   GALENA_PLANE_COUNTERS (COUNTER_WORD)
@@ -60,6 +66,12 @@
   return EVENT_WORDS[event];
 }
 
+const char *
+galena_plane_event_meaning (enum galena_plane_event event)
+{
+  return EVENT_MEANINGS[event];
+}
+
 const char *
 galena_plane_counter_word (enum galena_plane_counter counter)
 {
--- a/test/unit/test_pages.c
+++ b/test/unit/test_pages.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <galenaford/operator.h>
+#include <galenaford/plane.h>
 #include <galenaford/settings.h>
 #include <galenaford/stats.h>
 
@@ -82,6 +83,42 @@
   return true;
 }
 
+static bool
+write_plane_counter (uint32_t index, char *row, size_t size)
+{
+  if (index >= GALENA_PLANE_COUNTER_COUNT)
+    return false;
+  g_snprintf (row, size, "| `%s` | %s |",
+              galena_plane_counter_word ((enum galena_plane_counter)index),
+              galena_plane_counter_meaning ((enum galena_plane_counter)index));
+  return true;
+}
+
+static bool
+write_plane_histogram (uint32_t index, char *row, size_t size)
+{
+  enum galena_plane_histogram histogram = (enum galena_plane_histogram)index;
+
+  if (index >= GALENA_PLANE_HISTOGRAM_COUNT)
+    return false;
+  g_snprintf (row, size, "| `%s` | %s |",
+              galena_plane_histogram_word (histogram),
+              galena_plane_histogram_meaning (histogram));
+  return true;
+}
+
+static bool
+write_plane_event (uint32_t index, char *row, size_t size)
+{
+  enum galena_plane_event event = (enum galena_plane_event)index;
+
+  if (index >= GALENA_PLANE_EVENT_COUNT)
+    return false;
+  g_snprintf (row, size, "| `%s` | %s |", galena_plane_event_word (event),
+              galena_plane_event_meaning (event));
+  return true;
+}
+
 static bool
 write_event (uint32_t index, char *row, size_t size)
 {
@@ -129,6 +166,13 @@
     "131071 at most.\n\n"
     "| counter | meaning | when it rises |",
     write_kind_counter, 1 },
+  { "/pages/plane-counters", "docs/COUNTERS.md",
+    "count calls to the platform.\n\n| counter | meaning |",
+    write_plane_counter, 0 },
+  { "/pages/plane-histograms", "docs/COUNTERS.md", "| histogram | meaning |",
+    write_plane_histogram, 0 },
+  { "/pages/plane-events", "docs/COUNTERS.md", "| log event | meaning |",
+    write_plane_event, 0 },
   { "/pages/events", "docs/AUDIT.md",
     "| event | meaning | `generation` holds | what to do |", write_event, 2 },
   { "/pages/fields", "docs/GALENACTL.md", "| command | field | meaning |",
