--- a/packages/daemon/src/packet_loop.c
+++ b/packages/daemon/src/packet_loop.c
@@ -72,6 +72,7 @@
     .flows = settings->packets_flows,
     .messages = TICK_MESSAGES,
     .flow_idle_ms = settings->packets_flow_max_s * MS_PER_S,
+    .choice = settings->packets_choice,
     .zone = galena_service_key_of (settings->zone),
     .first_start = settings->packets_first_start,
   };
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -129,7 +129,8 @@
   struct galena_flow_key flow;
   /* Agent concerned; none when its address is 0.  */
   struct galena_endpoint agent;
-  /* Version of the configuration that it was decided with.  */
+  /* Version of the configuration that it was decided with; of an upstream's
+     state, the Unix milliseconds of its start.  */
   uint64_t version;
   enum galena_result result;
   /* Milliseconds since the agent was last heard, the pause, or the time that
@@ -215,6 +216,9 @@
 const char *
 galena_plane_histogram_meaning (enum galena_plane_histogram histogram);
 
+/* Returns the name of choice policy INDEX, or NULL past the last one.  */
+const char *galena_plane_choice_name (uint32_t index);
+
 struct galena_plane;
 
 /* Creates a plane in *OUT; the caller owns it.
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -17,41 +17,23 @@
 find_flow (const struct galena_plane *plane, struct galena_flow_key key,
            struct galena_handle *handle)
 {
-  const struct agent_tables *agent = plane->agent;
-  struct agent_flow *flow;
-  uint64_t packed;
-
-  if (!galena_map_find (agent->flows_by_key,
-                        plane_flow_hash (agent->flows_by_key, key), &packed))
-    return NULL;
-  *handle = galena_handle_unpack (packed);
-  flow = galena_table_get (agent->flows, *handle);
-  return flow != NULL && plane_flow_equal (flow->key, key) ? flow : NULL;
+  return plane_flow_find (plane->agent->flows, plane->agent->flows_by_key, key,
+                          handle);
 }
 
 static struct agent_flow *
 add_flow (struct galena_plane *plane, struct galena_flow_key key,
           enum agent_flow_state state)
 {
-  struct agent_tables *agent = plane->agent;
   struct galena_handle handle;
-  struct agent_flow *flow = galena_table_insert (agent->flows, &handle);
+  struct agent_flow *flow = plane_flow_add (
+      plane, plane->agent->flows, plane->agent->flows_by_key, key, &handle);
 
   if (flow == NULL)
-    goto full;
-  flow->key = key;
+    return NULL;
   flow->state = state;
   flow->active = plane->now;
-  if (galena_map_insert (agent->flows_by_key,
-                         plane_flow_hash (agent->flows_by_key, key),
-                         galena_handle_pack (handle))
-      == GALENA_OK)
-    return flow;
-  galena_table_remove (agent->flows, handle);
-
-full:
-  plane_count (plane, GALENA_PLANE_TABLE_FULL);
-  return NULL;
+  return flow;
 }
 
 static bool
@@ -69,9 +51,7 @@
   if (is_counted_open (flow))
     agent->open--;
   agent_request_dropped (plane, flow);
-  galena_map_remove (agent->flows_by_key,
-                     plane_flow_hash (agent->flows_by_key, flow->key));
-  galena_table_remove (agent->flows, handle);
+  plane_flow_remove (agent->flows, agent->flows_by_key, flow->key, handle);
 }
 
 static void
--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -21,13 +21,6 @@
   entry_hear (plane, peer, message, &handle);
 }
 
-static void
-take_hello (struct galena_plane *plane, struct galena_endpoint peer,
-            const struct galena_peer_message *message)
-{
-  members_take_hello (plane, peer, message);
-}
-
 static const struct plane_system SYSTEMS[] = {
   { "directory", 0, entry_run_directory },
   { "parked", 0, entry_run_parked },
@@ -149,7 +142,7 @@
     [GALENA_PEER_DISOWNED] = entry_take_disowned,
     [GALENA_PEER_LOST] = entry_take_lost,
     [GALENA_PEER_LOAD] = take_load,
-    [GALENA_PEER_HELLO] = take_hello,
+    [GALENA_PEER_HELLO] = members_take_hello,
     [GALENA_PEER_MEMBERS] = members_take_list,
   },
   .systems = SYSTEMS,
--- a/packages/flows/src/entry_choice.c
+++ b/packages/flows/src/entry_choice.c
@@ -66,12 +66,23 @@
   { "random", no_cost, 1 },
 };
 
+enum
+{
+  POLICY_COUNT = sizeof POLICIES / sizeof POLICIES[0]
+};
+
+const char *
+galena_plane_choice_name (uint32_t index)
+{
+  return index < POLICY_COUNT ? POLICIES[index].name : NULL;
+}
+
 const struct choice_policy *
 entry_choice_named (const char *name)
 {
   if (name == NULL)
     return &POLICIES[0];
-  for (size_t i = 0; i < sizeof POLICIES / sizeof POLICIES[0]; i++)
+  for (size_t i = 0; i < POLICY_COUNT; i++)
     if (strcmp (POLICIES[i].name, name) == 0)
       return &POLICIES[i];
   return NULL;
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -29,56 +29,35 @@
 entry_flow_find (const struct galena_plane *plane, struct galena_flow_key key,
                  struct galena_handle *handle)
 {
-  const struct entry_tables *entry = plane->entry;
-  struct entry_flow *flow;
-  uint64_t packed;
-
-  if (!galena_map_find (entry->flows_by_key,
-                        plane_flow_hash (entry->flows_by_key, key), &packed))
-    return NULL;
-  *handle = galena_handle_unpack (packed);
-  flow = entry_flow (plane, *handle);
-  return flow != NULL && plane_flow_equal (flow->key, key) ? flow : NULL;
+  return plane_flow_find (plane->entry->flows, plane->entry->flows_by_key, key,
+                          handle);
 }
 
 static struct entry_flow *
 add_flow (struct galena_plane *plane, struct galena_flow_key key,
           struct galena_handle *handle)
 {
-  struct entry_tables *entry = plane->entry;
-  struct entry_flow *flow = galena_table_insert (entry->flows, handle);
+  struct entry_flow *flow = plane_flow_add (
+      plane, plane->entry->flows, plane->entry->flows_by_key, key, handle);
 
   if (flow == NULL)
-    {
-      plane_count (plane, GALENA_PLANE_TABLE_FULL);
-      return NULL;
-    }
-  flow->key = key;
+    return NULL;
   flow->began = plane->now;
   flow->active = plane->now;
-  if (galena_map_insert (entry->flows_by_key,
-                         plane_flow_hash (entry->flows_by_key, key),
-                         galena_handle_pack (*handle))
-      == GALENA_OK)
-    return flow;
-  galena_table_remove (entry->flows, *handle);
-  plane_count (plane, GALENA_PLANE_TABLE_FULL);
-  return NULL;
+  return flow;
 }
 
 void
 entry_flow_remove (struct galena_plane *plane, struct galena_handle handle)
 {
-  struct entry_tables *entry = plane->entry;
   struct entry_flow *flow = entry_flow (plane, handle);
 
   if (flow == NULL)
     return;
   entry_opening_end (plane, flow);
   entry_search_end (plane, flow);
-  galena_map_remove (entry->flows_by_key,
-                     plane_flow_hash (entry->flows_by_key, flow->key));
-  galena_table_remove (entry->flows, handle);
+  plane_flow_remove (plane->entry->flows, plane->entry->flows_by_key,
+                     flow->key, handle);
 }
 
 void
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -269,6 +269,50 @@
   return galena_map_hash (map, packed, sizeof packed);
 }
 
+void *
+plane_flow_find (const struct galena_table *table,
+                 const struct galena_map *map, struct galena_flow_key flow,
+                 struct galena_handle *handle)
+{
+  const struct galena_flow_key *row;
+  uint64_t packed;
+
+  if (!galena_map_find (map, plane_flow_hash (map, flow), &packed))
+    return NULL;
+  *handle = galena_handle_unpack (packed);
+  row = galena_table_get (table, *handle);
+  return row != NULL && plane_flow_equal (*row, flow) ? (void *)row : NULL;
+}
+
+void *
+plane_flow_add (struct galena_plane *plane, struct galena_table *table,
+                struct galena_map *map, struct galena_flow_key flow,
+                struct galena_handle *handle)
+{
+  struct galena_flow_key *row = galena_table_insert (table, handle);
+
+  if (row == NULL)
+    goto full;
+  *row = flow;
+  if (galena_map_insert (map, plane_flow_hash (map, flow),
+                         galena_handle_pack (*handle))
+      == GALENA_OK)
+    return row;
+  galena_table_remove (table, *handle);
+
+full:
+  plane_count (plane, GALENA_PLANE_TABLE_FULL);
+  return NULL;
+}
+
+void
+plane_flow_remove (struct galena_table *table, struct galena_map *map,
+                   struct galena_flow_key flow, struct galena_handle handle)
+{
+  galena_map_remove (map, plane_flow_hash (map, flow));
+  galena_table_remove (table, handle);
+}
+
 static void
 take_arrival (struct galena_plane *plane, const struct galena_arrival *arrival)
 {
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -126,6 +126,23 @@
 uint64_t plane_flow_hash (const struct galena_map *map,
                           struct galena_flow_key flow);
 
+/* Returns the row of FLOW in TABLE, whose rows begin with their flow's key and
+   which MAP finds, and its handle; NULL when there is none.  */
+void *plane_flow_find (const struct galena_table *table,
+                       const struct galena_map *map,
+                       struct galena_flow_key flow,
+                       struct galena_handle *handle);
+
+/* Adds a row of FLOW; counts when TABLE or MAP is full and returns NULL.  */
+void *plane_flow_add (struct galena_plane *plane, struct galena_table *table,
+                      struct galena_map *map, struct galena_flow_key flow,
+                      struct galena_handle *handle);
+
+/* Removes the row of FLOW that HANDLE names.  */
+void plane_flow_remove (struct galena_table *table, struct galena_map *map,
+                        struct galena_flow_key flow,
+                        struct galena_handle handle);
+
 static inline bool
 plane_flow_equal (struct galena_flow_key a, struct galena_flow_key b)
 {
--- a/packages/runtime/src/settings.c
+++ b/packages/runtime/src/settings.c
@@ -7,6 +7,7 @@
 
 #include <ini.h>
 
+#include <galenaford/plane.h>
 #include <galenaford/policies.h>
 #include <galenaford/record.h>
 #include <galenaford/settings.h>
@@ -370,6 +371,14 @@
     1,
     0,
     BY_PACKET_AGENT },
+  { { "packets", "choice", "least-wait", "one of",
+      "How an entry chooses an upstream for a flow.",
+      galena_plane_choice_name },
+    read_name,
+    PLACE (packets_choice),
+    1,
+    0,
+    BY_ALL },
   { { "packets", "flows", "32768", "16 to 1000000", "Most flows held at once.",
       NULL },
     read_number,
--- a/packages/wire/src/peer.c
+++ b/packages/wire/src/peer.c
@@ -8,6 +8,7 @@
 #include <galenaford/peer_wire.h>
 #include <galenaford/world.h>
 
+#include "pack.h"
 #include "unpack.h"
 
 /* Places in the array.  */
@@ -32,8 +33,6 @@
 
 enum
 {
-  ENDPOINT_BITS = 48,
-  IP_SHIFT = 16,
   ADDRESS_BYTES = 4,
   RESULT_MAX = 255
 };
@@ -43,8 +42,8 @@
   [PLACE_SCHEMA] = UINT32_MAX,
   [PLACE_TYPE] = GALENA_PEER_TYPE_END - 1,
   [PLACE_ROLE] = GALENA_ROLE_COUNT - 1,
-  [PLACE_CALLER] = (UINT64_C (1) << ENDPOINT_BITS) - 1,
-  [PLACE_ADDRESS] = (UINT64_C (1) << ENDPOINT_BITS) - 1,
+  [PLACE_CALLER] = (UINT64_C (1) << PACK_ENDPOINT_BITS) - 1,
+  [PLACE_ADDRESS] = (UINT64_C (1) << PACK_ENDPOINT_BITS) - 1,
   [PLACE_SERVICE] = UINT64_MAX,
   [PLACE_SLOTS] = UINT32_MAX,
   [PLACE_SEQUENCE] = UINT32_MAX,
@@ -55,19 +54,6 @@
   [PLACE_LEAVING] = 1,
 };
 
-static uint64_t
-pack_endpoint (struct galena_endpoint endpoint)
-{
-  return ((uint64_t)endpoint.ip << IP_SHIFT) | endpoint.port;
-}
-
-static struct galena_endpoint
-unpack_endpoint (uint64_t packed)
-{
-  return (struct galena_endpoint){ (uint32_t)(packed >> IP_SHIFT),
-                                   (uint16_t)packed };
-}
-
 static enum galena_result
 read_members (const struct unpack_item *body,
               struct galena_peer_message *message)
@@ -142,25 +128,6 @@
   return read_body (&rows[PLACE_BODY], message);
 }
 
-struct sink
-{
-  uint8_t *bytes;
-  size_t capacity;
-  size_t used;
-};
-
-static int
-write_sink (void *data, const char *bytes, size_t size)
-{
-  struct sink *sink = data;
-
-  if (size > sink->capacity - sink->used)
-    return -1;
-  memcpy (sink->bytes + sink->used, bytes, size);
-  sink->used += size;
-  return 0;
-}
-
 static int
 write_members (msgpack_packer *packer,
                const struct galena_peer_message *message)
@@ -195,11 +162,11 @@
     [PLACE_SERVICE_US] = message->load.service_us,
     [PLACE_LEAVING] = message->load.leaving,
   };
-  struct sink sink = { bytes, capacity, 0 };
+  struct pack_buffer buffer = { bytes, capacity, 0 };
   msgpack_packer packer;
   int failed;
 
-  msgpack_packer_init (&packer, &sink, write_sink);
+  msgpack_packer_init (&packer, &buffer, pack_write);
   failed = msgpack_pack_array (&packer, PLACE_COUNT);
   for (uint32_t i = 0; i < PLACE_BODY; i++)
     failed |= msgpack_pack_uint64 (&packer, values[i]);
@@ -212,6 +179,6 @@
     }
   if (failed != 0)
     return GALENA_ERR_TOO_LARGE;
-  *size = sink.used;
+  *size = buffer.size;
   return GALENA_OK;
 }
--- a/packages/wire/src/relay.c
+++ b/packages/wire/src/relay.c
@@ -6,6 +6,7 @@
 
 #include <galenaford/relay.h>
 
+#include "pack.h"
 #include "unpack.h"
 
 /* Places in the array.  */
@@ -164,27 +165,6 @@
   return GALENA_OK;
 }
 
-/* A fixed buffer that the packer writes to.  */
-struct relay_buffer
-{
-  uint8_t *bytes;
-  size_t capacity;
-  size_t size;
-};
-
-static int
-write_bytes (void *data, const char *bytes, size_t size)
-{
-  struct relay_buffer *buffer = data;
-
-  if (size > buffer->capacity - buffer->size)
-    return -1;
-  if (size > 0)
-    memcpy (buffer->bytes + buffer->size, bytes, size);
-  buffer->size += size;
-  return 0;
-}
-
 static void
 fill_places (const struct galena_sync_message *message,
              uint64_t places[PLACE_TEXT])
@@ -209,13 +189,13 @@
                      const char *text, size_t text_size, uint8_t *bytes,
                      size_t capacity, size_t *size)
 {
-  struct relay_buffer buffer = { bytes, capacity, 0 };
+  struct pack_buffer buffer = { bytes, capacity, 0 };
   uint64_t places[PLACE_TEXT] = { 0 };
   msgpack_packer packer;
   int failed;
 
   fill_places (message, places);
-  msgpack_packer_init (&packer, &buffer, write_bytes);
+  msgpack_packer_init (&packer, &buffer, pack_write);
   failed = msgpack_pack_array (&packer, PLACE_COUNT);
   for (uint32_t i = 0; i < PLACE_TEXT; i++)
     failed |= msgpack_pack_uint64 (&packer, places[i]);
--- a/packages/wire/src/snapshot.c
+++ b/packages/wire/src/snapshot.c
@@ -8,13 +8,12 @@
 
 #include <galenaford/snapshot_wire.h>
 
+#include "pack.h"
 #include "unpack.h"
 
 enum
 {
   LENGTH_BYTES = 4,
-  IP_SHIFT = 16,
-  ENDPOINT_BITS = 48,
   HEAD_ITEMS = 5,
   ROUTE_ITEMS = 1,
   SHARE_ITEMS = 2,
@@ -46,12 +45,6 @@
   return failed;
 }
 
-static uint64_t
-pack_endpoint (struct galena_endpoint endpoint)
-{
-  return ((uint64_t)endpoint.ip << IP_SHIFT) | endpoint.port;
-}
-
 static int
 pack_head (msgpack_packer *packer,
            const struct galena_catalog_snapshot *snapshot)
@@ -168,9 +161,8 @@
 static bool
 read_endpoint (uint64_t packed, struct galena_endpoint *endpoint)
 {
-  *endpoint = (struct galena_endpoint){ (uint32_t)(packed >> IP_SHIFT),
-                                        (uint16_t)packed };
-  return packed >> ENDPOINT_BITS == 0;
+  *endpoint = unpack_endpoint (packed);
+  return packed >> PACK_ENDPOINT_BITS == 0;
 }
 
 static enum galena_result
--- a/packages/wire/src/wire.c
+++ b/packages/wire/src/wire.c
@@ -6,6 +6,7 @@
 
 #include <galenaford/wire.h>
 
+#include "pack.h"
 #include "unpack.h"
 
 /* One field of a message; an endpoint travels as one integer.  */
@@ -245,26 +246,6 @@
   return read_message (&items, message);
 }
 
-/* A fixed buffer that the packer writes to.  */
-struct wire_buffer
-{
-  uint8_t *bytes;
-  size_t capacity;
-  size_t size;
-};
-
-static int
-write_bytes (void *data, const char *bytes, size_t size)
-{
-  struct wire_buffer *buffer = data;
-
-  if (size > buffer->capacity - buffer->size)
-    return -1;
-  memcpy (buffer->bytes + buffer->size, bytes, size);
-  buffer->size += size;
-  return 0;
-}
-
 /* Stores the values of the fields that are not 0 in order; returns the set of
    them.  */
 static uint64_t
@@ -291,14 +272,14 @@
 galena_wire_encode (const struct galena_message *message, uint8_t *bytes,
                     size_t capacity, size_t *size)
 {
-  struct wire_buffer buffer = { bytes, capacity, 0 };
+  struct pack_buffer buffer = { bytes, capacity, 0 };
   uint64_t values[FIELD_COUNT];
   uint64_t present = collect_fields (message, values);
   uint32_t count = (uint32_t)__builtin_popcountll (present);
   msgpack_packer packer;
   int failed;
 
-  msgpack_packer_init (&packer, &buffer, write_bytes);
+  msgpack_packer_init (&packer, &buffer, pack_write);
   failed = msgpack_pack_array (&packer, ITEMS_MIN + count);
   failed |= msgpack_pack_uint32 (&packer, GALENA_WIRE_SCHEMA);
   failed |= msgpack_pack_uint32 (&packer, message->type);
