Mend a copy of no routes and an index of the test fleet, found by sanitizers

Ruled out: load; the same tests fail alone. Change: no copy of zero routes; the row is taken within the table. Test: those two under sanitizers, red before, green after. Conclusion: mended.

--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -181,7 +181,8 @@
   routes = calloc ((size_t)config->route_count + 1, sizeof *routes);
   if (routes == NULL)
     return;
-  memcpy (routes, config->routes, config->route_count * sizeof *routes);
+  if (config->route_count > 0)
+    memcpy (routes, config->routes, config->route_count * sizeof *routes);
   free (catalog->routes);
   catalog->routes = routes;
   catalog->route_count = config->route_count;
--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -883,7 +883,9 @@
 static void
 land (struct fleet *fleet, struct flight *flight)
 {
-  struct fake_upstream *upstream = &fleet->upstreams[flight->index];
+  /* Callers have indices of their own.  */
+  const struct fake_upstream *upstream
+      = &fleet->upstreams[flight->index % PLANES_UPSTREAMS_MAX];
   enum galena_link link
       = flight->is_message ? GALENA_LINK_PEER : GALENA_LINK_CALLER;
 
