Pass over replies older than a peer's word; renew the view after a pause

(2) An opening packet that can't be kept was counted and never sent. (3) Two functions filled the same message to an agent. (4) After a pause an entry placed new flows by what it knew before it. Change: items carry the revision they were known at; a list shows the store's revision, an event its own. An open that can't be kept goes out at once. New flows wait up to 400 ms after a pause until a watch that does not wait has said what was missed.

--- a/packages/daemon/src/packet_loop.c
+++ b/packages/daemon/src/packet_loop.c
@@ -42,6 +42,8 @@
   /* Side on which packets come in.  */
   enum galena_link side;
   struct galena_clock shared_due;
+  /* Pauses that the plane has counted.  */
+  uint64_t pauses;
 };
 
 static enum galena_result
@@ -287,6 +289,23 @@
     atomic_store (&loop->packets->peers[i], i < peer_count ? peers[i] : 0);
 }
 
+/* Has the directory renewed after a pause, and says when that is done.  */
+static void
+follow_pauses (struct packet_loop *loop)
+{
+  uint64_t pauses
+      = galena_plane_counter_value (loop->plane, GALENA_PLANE_PAUSES);
+
+  if (pauses != loop->pauses)
+    {
+      loop->pauses = pauses;
+      atomic_store (&loop->packets->pauses, pauses);
+      packet_reader_wake (loop->packets->reader);
+    }
+  else if (atomic_load (&loop->packets->renewed) == pauses)
+    galena_plane_renewed (loop->plane);
+}
+
 static void
 run_tick (struct packet_loop *loop)
 {
@@ -298,6 +317,7 @@
   galena_plane_tick (loop->plane, now,
                      rcu_dereference (loop->packets->directory));
   rcu_read_unlock ();
+  follow_pauses (loop);
   send_departures (loop);
   packet_log_notes (loop->plane);
   share_state (loop, now);
--- a/packages/daemon/src/packet_reader.c
+++ b/packages/daemon/src/packet_reader.c
@@ -41,6 +41,9 @@
   struct galena_catalog_call call;
   /* Whether the last call failed.  */
   bool failing;
+  /* Pauses noticed, and up to which of them a call has begun since.  */
+  uint64_t pauses;
+  uint64_t caught_up;
   /* A read from a peer is in progress, and which peer is next.  */
   bool asking;
   uint32_t next_peer;
@@ -164,6 +167,8 @@
                                           take_change, &taker, &reply)
                   == GALENA_OK)
     result = GALENA_CALL_OK;
+  if (result == GALENA_CALL_OK)
+    reader->caught_up = reader->pauses;
   note_result (reader, end, result == GALENA_CALL_FAILED);
   galena_catalog_end (reader->catalog, taker.now, result, &reply);
 }
@@ -220,6 +225,26 @@
     atomic_store (&packets->ready, true);
 }
 
+/* After a pause replies may be old: asks at once what was missed.  */
+static void
+renew (struct packet_reader *reader)
+{
+  uint64_t pauses = atomic_load (&reader->packets->pauses);
+
+  if (pauses == reader->pauses)
+    return;
+  reader->pauses = pauses;
+  galena_reads_cancel (reader->reads, PLATFORM_READ);
+  galena_catalog_renew (reader->catalog, galena_monotonic_now ());
+}
+
+void
+packet_reader_wake (struct packet_reader *reader)
+{
+  if (reader != NULL)
+    galena_reads_interrupt (reader->reads);
+}
+
 static void *
 run_reader (void *data)
 {
@@ -234,6 +259,7 @@
 
       if (atomic_load (&process->draining))
         atomic_store (&reader->packets->ready, false);
+      renew (reader);
       start_call (reader);
       ask_peer (reader);
       galena_reads_wait (
@@ -248,6 +274,7 @@
             take_end (reader, &end);
         }
       publish (reader);
+      atomic_store (&reader->packets->renewed, reader->caught_up);
     }
   rcu_unregister_thread ();
   return NULL;
--- a/packages/daemon/src/packets.c
+++ b/packages/daemon/src/packets.c
@@ -11,7 +11,6 @@
 {
   static struct packets packets;
   struct packet_status *status = NULL;
-  struct packet_reader *reader = NULL;
   enum galena_result result;
 
   packets.process = process;
@@ -23,7 +22,7 @@
   if (result != GALENA_OK)
     goto done;
   if (process->settings.role == GALENA_ROLE_ENTRY)
-    result = packet_reader_start (&packets, &reader);
+    result = packet_reader_start (&packets, &packets.reader);
   else
     atomic_store (&packets.ready, true);
   if (result == GALENA_OK)
@@ -31,7 +30,7 @@
   process_begin_stop (process, EXIT_SUCCESS);
 
 done:
-  packet_reader_stop (reader);
+  packet_reader_stop (packets.reader);
   packet_status_stop (status);
   galena_directory_destroy (packets.directory);
   free (packets.snapshot);
--- a/packages/daemon/src/packets.h
+++ b/packages/daemon/src/packets.h
@@ -17,6 +17,8 @@
   PACKET_PEERS_MAX = 16
 };
 
+struct packet_reader;
+
 /* What the threads of the front end share.  */
 struct packets
 {
@@ -37,6 +39,12 @@
                        [GALENA_HISTOGRAM_BUCKETS];
   atomic_ullong sums_ms[GALENA_PLANE_HISTOGRAM_COUNT];
   atomic_uint flows;
+  /* Pauses that the thread that moves packets has noticed, and up to which of
+     them the directory is known to be current.  */
+  atomic_ullong pauses;
+  atomic_ullong renewed;
+  /* NULL in an agent.  */
+  struct packet_reader *reader;
   atomic_ullong platform_calls;
   atomic_ullong platform_failures;
   atomic_ullong version;
@@ -53,8 +61,6 @@
 
 /* packet_reader.c */
 
-struct packet_reader;
-
 /* Starts the thread that reads the platform.
    Errors: GALENA_ERR_IO, GALENA_ERR_MEMORY, GALENA_ERR_INVALID.  */
 enum galena_result packet_reader_start (struct packets *packets,
@@ -63,6 +69,9 @@
 /* Ends the thread; accepts NULL.  */
 void packet_reader_stop (struct packet_reader *reader);
 
+/* Has READER look at the count of pauses; accepts NULL.  */
+void packet_reader_wake (struct packet_reader *reader);
+
 /* packet_status.c */
 
 struct packet_status;
--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -69,7 +69,8 @@
   enum galena_change_kind kind;
   /* Names the item: the published name of an upstream; borrowed.  */
   const char *key;
-  /* Revision of the change.  */
+  /* Revision of the store that the change shows: its own in a watch, the
+     store's at the reply in a list.  */
   uint64_t revision;
   struct galena_published_config config;
   struct galena_listed_upstream upstream;
@@ -110,6 +111,12 @@
                           struct galena_clock now,
                           struct galena_catalog_call *call);
 
+/* Gives up the call in progress, if any, since the process was paused: a reply
+   to it is not to be ended.  The next call is due at NOW and does not wait for
+   a change.  */
+void galena_catalog_renew (struct galena_catalog *catalog,
+                           struct galena_clock now);
+
 /* Takes one change of the reply to the call in progress.  */
 void galena_catalog_change (struct galena_catalog *catalog,
                             struct galena_clock now,
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -164,7 +164,9 @@
   X (GALENA_PLANE_NO_ROUTE, "no_route", "Packets without a route.")           \
   X (GALENA_PLANE_NO_CONFIG, "no_config",                                     \
      "Packets dropped: no configuration is known yet.")                       \
-  X (GALENA_PLANE_RETURNED, "returned", "Packets that the upstream returned.")
+  X (GALENA_PLANE_RETURNED, "returned",                                       \
+     "Packets that the upstream returned.")                                   \
+  X (GALENA_PLANE_PAUSES, "pauses", "Times that no tick ran for a while.")
 
 enum galena_plane_counter
 {
@@ -255,6 +257,10 @@
 /* Returns when the next tick is due if nothing arrives.  */
 struct galena_clock galena_plane_due (const struct galena_plane *plane);
 
+/* Says that the directory has been brought up to date since the last pause; an
+   entry places new flows again.  */
+void galena_plane_renewed (struct galena_plane *plane);
+
 /* Asks the plane to take no new flows; it goes on with those it has.  */
 void galena_plane_drain (struct galena_plane *plane);
 
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -32,13 +32,23 @@
   RETURN_MS = 2000
 };
 
+/* Who names all upstreams at once.  */
+enum source
+{
+  SOURCE_LIST,
+  SOURCE_PEER,
+  SOURCE_COUNT
+};
+
 /* An upstream as published.  */
 struct item
 {
   uint64_t key;
   struct galena_listed_upstream upstream;
-  /* Round of the list that named it last.  */
-  uint32_t round;
+  /* Round of each source that named it last.  */
+  uint32_t rounds[SOURCE_COUNT];
+  /* Revision of the store at which it was known last.  */
+  uint64_t revision;
   /* When it counts as removed; ms 0 while it is published.  */
   struct galena_clock removed_at;
 };
@@ -53,9 +63,10 @@
   uint64_t revision;
   /* Revision of the first page of the present list.  */
   uint64_t list_revision;
-  uint32_t round;
   char after[GALENA_CATALOG_KEY_BYTES];
   bool changed;
+  /* The next watch only asks for what was missed.  */
+  bool renews;
   uint32_t failures;
   struct galena_clock due;
   /* When it last got a reply; ms 0 when never.  */
@@ -69,12 +80,14 @@
   struct stream stream;
   struct galena_table *items;
   struct galena_map *items_by_key;
+  uint32_t rounds[SOURCE_COUNT];
   uint64_t version;
   uint32_t route_count;
   struct galena_route *routes;
   bool changed;
-  /* Whether a peer told the upstreams.  */
-  bool told;
+  /* Revision of the store that a peer told the upstreams of; 0 when none
+     did.  */
+  uint64_t told;
   /* Since when the platform does not reply, and when a peer was last asked; ms
      0 when neither.  */
   struct galena_clock lost;
@@ -136,12 +149,12 @@
   if (stream->kind == GALENA_CALL_LIST)
     {
       if (stream->after[0] == '\0')
-        stream->round++;
+        catalog->rounds[SOURCE_LIST]++;
       memcpy (call->after, stream->after, sizeof call->after);
       return true;
     }
   call->revision = stream->revision;
-  call->wait_ms = catalog->options.wait_ms;
+  call->wait_ms = stream->renews ? 0 : catalog->options.wait_ms;
   call->timeout_ms = call->wait_ms + WATCH_EXTRA_MS;
   return true;
 }
@@ -194,8 +207,11 @@
    the time to come back.  */
 static void
 begin_removal (struct galena_catalog *catalog, struct item *item,
-               struct galena_clock now)
+               uint64_t revision, struct galena_clock now)
 {
+  if (revision < item->revision)
+    return;
+  item->revision = revision;
   if (item->removed_at.ms != 0)
     return;
   item->removed_at = now;
@@ -215,17 +231,22 @@
 }
 
 static void
-take_upstream (struct galena_catalog *catalog, uint32_t round,
+take_upstream (struct galena_catalog *catalog, enum source source,
+               uint64_t revision,
                const struct galena_listed_upstream *upstream)
 {
   uint64_t key = XXH64 (upstream->id, strlen (upstream->id), 0);
   struct item *item = find_item (catalog, key);
 
+  /* A reply that was under way while a peer told of a later state.  */
+  if (revision < (item != NULL ? item->revision : catalog->told))
+    return;
   if (item == NULL)
     item = add_item (catalog, key);
   if (item == NULL)
     return;
-  item->round = round;
+  item->rounds[source] = catalog->rounds[source];
+  item->revision = revision;
   item->removed_at = (struct galena_clock){ 0 };
   if (*item->upstream.id != '\0' && upstream_equal (&item->upstream, upstream))
     return;
@@ -248,33 +269,34 @@
     }
   if (change->kind == GALENA_CHANGE_UPSTREAM)
     {
-      take_upstream (catalog, stream->round, &change->upstream);
+      take_upstream (catalog, SOURCE_LIST, change->revision,
+                     &change->upstream);
       return;
     }
   item = find_item (catalog, XXH64 (change->key, strlen (change->key), 0));
   if (item != NULL)
-    begin_removal (catalog, item, now);
+    begin_removal (catalog, item, change->revision, now);
 }
 
-/* Begins the removal of what ROUND did not name.  */
+/* Begins the removal of what SOURCE, as of REVISION, did not name.  */
 static void
-remove_unnamed (struct galena_catalog *catalog, uint32_t round,
-                struct galena_clock now)
+remove_unnamed (struct galena_catalog *catalog, enum source source,
+                uint64_t revision, struct galena_clock now)
 {
   struct item *item;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
   while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
-    if (item->round != round)
-      begin_removal (catalog, item, now);
+    if (item->rounds[source] != catalog->rounds[source])
+      begin_removal (catalog, item, revision, now);
 }
 
 static void
 end_list (struct galena_catalog *catalog, struct stream *stream,
           struct galena_clock now)
 {
-  remove_unnamed (catalog, stream->round, now);
+  remove_unnamed (catalog, SOURCE_LIST, stream->list_revision, now);
   if (!stream->known)
     catalog->changed = true;
   stream->known = true;
@@ -320,6 +342,18 @@
     end_list (catalog, stream, now);
 }
 
+void
+galena_catalog_renew (struct galena_catalog *catalog, struct galena_clock now)
+{
+  struct stream *stream = &catalog->stream;
+
+  stream->busy = false;
+  stream->renews = true;
+  stream->due = now;
+  if (stream->kind == GALENA_CALL_LIST)
+    begin_list (stream);
+}
+
 void
 galena_catalog_end (struct galena_catalog *catalog, struct galena_clock now,
                     enum galena_call_result result,
@@ -336,6 +370,7 @@
     }
   stream->replied = now;
   stream->failures = 0;
+  stream->renews = false;
   catalog->lost = (struct galena_clock){ 0 };
   if (result == GALENA_CALL_HISTORY_GONE)
     begin_list (stream);
@@ -374,14 +409,15 @@
   take_config (catalog, &config);
   if (snapshot->version == 0 || snapshot->revision <= stream->revision)
     return;
-  /* The stream's own list or watch goes on from where it was, and sees the
-     same changes again.  */
+  /* The stream's own list or watch goes on from where it was; what it brings
+     of older revisions is passed over.  */
   stream->revision = snapshot->revision;
-  stream->round++;
+  catalog->rounds[SOURCE_PEER]++;
   for (uint32_t i = 0; i < snapshot->upstream_count; i++)
-    take_upstream (catalog, stream->round, &snapshot->upstreams[i]);
-  remove_unnamed (catalog, stream->round, now);
-  catalog->told = true;
+    take_upstream (catalog, SOURCE_PEER, snapshot->revision,
+                   &snapshot->upstreams[i]);
+  remove_unnamed (catalog, SOURCE_PEER, snapshot->revision, now);
+  catalog->told = snapshot->revision;
 }
 
 void
@@ -466,7 +502,8 @@
 bool
 galena_catalog_is_known (const struct galena_catalog *catalog)
 {
-  return catalog->version != 0 && (catalog->told || catalog->stream.known);
+  return catalog->version != 0
+         && (catalog->told != 0 || catalog->stream.known);
 }
 
 int64_t
--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -6,6 +6,9 @@
 
 enum
 {
+  /* New flows wait for what was published during a pause no longer than two
+     tries of a connection to the platform take.  */
+  RENEWAL_MS = 400,
   OPENINGS_PERIOD_MS = 20,
   SEARCHES_PERIOD_MS = 20,
   EXPIRE_PERIOD_MS = 1000,
@@ -109,6 +112,7 @@
   struct galena_handle handle;
   uint32_t cursor = 0;
 
+  plane->stale_until = galena_clock_after (plane->now, RENEWAL_MS);
   while ((upstream
           = galena_table_next (plane->entry->upstreams, &cursor, &handle))
          != NULL)
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -94,19 +94,34 @@
   flow->owner = owner;
 }
 
+/* Addresses a message of TYPE on FLOW to the upstream that HANDLE names; NULL
+   when that is gone or the tick is full.  */
+static struct galena_departure *
+address_message (struct galena_plane *plane, const struct entry_flow *flow,
+                 struct galena_handle handle, enum galena_peer_type type)
+{
+  const struct upstream_row *upstream = entry_upstream (plane, handle);
+  struct galena_peer_message message
+      = { .type = type, .flow = flow->key, .service = flow->service };
+
+  if (upstream == NULL)
+    return NULL;
+  message.slots = upstream->slots;
+  return plane_send_message (plane, upstream->agent, &message);
+}
+
 void
 entry_flow_send (struct galena_plane *plane, const struct entry_flow *flow,
                  struct galena_handle handle, enum galena_peer_type type,
                  const uint8_t *bytes, uint32_t size)
 {
-  const struct upstream_row *upstream = entry_upstream (plane, handle);
-  struct galena_peer_message message
-      = { .type = type, .flow = flow->key, .bytes = bytes, .size = size };
+  struct galena_departure *departure
+      = address_message (plane, flow, handle, type);
 
-  if (upstream == NULL)
+  if (departure == NULL)
     return;
-  message.slots = upstream->slots;
-  plane_send_message (plane, upstream->agent, &message);
+  departure->message.bytes = bytes;
+  departure->message.size = size;
 }
 
 void
@@ -115,22 +130,13 @@
                       struct galena_handle handle, enum galena_peer_type type,
                       const uint8_t *bytes, uint32_t size)
 {
-  const struct upstream_row *upstream = entry_upstream (plane, handle);
   struct galena_departure *departure;
 
-  if (upstream == NULL || size > GALENA_KEPT_BYTES)
+  if (size > GALENA_KEPT_BYTES)
     return;
-  departure = plane_depart (plane);
+  departure = address_message (plane, flow, handle, type);
   if (departure == NULL)
     return;
-  departure->kind = GALENA_DEPARTURE_MESSAGE;
-  departure->link = GALENA_LINK_PEER;
-  departure->peer = upstream->agent;
-  departure->message.type = type;
-  departure->message.role = plane->options.role;
-  departure->message.flow = flow->key;
-  departure->message.service = flow->service;
-  departure->message.slots = upstream->slots;
   departure->kept_size = size;
   memcpy (departure->kept, bytes, size);
 }
@@ -230,7 +236,14 @@
          && galena_directory_version (plane->directory) != 0;
 }
 
-/* Keeps PACKET until a configuration is known.  */
+/* Tells whether nothing can have been published unseen during a pause.  */
+static bool
+is_current (const struct galena_plane *plane)
+{
+  return galena_clock_reached (plane->now, plane->stale_until);
+}
+
+/* Keeps PACKET until a configuration is known and current.  */
 static void
 park_packet (struct galena_plane *plane, const struct galena_packet *packet)
 {
@@ -264,10 +277,10 @@
       bool timely
           = galena_clock_between (parked->since, plane->now) < PARKED_MS;
 
-      if (timely && !has_config (plane))
+      if (timely && !(has_config (plane) && is_current (plane)))
         continue;
       /* The bytes stay as they are until a packet is parked again, which no
-         packet is while a configuration is known.  */
+         packet is in this tick.  */
       galena_table_remove (plane->entry->parked, handle);
       if (timely)
         entry_take_packet (plane, &parked->packet);
@@ -313,6 +326,11 @@
       return;
     }
   flow = entry_flow_find (plane, key, &handle);
+  if (flow == NULL && galena_packet_is_open (packet) && !is_current (plane))
+    {
+      park_packet (plane, packet);
+      return;
+    }
   if (!has_route (plane, key, handle, packet))
     return;
   if (!galena_packet_is_open (packet))
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -12,24 +12,25 @@
   OPEN_PATIENCE_MS = 60
 };
 
-/* Keeps PACKET to be sent again.  */
-static void
+/* Keeps PACKET to be sent again; false when there is no room.  */
+static bool
 keep_open (struct galena_plane *plane, struct entry_flow *flow,
            struct galena_handle handle, const struct galena_packet *packet)
 {
   struct opening_row *opening;
 
   if (packet->size > GALENA_OPENING_BYTES)
-    return;
+    return false;
   opening = galena_table_insert (plane->entry->openings, &flow->opening);
   if (opening == NULL)
     {
       plane_count (plane, GALENA_PLANE_TABLE_FULL);
-      return;
+      return false;
     }
   opening->flow = handle;
   opening->size = packet->size;
   memcpy (opening->bytes, packet->bytes, packet->size);
+  return true;
 }
 
 void
@@ -55,6 +56,28 @@
   opening->sent = plane->now;
 }
 
+/* Chooses an upstream that the open of FLOW was not sent to.  */
+static enum choice_outcome
+choose_next (struct galena_plane *plane, const struct entry_flow *flow,
+             struct galena_handle *chosen)
+{
+  if (flow->try_count == ENTRY_TRIES_MAX)
+    return CHOICE_NONE;
+  return entry_choose (plane, flow, chosen);
+}
+
+/* Notes that the open of FLOW goes to the upstream that CHOSEN names.  */
+static void
+note_try (struct galena_plane *plane, struct entry_flow *flow,
+          struct galena_handle chosen)
+{
+  if (flow->try_count > 0)
+    plane_count (plane, GALENA_PLANE_RETRIED);
+  flow->tries[flow->try_count++] = (struct flow_try){ .upstream = chosen };
+  flow->owner = chosen;
+  entry_note_placed (plane, entry_upstream (plane, chosen));
+}
+
 /* Sends the open of FLOW to an upstream that it was not sent to, or holds it
    while all of these are busy; false when there is none.  */
 static bool
@@ -62,20 +85,16 @@
 {
   struct opening_row *opening
       = galena_table_get (plane->entry->openings, flow->opening);
-  enum choice_outcome outcome = CHOICE_NONE;
+  enum choice_outcome outcome;
   struct galena_handle chosen;
 
-  if (flow->try_count < ENTRY_TRIES_MAX)
-    outcome = entry_choose (plane, flow, &chosen);
-  if (opening != NULL)
-    opening->held = outcome == CHOICE_BUSY;
+  if (opening == NULL)
+    return false;
+  outcome = choose_next (plane, flow, &chosen);
+  opening->held = outcome == CHOICE_BUSY;
   if (outcome != CHOICE_MADE)
     return outcome == CHOICE_BUSY;
-  if (flow->try_count > 0)
-    plane_count (plane, GALENA_PLANE_RETRIED);
-  flow->tries[flow->try_count++] = (struct flow_try){ .upstream = chosen };
-  flow->owner = chosen;
-  entry_note_placed (plane, entry_upstream (plane, chosen));
+  note_try (plane, flow, chosen);
   send_open (plane, flow, chosen);
   return true;
 }
@@ -104,6 +123,24 @@
   return false;
 }
 
+/* Sends PACKET, which can't be kept, to an upstream; the caller's copies are
+   the only further tries.  */
+static void
+open_unkept (struct galena_plane *plane, struct entry_flow *flow,
+             struct galena_handle handle, const struct galena_packet *packet)
+{
+  struct galena_handle chosen;
+  enum choice_outcome outcome = choose_next (plane, flow, &chosen);
+
+  if (outcome == CHOICE_MADE)
+    note_try (plane, flow, chosen);
+  else if (outcome == CHOICE_NONE && flow->try_count == 0)
+    entry_flow_reset (plane, handle, GALENA_REFUSED_NO_UPSTREAM);
+  if (entry_flow (plane, handle) != NULL && flow->try_count > 0)
+    entry_flow_send (plane, flow, flow->owner, GALENA_PEER_OPEN, packet->bytes,
+                     packet->size);
+}
+
 void
 entry_take_open (struct galena_plane *plane, struct entry_flow *flow,
                  struct galena_handle handle,
@@ -127,8 +164,9 @@
     }
   route = galena_directory_route (plane->directory, flow->key.service);
   flow->service = entry_share_of (route, flow->key);
-  keep_open (plane, flow, handle, packet);
-  if (!try_another (plane, flow))
+  if (!keep_open (plane, flow, handle, packet))
+    open_unkept (plane, flow, handle, packet);
+  else if (!try_another (plane, flow))
     entry_flow_reset (plane, handle, GALENA_REFUSED_NO_UPSTREAM);
 }
 
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -197,19 +197,20 @@
   departure->size = packet->size;
 }
 
-void
+struct galena_departure *
 plane_send_message (struct galena_plane *plane, struct galena_endpoint peer,
                     const struct galena_peer_message *message)
 {
   struct galena_departure *departure = plane_depart (plane);
 
   if (departure == NULL)
-    return;
+    return NULL;
   departure->kind = GALENA_DEPARTURE_MESSAGE;
   departure->link = GALENA_LINK_PEER;
   departure->peer = peer;
   departure->message = *message;
   departure->message.role = plane->options.role;
+  return departure;
 }
 
 void
@@ -346,6 +347,7 @@
     return;
   plane_note (plane, (struct galena_plane_note){ .event = GALENA_EVENT_WOKE,
                                                  .age_ms = gap_ms });
+  plane_count (plane, GALENA_PLANE_PAUSES);
   plane->role->wake (plane, gap_ms);
 }
 
@@ -408,6 +410,12 @@
   return first;
 }
 
+void
+galena_plane_renewed (struct galena_plane *plane)
+{
+  plane->stale_until = plane->now;
+}
+
 void
 galena_plane_drain (struct galena_plane *plane)
 {
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -75,6 +75,9 @@
   uint64_t counters[GALENA_PLANE_COUNTER_COUNT];
   struct galena_histogram histograms[GALENA_PLANE_HISTOGRAM_COUNT];
   bool draining;
+  /* What is published may have changed unseen during a pause; until then, or
+     until the front end says that it has caught up.  */
+  struct galena_clock stale_until;
   uint32_t arrival_count;
   uint32_t departure_count;
   uint32_t note_count;
@@ -99,10 +102,11 @@
 void plane_send_packet (struct galena_plane *plane, enum galena_link link,
                         const struct galena_packet *packet);
 
-/* Sends MESSAGE to PEER.  */
-void plane_send_message (struct galena_plane *plane,
-                         struct galena_endpoint peer,
-                         const struct galena_peer_message *message);
+/* Sends MESSAGE to PEER.  Returns the departure, or NULL when the tick is
+   full.  */
+struct galena_departure *
+plane_send_message (struct galena_plane *plane, struct galena_endpoint peer,
+                    const struct galena_peer_message *message);
 
 /* Sends a reset of FLOW to its caller.  */
 void plane_send_reset (struct galena_plane *plane, struct galena_flow_key flow,
--- a/packages/runtime/include/galenaford/reads.h
+++ b/packages/runtime/include/galenaford/reads.h
@@ -54,6 +54,12 @@
                                        const char *path, uint32_t timeout_ms,
                                        uint64_t user);
 
+/* Gives up all reads of USER; they do not end.  */
+void galena_reads_cancel (struct galena_reads *reads, uint64_t user);
+
+/* Ends the wait that another thread is in, or its next one.  */
+void galena_reads_interrupt (struct galena_reads *reads);
+
 /* Waits until a read moves on, one of the COUNT events of FDS comes, or
    TIMEOUT_MS have passed.  At most 64 events.  */
 void galena_reads_wait (struct galena_reads *reads, const struct pollfd *fds,
--- a/packages/runtime/src/reads.c
+++ b/packages/runtime/src/reads.c
@@ -179,6 +179,27 @@
   return GALENA_OK;
 }
 
+void
+galena_reads_cancel (struct galena_reads *reads, uint64_t user)
+{
+  struct read_row *row;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((row = galena_table_next (reads->rows, &cursor, &handle)) != NULL)
+    if (row->user == user)
+      {
+        free (row->text);
+        end_read (reads, row);
+      }
+}
+
+void
+galena_reads_interrupt (struct galena_reads *reads)
+{
+  curl_multi_wakeup (reads->multi);
+}
+
 void
 galena_reads_wait (struct galena_reads *reads, const struct pollfd *fds,
                    uint32_t count, uint32_t timeout_ms)
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -33,6 +33,11 @@
   /* The call that is due is a watch, which the platform never answers; it is
      to fail within MASK milliseconds.  */
   WATCH_SILENT,
+  /* The process was paused: the call in progress, if any, is given up.  */
+  CALL,
+  RENEW,
+  /* As WATCH_READY, by a call that does not wait.  */
+  WATCH_AT_ONCE,
   /* A peer tells configuration 1 and the upstreams of MASK at REVISION.  */
   PEER,
   /* What is published then: upstreams of MASK, and those of DRAINING.  */
@@ -159,6 +164,40 @@
       { 900, EXPECT_VERSION, 2, 0, 0 },
       { 1500, EXPECT_PEER, 0, 0, 0 },
       { 2950, EXPECT, 3, 0, 0 } } },
+  { "/catalog/renewed-after-pause",
+    { { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 3, 9, 0 },
+      { 30, CALL, 0, 0, 0 },
+      { 2000, EXPECT_NO_CALL, 0, 0, 0 },
+      { 2000, RENEW, 0, 0, 0 },
+      { 2000, WATCH_AT_ONCE, 4, 12, 0 },
+      { 2000, EXPECT, 7, 0, 0 },
+      { 2300, WATCH_SILENT, 3200, 0, 0 } } },
+  /* Replies that are older than what a peer told change nothing.  */
+  { "/catalog/older-watch-after-peer",
+    { { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 3, 9, 0 },
+      { 30, PEER, 1, 40, 0 },
+      { 2050, EXPECT, 1, 0, 0 },
+      { 2060, WATCH_DRAINING, 1, 20, 0 },
+      { 2270, WATCH_READY, 6, 30, 0 },
+      { 2270, EXPECT, 1, 0, 0 },
+      { 2480, WATCH_READY, 2, 41, 0 },
+      { 2480, EXPECT, 3, 0, 0 } } },
+  { "/catalog/older-list-after-peer",
+    { { 10, FAILS, 0, 0, 0 },
+      { 320, PEER, 4, 40, 0 },
+      { 330, LIST, 3, 30, 0 },
+      { 330, EXPECT, 4, 0, 0 },
+      { 2400, EXPECT, 4, 0, 0 },
+      { 2400, WATCH_READY, 1, 41, 0 },
+      { 2400, EXPECT, 5, 0, 0 } } },
+  { "/catalog/older-peer-after-page",
+    { { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST_PART, 1, 40, 0 },
+      { 30, PEER, 2, 30, 0 },
+      { 40, LIST, 2, 41, 0 },
+      { 2400, EXPECT, 3, 0, 0 } } },
 };
 
 struct run
@@ -180,14 +219,15 @@
 }
 
 static void
-change_upstreams (struct run *run, uint32_t mask, enum galena_change_kind kind,
-                  enum galena_listing state)
+change_upstreams (struct run *run, const struct step *step,
+                  enum galena_change_kind kind, enum galena_listing state)
 {
   for (uint32_t i = 0; i < IDS; i++)
     {
-      struct galena_change change = { .kind = kind };
+      struct galena_change change
+          = { .kind = kind, .revision = step->revision };
 
-      if ((mask & (1U << i)) == 0)
+      if ((step->mask & (1U << i)) == 0)
         continue;
       fill_upstream (i, state, &change.upstream);
       change.key = change.upstream.id;
@@ -229,6 +269,7 @@
     [LIST_PART] = { GALENA_CHANGE_UPSTREAM, GALENA_LISTING_READY },
     [WATCH_NOTHING] = { GALENA_CHANGE_UPSTREAM, GALENA_LISTING_READY },
     [WATCH_READY] = { GALENA_CHANGE_UPSTREAM, GALENA_LISTING_READY },
+    [WATCH_AT_ONCE] = { GALENA_CHANGE_UPSTREAM, GALENA_LISTING_READY },
     [WATCH_DRAINING] = { GALENA_CHANGE_UPSTREAM, GALENA_LISTING_DRAINING },
     [WATCH_REMOVED] = { GALENA_CHANGE_REMOVED, GALENA_LISTING_ABSENT },
     [WATCH_UNREADABLE] = { GALENA_CHANGE_UNREADABLE, GALENA_LISTING_ABSENT },
@@ -237,10 +278,13 @@
                                         .more = step->kind == LIST_PART,
                                         .next = "u-1" };
   bool list = step->kind == LIST || step->kind == LIST_PART;
+  struct galena_catalog_call call
+      = take_call (run, list ? GALENA_CALL_LIST : GALENA_CALL_WATCH);
 
-  take_call (run, list ? GALENA_CALL_LIST : GALENA_CALL_WATCH);
+  if (!list)
+    g_assert_cmpuint (call.wait_ms == 0, ==, step->kind == WATCH_AT_ONCE);
   change_version (run);
-  change_upstreams (run, step->mask, CHANGES[step->kind].kind,
+  change_upstreams (run, step, CHANGES[step->kind].kind,
                     CHANGES[step->kind].state);
   galena_catalog_end (run->catalog, run->now, GALENA_CALL_OK, &reply);
 }
@@ -273,6 +317,20 @@
   galena_catalog_end (run->catalog, run->now, GALENA_CALL_FAILED, NULL);
 }
 
+static void
+run_call (struct run *run, const struct step *step)
+{
+  (void)step;
+  take_call (run, GALENA_CALL_WATCH);
+}
+
+static void
+run_renew (struct run *run, const struct step *step)
+{
+  (void)step;
+  galena_catalog_renew (run->catalog, run->now);
+}
+
 static void
 run_peer (struct run *run, const struct step *step)
 {
@@ -350,6 +408,9 @@
   [FAILS] = run_failure,
   [CONFIG] = run_config,
   [WATCH_SILENT] = run_silence,
+  [WATCH_AT_ONCE] = run_reply,
+  [CALL] = run_call,
+  [RENEW] = run_renew,
   [PEER] = run_peer,
   [EXPECT] = expect_upstreams,
   [EXPECT_VERSION] = expect_version,
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -112,6 +112,8 @@
 {
   enum galena_change_kind kind;
   const char *key;
+  /* Revision of the store that it shows; 0 for that of the reply.  */
+  uint64_t revision;
 };
 
 struct reply_case
@@ -144,7 +146,7 @@
   "{\"host\":\"" host "\",\"prefix\":\"" prefix "\"," to "}"
 #define HOST_CASE(name, value, kind)                                          \
   {                                                                           \
-    name, GALENA_CALL_LIST, ITEM, value, GALENA_OK, 1, { { kind, "i-1" } }, 0 \
+    name, GALENA_CALL_LIST, ITEM, value, GALENA_OK, 1, { { kind, "i-1", 0 } }, 0 \
   }
 
 static const struct reply_case REPLIES[] = {
@@ -178,7 +180,7 @@
     "",
     GALENA_OK,
     1,
-    { { GALENA_CHANGE_UNREADABLE, "i-1" } },
+    { { GALENA_CHANGE_UNREADABLE, "i-1", 0 } },
     0 },
   { "/platform/reply/removed",
     GALENA_CALL_WATCH,
@@ -188,7 +190,7 @@
     GOOD_HOST,
     GALENA_OK,
     2,
-    { { GALENA_CHANGE_REMOVED, "i-1" }, { GALENA_CHANGE_UPSTREAM, "i-2" } },
+    { { GALENA_CHANGE_REMOVED, "i-1", 8 }, { GALENA_CHANGE_UPSTREAM, "i-2", 0 } },
     0 },
   { "/platform/reply/config",
     GALENA_CALL_LIST,
@@ -202,7 +204,7 @@
                                         "\"weight\":10}]") "]}",
     GALENA_OK,
     1,
-    { { GALENA_CHANGE_CONFIG, "op/config" } },
+    { { GALENA_CHANGE_CONFIG, "op/config", 0 } },
     2 },
   { "/platform/reply/config-bad-route",
     GALENA_CALL_LIST,
@@ -213,7 +215,7 @@
                                         "\"service\":\"b\"") "]}",
     GALENA_OK,
     1,
-    { { GALENA_CHANGE_CONFIG, "op/config" } },
+    { { GALENA_CHANGE_CONFIG, "op/config", 0 } },
     1 },
   { "/platform/reply/config-unreadable",
     GALENA_CALL_LIST,
@@ -221,7 +223,7 @@
     "{\"routes\":[]}",
     GALENA_OK,
     1,
-    { { GALENA_CHANGE_UNREADABLE, "op/config" } },
+    { { GALENA_CHANGE_UNREADABLE, "op/config", 0 } },
     0 },
   { "/platform/reply/not-json",
     GALENA_CALL_LIST,
@@ -229,7 +231,7 @@
     "",
     GALENA_ERR_TYPE,
     0,
-    { { 0, NULL } },
+    { { 0, NULL, 0 } },
     0 },
   { "/platform/reply/no-revision",
     GALENA_CALL_LIST,
@@ -237,7 +239,7 @@
     "",
     GALENA_ERR_TYPE,
     0,
-    { { 0, NULL } },
+    { { 0, NULL, 0 } },
     0 },
 };
 
@@ -255,6 +257,8 @@
 
   g_assert_cmpint (change->kind, ==, seen->kind);
   g_assert_cmpstr (change->key, ==, seen->key);
+  g_assert_cmpuint (change->revision, ==,
+                    seen->revision != 0 ? seen->revision : 9);
   if (change->kind == GALENA_CHANGE_CONFIG)
     {
       g_assert_cmpuint (change->config.version, ==, 7);
