Read the settings again at SIGHUP and when their file has changed

Ruled out: a restart by the process itself; it starts no other. Change: seeds, choice policy and the limit of a graceful shutdown are taken up while the process runs; other keys are named in the log as waiting for the next start. The file is looked at every 5 s. A faulty file changes nothing.

--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -22,6 +22,9 @@
 enum
 {
   KEY_CHECK = 256,
+  /* How often the settings file is looked at: a change without a signal waits
+     no longer than one with it would be noticed by hand.  */
+  FILE_CHECK_MS = 5000,
   MS_PER_S = 1000,
   NS_PER_MS = 1000000
 };
@@ -82,11 +85,10 @@
         [GALENA_ROLE_AGENT] = agent_loop_run,
       };
 
-/* Waits for a second signal, up to the limit of a graceful shutdown.  */
+/* Waits up to LIMIT_MS for one of SIGNALS; returns its number, or -1.  */
 static int
-wait_for_second_signal (const struct process *process, const sigset_t *signals)
+wait_for_one (const sigset_t *signals, uint32_t limit_ms)
 {
-  uint32_t limit_ms = process->settings.shutdown_limit_ms;
   struct timespec limit
       = { limit_ms / MS_PER_S, (long)(limit_ms % MS_PER_S) * NS_PER_MS };
   int number;
@@ -94,7 +96,14 @@
   do
     number = sigtimedwait (signals, NULL, &limit);
   while (number < 0 && errno == EINTR);
-  return number < 0 ? EXIT_LIMIT : EXIT_FORCED;
+  return number;
+}
+
+/* Waits for a second signal, up to the limit of a graceful shutdown.  */
+static int
+wait_for_second_signal (const sigset_t *signals, uint32_t limit_ms)
+{
+  return wait_for_one (signals, limit_ms) < 0 ? EXIT_LIMIT : EXIT_FORCED;
 }
 
 /* Fills SIGNALS with those that end a process.  */
@@ -106,18 +115,25 @@
   sigaddset (signals, SIGINT);
 }
 
-/* Waits for the first signal that ends the process.  Settings are read at the
-   start only, so a reload says what it can't do.  */
+/* Waits for the first signal that ends the process, and reads the settings
+   again when another one asks for that or the file has changed.  */
 static int
-wait_for_ending_signal (void)
+wait_for_ending_signal (struct process *process)
 {
   sigset_t signals;
   int number;
 
   set_ending_signals (&signals);
   sigaddset (&signals, SIGHUP);
-  while (sigwait (&signals, &number) == 0 && number == SIGHUP)
-    galena_log (LOG_NOTICE, "reload-ignored", "reason=restart-needed");
+  do
+    {
+      number = wait_for_one (&signals, FILE_CHECK_MS);
+      if (number == SIGHUP)
+        reload_settings (process, "signal");
+      else if (number < 0 && reload_is_due (process))
+        reload_settings (process, "file-changed");
+    }
+  while (number < 0 || number == SIGHUP);
   return number;
 }
 
@@ -128,14 +144,16 @@
 {
   struct process *process = data;
   sigset_t signals;
+  uint32_t limit_ms;
   int exit_code;
-  int number = wait_for_ending_signal ();
+  int number = wait_for_ending_signal (process);
 
   set_ending_signals (&signals);
-  galena_log (LOG_NOTICE, "signal", "number=%d limit_ms=%u", number,
-              process->settings.shutdown_limit_ms);
-  process_begin_drain (process);
-  exit_code = wait_for_second_signal (process, &signals);
+  /* Only this thread replaces the live settings.  */
+  limit_ms = process->live->settings.shutdown_limit_ms;
+  galena_log (LOG_NOTICE, "signal", "number=%d limit_ms=%u", number, limit_ms);
+  process_begin_drain (process, limit_ms);
+  exit_code = wait_for_second_signal (&signals, limit_ms);
   if (exit_code == EXIT_LIMIT
       && process->settings.front == GALENA_FRONT_PACKETS)
     {
@@ -194,12 +212,17 @@
       };
 
 static enum galena_result
-run_process (struct process *process)
+run_process (struct process *process, const char *settings_path)
 {
   enum galena_result result = process_init (process);
 
   if (result != GALENA_OK)
     return result;
+  result = reload_begin (process, settings_path);
+  if (result != GALENA_OK)
+    goto done;
+  /* The thread that waits for signals reads the live settings until the
+     process ends, so they are not freed.  */
   if (getrandom (&process->seed, sizeof process->seed, 0)
       != sizeof process->seed)
     result = GALENA_ERR_IO;
@@ -233,7 +256,7 @@
     return EXIT_SUCCESS;
   galena_log_name (process.settings.name);
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  result = run_process (&process);
+  result = run_process (&process, arguments.settings_path);
   if (result != GALENA_OK)
     galena_log (LOG_ERR, "failed", "result=%s", galena_result_word (result));
   curl_global_cleanup ();
--- a/packages/daemon/src/packet_loop.c
+++ b/packages/daemon/src/packet_loop.c
@@ -42,6 +42,8 @@
   /* Side on which packets come in.  */
   enum galena_link side;
   struct galena_clock shared_due;
+  /* Number of the live settings that the plane has.  */
+  uint64_t settings_number;
   /* Pauses that the plane has counted.  */
   uint64_t pauses;
 };
@@ -81,13 +83,6 @@
 
   if (settings->role == GALENA_ROLE_AGENT)
     options.service = galena_service_key_of (settings->packets_service);
-  for (uint32_t i = 0; i < settings->peers_seeds.count
-                       && options.seed_count < GALENA_PLANE_SEEDS_MAX;
-       i++)
-    /* Seeds are named by their control address; peers have one port.  */
-    options.seeds[options.seed_count++]
-        = (struct galena_endpoint){ settings->peers_seeds.rows[i].ip,
-                                    settings->peers_address.port };
   return galena_plane_create (&options, &loop->plane);
 }
 
@@ -306,6 +301,31 @@
     galena_plane_renewed (loop->plane);
 }
 
+/* Gives the plane what was set anew.  The caller holds RCU's read lock.  */
+static void
+follow_settings (struct packet_loop *loop)
+{
+  const struct live_settings *live = reload_live (loop->packets->process);
+  const struct galena_addresses *rows = &live->settings.peers_seeds;
+  struct galena_endpoint seeds[GALENA_PLANE_SEEDS_MAX];
+  uint32_t count = 0;
+  enum galena_result result;
+
+  if (live->number == loop->settings_number)
+    return;
+  loop->settings_number = live->number;
+  /* Seeds are named by their control address; peers have one port.  */
+  for (; count < rows->count && count < GALENA_PLANE_SEEDS_MAX; count++)
+    seeds[count]
+        = (struct galena_endpoint){ rows->rows[count].ip,
+                                    loop->settings->peers_address.port };
+  result = galena_plane_configure (loop->plane, seeds, count,
+                                   live->settings.packets_choice);
+  if (result != GALENA_OK)
+    galena_log (LOG_ERR, "settings-not-taken", "result=%s",
+                galena_result_word (result));
+}
+
 static void
 run_tick (struct packet_loop *loop)
 {
@@ -314,6 +334,7 @@
   if (atomic_load (&loop->packets->process->draining))
     galena_plane_drain (loop->plane);
   rcu_read_lock ();
+  follow_settings (loop);
   galena_plane_tick (loop->plane, now,
                      rcu_dereference (loop->packets->directory));
   rcu_read_unlock ();
--- a/packages/daemon/src/packet_reader.c
+++ b/packages/daemon/src/packet_reader.c
@@ -91,20 +91,24 @@
 static uint32_t
 next_peer (struct packet_reader *reader)
 {
-  const struct galena_settings *settings = &reader->packets->process->settings;
-  uint32_t seeds = settings->peers_seeds.count;
+  const struct process *process = reader->packets->process;
+  const struct galena_addresses *seeds;
+  uint32_t ip = 0;
 
-  for (uint32_t i = 0; i < seeds + PACKET_PEERS_MAX; i++)
+  rcu_read_lock ();
+  seeds = &reload_live (process)->settings.peers_seeds;
+  for (uint32_t i = 0; ip == 0 && i < seeds->count + PACKET_PEERS_MAX; i++)
     {
-      uint32_t at = reader->next_peer++ % (seeds + PACKET_PEERS_MAX);
-      uint32_t ip = at < seeds
-                        ? settings->peers_seeds.rows[at].ip
-                        : atomic_load (&reader->packets->peers[at - seeds]);
+      uint32_t at = reader->next_peer++ % (seeds->count + PACKET_PEERS_MAX);
 
-      if (ip != 0 && ip != settings->peers_address.ip)
-        return ip;
+      ip = at < seeds->count
+               ? seeds->rows[at].ip
+               : atomic_load (&reader->packets->peers[at - seeds->count]);
+      if (ip == process->settings.peers_address.ip)
+        ip = 0;
     }
-  return 0;
+  rcu_read_unlock ();
+  return ip;
 }
 
 /* Asks a peer for its snapshot when the platform does not reply.  */
--- a/packages/daemon/src/process.c
+++ b/packages/daemon/src/process.c
@@ -62,10 +62,10 @@
 }
 
 void
-process_begin_drain (struct process *process)
+process_begin_drain (struct process *process, uint32_t limit_ms)
 {
-  struct galena_clock end = galena_clock_after (
-      galena_monotonic_now (), process->settings.shutdown_limit_ms);
+  struct galena_clock end
+      = galena_clock_after (galena_monotonic_now (), limit_ms);
 
   atomic_store (&process->drain_end_ms, end.ms);
   atomic_store (&process->busy_threads, process_threads (process));
--- a/packages/daemon/src/process.h
+++ b/packages/daemon/src/process.h
@@ -9,6 +9,7 @@
 #include <galenaford/world.h>
 
 #include "exchange.h"
+#include "reload.h"
 #include "snapshot.h"
 
 enum
@@ -22,7 +23,11 @@
 
 struct process
 {
+  /* As of the start.  */
   struct galena_settings settings;
+  struct settings_file file;
+  /* Read under RCU.  */
+  struct live_settings *live;
   struct snapshot *snapshot;
   /* Readable once the process should end.  */
   int stop_fd;
@@ -58,8 +63,8 @@
 /* Returns the number of threads that move packets.  */
 uint32_t process_threads (const struct process *process);
 
-/* Begins a graceful shutdown with the limit of the settings.  */
-void process_begin_drain (struct process *process);
+/* Begins a graceful shutdown that is cut short after LIMIT_MS.  */
+void process_begin_drain (struct process *process, uint32_t limit_ms);
 
 /* Ends the process with EXIT_CODE; the first call counts.  */
 void process_begin_stop (struct process *process, int exit_code);
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -233,6 +233,13 @@
 /* Destroys PLANE; accepts NULL.  */
 void galena_plane_destroy (struct galena_plane *plane);
 
+/* Replaces the entries to begin with, and the choice policy of an entry.
+   Errors: GALENA_ERR_INVALID, GALENA_ERR_NOT_FOUND; PLANE is as before.  */
+enum galena_result galena_plane_configure (struct galena_plane *plane,
+                                           const struct galena_endpoint *seeds,
+                                           uint32_t seed_count,
+                                           const char *choice);
+
 /* Returns the next free arrival for the front end to fill in, NULL when the
    tick's share is used up.  Bytes that it names stay valid until the
    departures of the next tick were sent.  */
--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -87,6 +87,17 @@
   return result;
 }
 
+static enum galena_result
+configure (struct galena_plane *plane, const char *choice)
+{
+  const struct choice_policy *policy = entry_choice_named (choice);
+
+  if (policy == NULL)
+    return GALENA_ERR_NOT_FOUND;
+  plane->entry->choice = policy;
+  return GALENA_OK;
+}
+
 static enum galena_result
 create (struct galena_plane *plane)
 {
@@ -96,10 +107,8 @@
   if (entry == NULL)
     return GALENA_ERR_MEMORY;
   plane->entry = entry;
-  entry->choice = entry_choice_named (plane->options.choice);
-  result = entry->choice == NULL ? GALENA_ERR_NOT_FOUND
-                                 : create_tables (plane, entry);
-  return result;
+  result = configure (plane, plane->options.choice);
+  return result == GALENA_OK ? create_tables (plane, entry) : result;
 }
 
 /* What was heard before a pause is not called silent: agents get the time
@@ -136,6 +145,7 @@
 const struct plane_role entry_plane_role = {
   .create = create,
   .destroy = destroy,
+  .configure = configure,
   .wake = wake,
   .flow_count = flow_count,
   .packets = { [GALENA_LINK_CALLER] = entry_take_packet },
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -153,6 +153,24 @@
   free (plane);
 }
 
+enum galena_result
+galena_plane_configure (struct galena_plane *plane,
+                        const struct galena_endpoint *seeds,
+                        uint32_t seed_count, const char *choice)
+{
+  enum galena_result result = GALENA_OK;
+
+  if (seed_count > GALENA_PLANE_SEEDS_MAX)
+    return GALENA_ERR_INVALID;
+  if (plane->role->configure != NULL)
+    result = plane->role->configure (plane, choice);
+  if (result != GALENA_OK)
+    return result;
+  plane->options.seed_count = seed_count;
+  memcpy (plane->options.seeds, seeds, seed_count * sizeof *seeds);
+  return GALENA_OK;
+}
+
 struct galena_arrival *
 galena_plane_arrival (struct galena_plane *plane)
 {
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -32,6 +32,9 @@
 {
   enum galena_result (*create) (struct galena_plane *plane);
   void (*destroy) (struct galena_plane *plane);
+  /* Takes the name of a choice policy; NULL where there is none.  */
+  enum galena_result (*configure) (struct galena_plane *plane,
+                                   const char *choice);
   /* Takes note that no tick ran for GAP_MS.  */
   void (*wake) (struct galena_plane *plane, int64_t gap_ms);
   uint32_t (*flow_count) (const struct galena_plane *plane);
--- a/packages/runtime/include/galenaford/settings.h
+++ b/packages/runtime/include/galenaford/settings.h
@@ -106,4 +106,18 @@
                                          struct galena_settings *settings,
                                          FILE *faults);
 
+/* Takes a key whose values differ.  LIVE tells whether a running process takes
+   up the new one.  */
+typedef void galena_setting_taker (void *user,
+                                   const struct galena_setting *setting,
+                                   bool live);
+
+/* Calls TAKE for each key whose value in AFTER is another than in BEFORE.  */
+void galena_settings_compare (const struct galena_settings *before,
+                              const struct galena_settings *after,
+                              galena_setting_taker *take, void *user);
+
+/* Tells whether a running process takes up a new value of SETTING.  */
+bool galena_setting_is_live (const struct galena_setting *setting);
+
 #endif
--- a/packages/runtime/src/settings.c
+++ b/packages/runtime/src/settings.c
@@ -39,7 +39,9 @@
   BY_PACKET_ENTRY = 4,
   BY_PACKET_AGENT = 8,
   BY_PACKETS = BY_PACKET_ENTRY | BY_PACKET_AGENT,
-  BY_ALL = 15
+  BY_ALL = 15,
+  /* A running process takes up a new value.  */
+  LIVE = 16
 };
 
 static bool
@@ -299,7 +301,7 @@
     PLACE (peers_seeds),
     0,
     0,
-    BY_ALL },
+    BY_ALL | LIVE },
   { { "policy", "choice", "two-wait", "one of",
       "How an entry chooses an upstream.", galena_choice_name },
     read_name,
@@ -320,7 +322,7 @@
     PLACE (shutdown_limit_ms),
     0,
     600000,
-    BY_ALL },
+    BY_ALL | LIVE },
   { { "operator", "address", "none", "A.B.C.D:PORT or none",
       "Where galenactl reads the state of the process.", NULL },
     read_optional_address,
@@ -378,7 +380,7 @@
     PLACE (packets_choice),
     1,
     0,
-    BY_ALL },
+    BY_ALL | LIVE },
   { { "packets", "flows", "32768", "16 to 1000000", "Most flows held at once.",
       NULL },
     read_number,
@@ -442,6 +444,33 @@
                               i == 0 ? ":" : ",", name);
 }
 
+/* Returns the row that SETTING stands in.  */
+static const struct setting_row *
+row_of (const struct galena_setting *setting)
+{
+  return (
+      const struct setting_row *)((const char *)setting
+                                  - offsetof (struct setting_row, setting));
+}
+
+bool
+galena_setting_is_live (const struct galena_setting *setting)
+{
+  return (row_of (setting)->needed_by & LIVE) != 0;
+}
+
+void
+galena_settings_compare (const struct galena_settings *before,
+                         const struct galena_settings *after,
+                         galena_setting_taker *take, void *user)
+{
+  for (uint32_t i = 0; i < ROW_COUNT; i++)
+    if (memcmp ((const unsigned char *)before + ROWS[i].offset,
+                (const unsigned char *)after + ROWS[i].offset, ROWS[i].size)
+        != 0)
+      take (user, &ROWS[i].setting, galena_setting_is_live (&ROWS[i].setting));
+}
+
 static void
 report (struct load *load, int line, const char *section, const char *key,
         const char *text)
@@ -595,7 +624,7 @@
 
   if (row->setting.standard != NULL)
     return false;
-  if (row->needed_by == BY_ALL)
+  if ((row->needed_by & BY_ALL) == BY_ALL)
     return true;
   if (role != GALENA_ROLE_ENTRY && role != GALENA_ROLE_AGENT)
     return false;
--- a/test/unit/test_stop.c
+++ b/test/unit/test_stop.c
@@ -190,7 +190,7 @@
   switch (step)
     {
     case STEP_DRAIN:
-      process_begin_drain (process);
+      process_begin_drain (process, process->settings.shutdown_limit_ms);
       return;
     case STEP_LIMIT:
       process_begin_stop (process, EXIT_LIMIT);
