--- a/packages/daemon/src/packet_log.c
+++ b/packages/daemon/src/packet_log.c
@@ -26,16 +26,19 @@
   char caller[ENDPOINT_TEXT_BYTES];
   char service[ENDPOINT_TEXT_BYTES];
   char agent[ENDPOINT_TEXT_BYTES];
-
-  galena_log (LOG_INFO, galena_plane_event_word (note->event),
-              "caller=%s address=%s agent=%s version=%llu result=%s "
-              "age_ms=%lld detail=%u",
-              write_endpoint (note->flow.caller, caller),
-              write_endpoint (note->flow.service, service),
-              write_endpoint (note->agent, agent),
-              (unsigned long long)note->version,
-              galena_result_word (note->result), (long long)note->age_ms,
-              note->detail);
+  const char *event = galena_plane_event_word (note->event);
+
+  if (!galena_log_admits (event))
+    return;
+  galena_log_admitted (LOG_INFO, event,
+                       "caller=%s address=%s agent=%s version=%llu result=%s "
+                       "age_ms=%lld detail=%u",
+                       write_endpoint (note->flow.caller, caller),
+                       write_endpoint (note->flow.service, service),
+                       write_endpoint (note->agent, agent),
+                       (unsigned long long)note->version,
+                       galena_result_word (note->result),
+                       (long long)note->age_ms, note->detail);
 }
 
 void
--- a/packages/flows/include/galenaford/packet.h
+++ b/packages/flows/include/galenaford/packet.h
@@ -48,6 +48,21 @@
   struct galena_endpoint service;
 };
 
+enum
+{
+  /* Most bytes of an upstream that its caller can have acknowledged before the
+     first packet of an open flow is seen.  */
+  GALENA_PACKET_FIRST_WINDOW = 65536
+};
+
+/* Tells whether a caller that acknowledges ACKNOWLEDGED has opened its flow at
+   the upstream whose first sequence number is SEQUENCE.  */
+static inline bool
+galena_packet_opens_at (uint32_t acknowledged, uint32_t sequence)
+{
+  return acknowledged - sequence <= GALENA_PACKET_FIRST_WINDOW;
+}
+
 /* Tells whether PACKET opens a flow from the caller's side.  */
 static inline bool
 galena_packet_is_open (const struct galena_packet *packet)
--- a/packages/flows/include/galenaford/peer.h
+++ b/packages/flows/include/galenaford/peer.h
@@ -75,6 +75,10 @@
   galena_service_key service;
   /* Requests that the agent's upstream runs at once, as published.  */
   uint32_t slots;
+  /* State and start in Unix milliseconds of the agent's upstream, as published,
+     in hello.  */
+  enum galena_listing listing;
+  uint64_t born_ms;
   /* First sequence number of the upstream, in opened.  */
   uint32_t sequence;
   /* Reason, in refused.  */
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -162,8 +162,9 @@
   X (GALENA_PLANE_LOST, "lost", "Flows that their upstream lost.")            \
   X (GALENA_PLANE_RESETS, "resets", "Resets sent to callers.")                \
   X (GALENA_PLANE_NO_ROUTE, "no_route", "Packets without a route.")           \
-  X (GALENA_PLANE_NO_CONFIG, "no_config",                                     \
-     "Packets dropped: no configuration is known yet.")                       \
+  X (GALENA_PLANE_GIVEN_UP, "given_up",                                       \
+     "Packets dropped that waited for a configuration or an owner.")          \
+  X (GALENA_PLANE_FINDS, "finds", "Agents asked whether they own a flow.")    \
   X (GALENA_PLANE_RETURNED, "returned",                                       \
      "Packets that the upstream returned.")                                   \
   X (GALENA_PLANE_PAUSES, "pauses", "Times that no tick ran for a while.")
--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -8,15 +8,45 @@
 {
   LOAD_PERIOD_MS = 25,
   ANNOUNCE_PERIOD_MS = 500,
-  EXPIRE_PERIOD_MS = 1000
+  EXPIRE_PERIOD_MS = 1000,
+  /* An upstream counts as draining for so long after an entry said so: six
+     hellos of one.  */
+  DRAINING_MS = 3000
 };
 
+/* Takes what an entry knows of the upstream, which may have started again at
+   the same address.  */
+static void
+take_listing (struct galena_plane *plane,
+              const struct galena_peer_message *message)
+{
+  struct agent_tables *agent = plane->agent;
+
+  if (message->listing == GALENA_LISTING_ABSENT
+      || message->born_ms < agent->born_ms)
+    return;
+  if (message->born_ms > agent->born_ms)
+    agent->draining_until = plane->now;
+  agent->born_ms = message->born_ms;
+  if (message->listing != GALENA_LISTING_DRAINING)
+    return;
+  if (!agent_is_leaving (plane))
+    plane_note (plane, (struct galena_plane_note){
+                           .event = GALENA_EVENT_UPSTREAM,
+                           .agent = plane->options.self,
+                           .version = message->born_ms,
+                           .age_ms = -1,
+                           .detail = GALENA_LISTING_DRAINING });
+  agent->draining_until = galena_clock_after (plane->now, DRAINING_MS);
+}
+
 static void
 take_hello (struct galena_plane *plane, struct galena_endpoint peer,
             const struct galena_peer_message *message)
 {
   if (message->slots != 0)
     plane->agent->slots = message->slots;
+  take_listing (plane, message);
   members_take_hello (plane, peer, message);
 }
 
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -115,7 +115,7 @@
       return;
     }
   flow = find_flow (plane, message->flow, &handle);
-  if (plane->draining && flow == NULL)
+  if (agent_is_leaving (plane) && flow == NULL)
     {
       refuse (plane, peer, message->flow, GALENA_REFUSED_LEAVING);
       return;
@@ -176,19 +176,6 @@
   return flow;
 }
 
-void
-agent_take_forward (struct galena_plane *plane, struct galena_endpoint peer,
-                    const struct galena_peer_message *message)
-{
-  struct agent_flow *flow;
-
-  hear_entry (plane, peer, message);
-  flow = flow_for (plane, peer, message);
-  if (flow != NULL)
-    note_caller_packet (plane, flow, &message->packet);
-  send_to_upstream (plane, message);
-}
-
 static void
 answer_search (struct galena_plane *plane, struct galena_endpoint entry,
                struct galena_flow_key key, enum galena_peer_type type,
@@ -204,6 +191,41 @@
   agent_reply (plane, entry, &answer);
 }
 
+/* Takes the first PACKET of FLOW since its upstream accepted it.  False when
+   its caller has opened it at another upstream: it acknowledges numbers that
+   this one did not choose.  */
+static bool
+take_first (struct galena_plane *plane, struct agent_flow *flow,
+            const struct galena_packet *packet)
+{
+  if (flow->state != AGENT_FLOW_HALF || !flow->accepted
+      || (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0)
+    return true;
+  if (!galena_packet_opens_at (packet->acknowledged, flow->sequence))
+    return false;
+  become_open (plane, flow);
+  return true;
+}
+
+void
+agent_take_forward (struct galena_plane *plane, struct galena_endpoint peer,
+                    const struct galena_peer_message *message)
+{
+  struct agent_flow *flow;
+
+  hear_entry (plane, peer, message);
+  flow = flow_for (plane, peer, message);
+  if (flow != NULL && !take_first (plane, flow, &message->packet))
+    {
+      answer_search (plane, peer, message->flow, GALENA_PEER_DISOWNED,
+                     &message->packet);
+      return;
+    }
+  if (flow != NULL)
+    note_caller_packet (plane, flow, &message->packet);
+  send_to_upstream (plane, message);
+}
+
 void
 agent_take_find (struct galena_plane *plane, struct galena_endpoint peer,
                  const struct galena_peer_message *message)
@@ -212,7 +234,8 @@
   struct agent_flow *flow = find_flow (plane, message->flow, &handle);
 
   hear_entry (plane, peer, message);
-  if (flow == NULL && plane->agent->complete)
+  if (flow == NULL ? plane->agent->complete
+                   : !take_first (plane, flow, &message->packet))
     {
       answer_search (plane, peer, message->flow, GALENA_PEER_DISOWNED, NULL);
       return;
@@ -243,6 +266,7 @@
   struct agent_flow *flow = find_flow (plane, key, &handle);
   struct galena_endpoint entry;
   enum agent_flow_state state;
+  bool asked;
   bool ended;
 
   plane_count (plane, GALENA_PLANE_RETURNED);
@@ -250,6 +274,7 @@
     return;
   entry = flow->entry;
   state = flow->state;
+  asked = flow->asked;
   ended = flow->caller_ended && flow->upstream_ended;
   if (galena_packet_is_open (packet))
     {
@@ -262,19 +287,22 @@
   if (ended)
     return;
   if (state != AGENT_FLOW_OPEN)
-    answer_search (plane, entry, key, GALENA_PEER_DISOWNED, packet);
+    answer_search (plane, entry, key, GALENA_PEER_DISOWNED,
+                   asked ? NULL : packet);
   else if (packet->data_size > 0)
     answer_search (plane, entry, key, GALENA_PEER_LOST, packet);
 }
 
 static void
-note_accept (struct galena_plane *plane, const struct agent_flow *flow,
+note_accept (struct galena_plane *plane, struct agent_flow *flow,
              const struct galena_packet *packet)
 {
   struct galena_peer_message opened = { .type = GALENA_PEER_OPENED,
                                         .flow = flow->key,
                                         .sequence = packet->sequence };
 
+  flow->accepted = true;
+  flow->sequence = packet->sequence;
   plane_count (plane, GALENA_PLANE_OPENED);
   agent_reply (plane, flow->entry, &opened);
 }
@@ -312,8 +340,16 @@
       take_returned (plane, packet);
       return;
     }
-  plane_send_packet (plane, GALENA_LINK_CALLER, packet);
   flow = find_flow (plane, key, &handle);
+  /* An upstream that accepted a flow and lost it to another one may reset it,
+     which would reach the caller as the other one's word.  */
+  if (flow != NULL && flow->state == AGENT_FLOW_HALF
+      && (packet->flags & GALENA_PACKET_RESETS) != 0)
+    {
+      plane_count (plane, GALENA_PLANE_UNEXPECTED);
+      return;
+    }
+  plane_send_packet (plane, GALENA_LINK_CALLER, packet);
   if (flow == NULL)
     {
       flow = add_flow (plane, key, AGENT_FLOW_PROBED);
--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -109,6 +109,13 @@
   flow->running = false;
 }
 
+bool
+agent_is_leaving (const struct galena_plane *plane)
+{
+  return plane->draining
+         || !galena_clock_reached (plane->now, plane->agent->draining_until);
+}
+
 struct galena_load
 agent_load (const struct galena_plane *plane)
 {
@@ -118,7 +125,7 @@
     .running = agent->running + agent->half,
     .flows = agent->open,
     .service_us = (uint32_t)agent->service_us,
-    .leaving = plane->draining,
+    .leaving = agent_is_leaving (plane),
   };
 }
 
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -33,6 +33,10 @@
   struct galena_clock half_since;
   /* Requests that ran when this one began, it too.  */
   uint32_t rank;
+  /* Whether the upstream has accepted the flow, and its first sequence
+     number then.  */
+  bool accepted;
+  uint32_t sequence;
   /* Next sequence number of the caller's data.  */
   uint32_t caller_next;
   struct galena_clock request_began;
@@ -51,6 +55,10 @@
   uint32_t open;
   /* Requests that the upstream runs at once; 0 while unknown.  */
   uint32_t slots;
+  /* Start in Unix milliseconds of the life of the upstream that entries told
+     of last, and until when it counts as draining since one said so.  */
+  uint64_t born_ms;
+  struct galena_clock draining_until;
   /* Moving mean of the service time; 0 while unknown.  */
   double service_us;
   /* Time that slots were busy since the last answer, up to BUSY_AT.  */
@@ -84,6 +92,9 @@
 
 /* agent_load.c */
 
+/* Tells whether the agent takes no new flows.  */
+bool agent_is_leaving (const struct galena_plane *plane);
+
 /* Notes that a request of FLOW reached the upstream, or that its answer
    began.  */
 void agent_request_began (struct galena_plane *plane, struct agent_flow *flow);
--- a/packages/flows/src/entry_choice.c
+++ b/packages/flows/src/entry_choice.c
@@ -14,8 +14,12 @@
   /* Requests a slot that an upstream is given at most: the last one waits for
      three others, about as long as callers aim at for the whole request.  */
   REQUESTS_PER_SLOT = 4,
-  /* Draws of the default policy.  */
-  DRAWS = 3
+  /* Upstreams that the default policy compares.  */
+  DRAWS = 4,
+  /* An upstream of the own availability zone comes first this many bits more
+     often: four times, so that of four candidates about two are own ones
+     where a zone is one of four.  */
+  OWN_ZONE_BITS = 2
 };
 
 /* A warming upstream takes so many times as long, until it is known better. */
@@ -110,6 +114,22 @@
   return 0;
 }
 
+uint64_t
+entry_rank (const struct galena_plane *plane, struct galena_flow_key key,
+            const struct upstream_row *upstream)
+{
+  uint64_t flow[2] = {
+    ((uint64_t)key.caller.ip << 16) | key.caller.port,
+    ((uint64_t)key.service.ip << 16) | key.service.port,
+  };
+  uint64_t drawn
+      = XXH3_64bits_withSeed (flow, sizeof flow, upstream->agent.ip);
+
+  if (upstream->zone != plane->options.zone)
+    return drawn;
+  return ~(~drawn >> OWN_ZONE_BITS);
+}
+
 static bool
 was_tried (const struct entry_flow *flow, struct galena_handle handle)
 {
@@ -123,8 +143,7 @@
 static bool
 takes_flows (const struct upstream_row *upstream, galena_service_key service)
 {
-  return upstream->listing == GALENA_LISTING_READY && !upstream->load.leaving
-         && entry_service_of (upstream) == service;
+  return entry_is_ready (upstream) && entry_service_of (upstream) == service;
 }
 
 /* Another availability zone costs as much more as two equal upstreams may
@@ -158,12 +177,33 @@
                 >= REQUESTS_PER_SLOT * upstream->slots;
 }
 
+void
+entry_rank_add (struct ranking *ranking, struct galena_handle handle,
+                uint64_t rank)
+{
+  uint32_t at = ranking->count;
+
+  if (ranking->count < ranking->limit)
+    ranking->count++;
+  else if (rank <= ranking->ranks[--at])
+    return;
+  for (; at > 0 && ranking->ranks[at - 1] < rank; at--)
+    {
+      ranking->ranks[at] = ranking->ranks[at - 1];
+      ranking->rows[at] = ranking->rows[at - 1];
+    }
+  ranking->ranks[at] = rank;
+  ranking->rows[at] = handle;
+}
+
 /* Upstreams that may be chosen.  */
 struct fit
 {
-  uint32_t count;
+  struct ranking first;
   bool busy;
-  struct galena_handle rows[ENTRY_UPSTREAMS_MAX];
+  /* Service times told by all that fit, and how many told one.  */
+  double service_us;
+  uint32_t known;
 };
 
 /* Finds the upstreams that may take FLOW: those that are avoided, or else the
@@ -176,8 +216,7 @@
   struct galena_handle handle;
   uint32_t cursor = 0;
 
-  fit->count = 0;
-  fit->busy = false;
+  *fit = (struct fit){ .first.limit = plane->entry->choice->draws };
   while ((upstream
           = galena_table_next (plane->entry->upstreams, &cursor, &handle))
          != NULL)
@@ -187,29 +226,15 @@
                  == suspect)
         continue;
       if (is_busy (upstream))
-        fit->busy = true;
-      else
-        fit->rows[fit->count++] = handle;
-    }
-}
-
-/* Returns the mean of the service times told by the agents of COUNT FIT
-   upstreams, in microseconds.  */
-static double
-usual_service_us (const struct galena_plane *plane,
-                  const struct galena_handle *fit, uint32_t count)
-{
-  double sum = 0;
-  uint32_t known = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      uint32_t us = entry_upstream (plane, fit[i])->load.service_us;
-
-      sum += us;
-      known += us > 0;
+        {
+          fit->busy = true;
+          continue;
+        }
+      fit->service_us += upstream->load.service_us;
+      fit->known += upstream->load.service_us > 0;
+      entry_rank_add (&fit->first, handle,
+                      entry_rank (plane, flow->key, upstream));
     }
-  return known > 0 ? sum / known : ASSUMED_SERVICE_US;
 }
 
 enum choice_outcome
@@ -217,30 +242,24 @@
               struct galena_handle *chosen)
 {
   struct fit fit;
-  uint32_t draws = plane->entry->choice->draws;
   double best = 0;
   double usual_us;
 
   find_fit (plane, flow, false, &fit);
-  if (fit.count == 0 && !fit.busy)
+  if (fit.first.count == 0 && !fit.busy)
     find_fit (plane, flow, true, &fit);
-  if (fit.count == 0)
+  if (fit.first.count == 0)
     return fit.busy ? CHOICE_BUSY : CHOICE_NONE;
-  if (draws == 0 || draws > fit.count)
-    draws = fit.count;
-  usual_us = usual_service_us (plane, fit.rows, fit.count);
-  for (uint32_t i = 0; i < draws; i++)
+  usual_us = fit.known > 0 ? fit.service_us / fit.known : ASSUMED_SERVICE_US;
+  for (uint32_t i = 0; i < fit.first.count; i++)
     {
-      uint32_t at = i + galena_random_below (&plane->random, fit.count - i);
-      struct galena_handle drawn = fit.rows[at];
-      double cost = cost_of (plane, entry_upstream (plane, drawn), usual_us);
+      double cost = cost_of (plane, entry_upstream (plane, fit.first.rows[i]),
+                             usual_us);
 
-      fit.rows[at] = fit.rows[i];
-      fit.rows[i] = drawn;
       if (i == 0 || cost < best)
         {
           best = cost;
-          *chosen = drawn;
+          *chosen = fit.first.rows[i];
         }
     }
   return CHOICE_MADE;
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -19,6 +19,8 @@
   PARKED_MS = 1400
 };
 
+static const struct galena_handle NO_UPSTREAM = { 0, 0 };
+
 struct entry_flow *
 entry_flow (const struct galena_plane *plane, struct galena_handle handle)
 {
@@ -141,38 +143,37 @@
   memcpy (departure->kept, bytes, size);
 }
 
-/* Returns the try whose sequence numbers the caller acknowledges, or the last
-   one when none is known to have accepted.  */
+/* Returns the try whose sequence numbers the caller acknowledges, or the only
+   one when none is known to have accepted; NULL when that does not tell.  */
 static const struct flow_try *
 acknowledged_try (const struct entry_flow *flow, uint32_t acknowledged)
 {
-  const struct flow_try *best = NULL;
+  bool accepted = false;
 
   for (uint32_t i = 0; i < flow->try_count; i++)
     {
       const struct flow_try *at = &flow->tries[i];
 
-      if (at->accepted
-          && (best == NULL
-              || acknowledged - at->sequence < acknowledged - best->sequence))
-        best = at;
+      accepted |= at->accepted;
+      if (at->accepted && galena_packet_opens_at (acknowledged, at->sequence))
+        return at;
     }
-  if (best == NULL && flow->try_count > 0)
-    best = &flow->tries[flow->try_count - 1];
-  return best;
+  return accepted || flow->try_count != 1 ? NULL : &flow->tries[0];
 }
 
 /* The first packet after the opening one: the flow is open at the upstream
-   that it acknowledges.  */
-static void
+   that it acknowledges.  False when that is not known.  */
+static bool
 settle_opening (struct galena_plane *plane, struct entry_flow *flow,
                 const struct galena_packet *packet)
 {
   const struct flow_try *opened
       = acknowledged_try (flow, packet->acknowledged);
 
-  if (opened != NULL)
-    entry_flow_settle (plane, flow, opened->upstream);
+  if (opened == NULL)
+    return false;
+  entry_flow_settle (plane, flow, opened->upstream);
+  return true;
 }
 
 static void
@@ -203,12 +204,15 @@
     flow->acknowledged = packet->acknowledged;
   if ((packet->flags & (GALENA_PACKET_ENDS | GALENA_PACKET_RESETS)) != 0)
     flow->ended = true;
-  if (flow->state == FLOW_OPENING)
-    settle_opening (plane, flow, packet);
+  if (flow->state == FLOW_OPENING && !settle_opening (plane, flow, packet))
+    {
+      entry_seek (plane, handle, NO_UPSTREAM, packet->bytes, packet->size);
+      return;
+    }
   if (flow->state == FLOW_OPEN)
     send_to_owner (plane, handle, packet);
   else
-    entry_search_packet (plane, handle, packet->bytes, packet->size);
+    entry_park_packet (plane, packet);
 }
 
 /* Takes a packet of a flow that is not known here.  */
@@ -226,7 +230,7 @@
     return;
   flow->acknowledged = packet->acknowledged;
   flow->ended = (packet->flags & GALENA_PACKET_ENDS) != 0;
-  entry_seek (plane, handle, packet->bytes, packet->size);
+  entry_seek (plane, handle, NO_UPSTREAM, packet->bytes, packet->size);
 }
 
 static bool
@@ -243,9 +247,9 @@
   return galena_clock_reached (plane->now, plane->stale_until);
 }
 
-/* Keeps PACKET until a configuration is known and current.  */
-static void
-park_packet (struct galena_plane *plane, const struct galena_packet *packet)
+void
+entry_park_packet (struct galena_plane *plane,
+                   const struct galena_packet *packet)
 {
   struct galena_handle handle;
   struct parked_row *parked;
@@ -255,7 +259,7 @@
   parked = galena_table_insert (plane->entry->parked, &handle);
   if (parked == NULL)
     {
-      plane_count (plane, GALENA_PLANE_NO_CONFIG);
+      plane_count (plane, GALENA_PLANE_GIVEN_UP);
       return;
     }
   parked->since = plane->now;
@@ -264,28 +268,46 @@
   memcpy (parked->bytes, packet->bytes, packet->size);
 }
 
+/* Tells whether PACKET can be taken: it is known where it goes.  */
+static bool
+is_placeable (const struct galena_plane *plane,
+              const struct galena_packet *packet)
+{
+  struct galena_flow_key key = { packet->source, packet->destination };
+  struct galena_handle handle;
+  const struct entry_flow *flow;
+
+  if (!has_config (plane))
+    return false;
+  flow = entry_flow_find (plane, key, &handle);
+  if (flow != NULL && flow->state == FLOW_SOUGHT)
+    return false;
+  return is_current (plane) || flow != NULL || !galena_packet_is_open (packet);
+}
+
 void
 entry_run_parked (struct galena_plane *plane)
 {
-  const struct parked_row *parked;
+  struct parked_row *parked;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
   while ((parked = galena_table_next (plane->entry->parked, &cursor, &handle))
          != NULL)
     {
-      bool timely
-          = galena_clock_between (parked->since, plane->now) < PARKED_MS;
-
-      if (timely && !(has_config (plane) && is_current (plane)))
-        continue;
-      /* The bytes stay as they are until a packet is parked again, which no
-         packet is in this tick.  */
-      galena_table_remove (plane->entry->parked, handle);
-      if (timely)
-        entry_take_packet (plane, &parked->packet);
-      else
-        plane_count (plane, GALENA_PLANE_NO_CONFIG);
+      if (parked->taken)
+        galena_table_remove (plane->entry->parked, handle);
+      else if (galena_clock_between (parked->since, plane->now) >= PARKED_MS)
+        {
+          galena_table_remove (plane->entry->parked, handle);
+          plane_count (plane, GALENA_PLANE_GIVEN_UP);
+        }
+      else if (is_placeable (plane, &parked->packet))
+        {
+          /* The bytes are borrowed until the end of the tick.  */
+          parked->taken = true;
+          entry_take_packet (plane, &parked->packet);
+        }
     }
 }
 
@@ -322,13 +344,14 @@
     }
   if (!has_config (plane))
     {
-      park_packet (plane, packet);
+      entry_park_packet (plane, packet);
       return;
     }
   flow = entry_flow_find (plane, key, &handle);
-  if (flow == NULL && galena_packet_is_open (packet) && !is_current (plane))
+  if (galena_packet_is_open (packet)
+      && (flow == NULL ? !is_current (plane) : flow->state == FLOW_SOUGHT))
     {
-      park_packet (plane, packet);
+      entry_park_packet (plane, packet);
       return;
     }
   if (!has_route (plane, key, handle, packet))
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -99,6 +99,25 @@
   return true;
 }
 
+/* Tells whether an upstream of FLOW has accepted it.  */
+static bool
+is_accepted (const struct entry_flow *flow)
+{
+  for (uint32_t i = 0; i < flow->try_count; i++)
+    if (flow->tries[i].accepted)
+      return true;
+  return false;
+}
+
+/* Tells whether the upstream that HANDLE names still takes new flows.  */
+static bool
+takes_opens (const struct galena_plane *plane, struct galena_handle handle)
+{
+  const struct upstream_row *upstream = entry_upstream (plane, handle);
+
+  return upstream != NULL && entry_is_ready (upstream);
+}
+
 /* Sends the open of FLOW again to the upstream that it was sent to longest ago
    and that has not refused it; false when all have.  */
 static bool
@@ -114,7 +133,7 @@
     {
       const struct flow_try *try = &flow->tries[(last + i) % flow->try_count];
 
-      if (try->refused || entry_upstream (plane, try->upstream) == NULL)
+      if (try->refused || !takes_opens (plane, try->upstream))
         continue;
       flow->owner = try->upstream;
       send_open (plane, flow, flow->owner);
@@ -153,7 +172,8 @@
     {
       /* A copy: openings without a reply are tried elsewhere by the system,
          and this one's reply may be lost.  */
-      send_open (plane, flow, flow->owner);
+      if (is_accepted (flow) || takes_opens (plane, flow->owner))
+        send_open (plane, flow, flow->owner);
       return;
     }
   if (flow->state == FLOW_OPEN)
@@ -217,16 +237,6 @@
   plane_note (plane, note_of (plane, GALENA_EVENT_OPENED, flow, upstream));
 }
 
-/* Tells whether an upstream of FLOW has accepted it.  */
-static bool
-is_accepted (const struct entry_flow *flow)
-{
-  for (uint32_t i = 0; i < flow->try_count; i++)
-    if (flow->tries[i].accepted)
-      return true;
-  return false;
-}
-
 void
 entry_take_refused (struct galena_plane *plane, struct galena_endpoint peer,
                     const struct galena_peer_message *message)
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -1,5 +1,6 @@
-/* The search for a flow's owner: all agents that may own it are asked, and
-   each says whether its upstream holds the flow.  */
+/* The search for a flow's owner.  The upstreams that come first for the flow
+   are asked first, then further ones, wave by wave; each agent says whether
+   its upstream holds the flow.  */
 
 #include <string.h>
 
@@ -7,13 +8,17 @@
 
 enum
 {
-  /* Agents that have not replied are asked again after so long, then after
-     twice as long, up to the most.  */
+  /* Agents of a wave get so long to reply, then twice as long, up to the
+     most.  */
   PATIENCE_MIN_MS = 60,
   PATIENCE_MAX_MS = 480,
   /* Upstreams of other services are asked after so long: a route may have
      gone to another service while the flow stayed.  */
-  WIDEN_MS = 100
+  WIDEN_MS = 100,
+  /* Upstreams of the first wave: as many as a new flow is compared for, and
+     one; each further wave is so many times as large.  */
+  WAVE_MIN = 5,
+  WAVE_GROWTH = 4
 };
 
 static struct search_row *
@@ -31,15 +36,25 @@
 }
 
 static bool
-is_denied (const struct search_row *search, struct galena_handle upstream)
+has_bit (const uint64_t *bits, struct galena_handle upstream)
 {
-  return (search->denied[upstream.index / 64] >> (upstream.index % 64)) & 1;
+  return (bits[upstream.index / 64] >> (upstream.index % 64)) & 1;
 }
 
+static void
+set_bit (uint64_t *bits, struct galena_handle upstream)
+{
+  bits[upstream.index / 64] |= UINT64_C (1) << (upstream.index % 64);
+}
+
+/* Notes that UPSTREAM does not hold the flow.  */
 static void
 deny (struct search_row *search, struct galena_handle upstream)
 {
-  search->denied[upstream.index / 64] |= UINT64_C (1) << (upstream.index % 64);
+  if (!has_bit (search->denied, upstream) && has_bit (search->asked, upstream)
+      && search->awaited > 0)
+    search->awaited--;
+  set_bit (search->denied, upstream);
 }
 
 /* Tells whether SERVICE takes flows of the route at ADDRESS.  */
@@ -60,19 +75,19 @@
   return false;
 }
 
-/* Tells whether the upstream that HANDLE names is to be asked for FLOW.  */
+/* Tells whether the upstream that HANDLE names may hold FLOW.  */
 static bool
 may_own (const struct galena_plane *plane, const struct entry_flow *flow,
          const struct search_row *search, const struct upstream_row *upstream,
          struct galena_handle handle)
 {
-  if (is_denied (search, handle) || entry_is_gone (plane, upstream))
+  if (has_bit (search->denied, handle) || entry_is_gone (plane, upstream))
     return false;
   return search->wide
          || is_routed (plane, flow->key.service, entry_service_of (upstream));
 }
 
-/* Tells whether some upstream is still to be asked for FLOW.  */
+/* Tells whether some upstream may hold FLOW.  */
 static bool
 has_candidate (const struct galena_plane *plane, const struct entry_flow *flow,
                const struct search_row *search)
@@ -89,72 +104,87 @@
   return false;
 }
 
-/* Sends the kept packet to all that may own FLOW.  */
+/* Asks the upstream that HANDLE names.  */
+static void
+ask (struct galena_plane *plane, const struct entry_flow *flow,
+     struct search_row *search, struct galena_handle handle)
+{
+  set_bit (search->asked, handle);
+  search->awaited++;
+  plane_count (plane, GALENA_PLANE_FINDS);
+  entry_flow_send_copy (plane, flow, handle, GALENA_PEER_FIND, search->bytes,
+                        search->size);
+}
+
+/* Fills RANKING with upstreams that may hold FLOW and were not asked.  */
 static void
-ask_all (struct galena_plane *plane, const struct entry_flow *flow,
-         struct search_row *search)
+rank_unasked (const struct galena_plane *plane, const struct entry_flow *flow,
+              const struct search_row *search, struct ranking *ranking)
 {
   const struct upstream_row *upstream;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
-  search->asked = plane->now;
-  if (search->size == 0)
-    return;
   while ((upstream
           = galena_table_next (plane->entry->upstreams, &cursor, &handle))
          != NULL)
-    if (may_own (plane, flow, search, upstream, handle))
-      entry_flow_send_copy (plane, flow, handle, GALENA_PEER_FIND,
-                            search->bytes, search->size);
+    if (!has_bit (search->asked, handle)
+        && may_own (plane, flow, search, upstream, handle))
+      entry_rank_add (ranking, handle,
+                      entry_rank (plane, flow->key, upstream));
 }
 
-/* Ends the search with a reset when no upstream can own the flow.  */
-static bool
-end_without_owner (struct galena_plane *plane, struct galena_handle handle)
+/* Asks the upstreams of the next wave.  Returns how many.  */
+static uint32_t
+ask_wave (struct galena_plane *plane, const struct entry_flow *flow,
+          struct search_row *search)
 {
-  const struct entry_flow *flow = entry_flow (plane, handle);
-  struct search_row *search = search_of (plane, flow);
+  uint32_t asked = 0;
+  struct ranking ranking;
 
-  if (has_candidate (plane, flow, search))
-    return false;
-  if (!search->wide)
+  search->asked_at = plane->now;
+  do
     {
-      search->wide = true;
-      if (has_candidate (plane, flow, search))
-        {
-          ask_all (plane, flow, search);
-          return false;
-        }
+      ranking.limit = search->wave - asked < RANKING_MAX ? search->wave - asked
+                                                         : RANKING_MAX;
+      ranking.count = 0;
+      rank_unasked (plane, flow, search, &ranking);
+      for (uint32_t i = 0; i < ranking.count; i++)
+        ask (plane, flow, search, ranking.rows[i]);
+      asked += ranking.count;
     }
-  entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
-  return true;
+  while (asked < search->wave && ranking.count == ranking.limit);
+  if (search->wave < ENTRY_UPSTREAMS_MAX)
+    search->wave *= WAVE_GROWTH;
+  return asked;
 }
 
+/* Asks the next wave, or all of those anew that have not replied.  */
 static void
-keep_packet (struct search_row *search, const uint8_t *bytes, uint32_t size)
+ask_more (struct galena_plane *plane, const struct entry_flow *flow,
+          struct search_row *search)
 {
-  if (bytes == NULL || size > sizeof search->bytes)
+  if (ask_wave (plane, flow, search) > 0)
     return;
-  memcpy (search->bytes, bytes, size);
-  search->size = size;
+  memset (search->asked, 0, sizeof search->asked);
+  search->awaited = 0;
+  ask_wave (plane, flow, search);
 }
 
-void
-entry_search_packet (struct galena_plane *plane, struct galena_handle handle,
-                     const uint8_t *bytes, uint32_t size)
+/* Goes on with a search whose wave has ended: with a reset when no upstream
+   can hold the flow.  */
+static void
+advance (struct galena_plane *plane, struct galena_handle handle)
 {
   const struct entry_flow *flow = entry_flow (plane, handle);
   struct search_row *search = search_of (plane, flow);
 
-  if (search == NULL)
-    {
-      entry_seek (plane, handle, bytes, size);
-      return;
-    }
-  keep_packet (search, bytes, size);
-  if (!end_without_owner (plane, handle))
-    ask_all (plane, flow, search);
+  if (!has_candidate (plane, flow, search))
+    search->wide = true;
+  if (has_candidate (plane, flow, search))
+    ask_more (plane, flow, search);
+  else
+    entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
 }
 
 void
@@ -167,32 +197,30 @@
   while ((search = galena_table_next (plane->entry->searches, &cursor, &row))
          != NULL)
     {
-      const struct entry_flow *flow = entry_flow (plane, search->flow);
-
-      if (flow == NULL
-          || galena_clock_between (search->asked, plane->now)
+      if (entry_flow (plane, search->flow) == NULL
+          || galena_clock_between (search->asked_at, plane->now)
                  < search->patience_ms)
         continue;
       if (search->patience_ms < PATIENCE_MAX_MS)
         search->patience_ms *= 2;
       if (galena_clock_between (search->began, plane->now) >= WIDEN_MS)
         search->wide = true;
-      if (!end_without_owner (plane, search->flow))
-        ask_all (plane, flow, search);
+      advance (plane, search->flow);
     }
 }
 
 void
 entry_seek (struct galena_plane *plane, struct galena_handle handle,
-            const uint8_t *bytes, uint32_t size)
+            struct galena_handle denier, const uint8_t *bytes, uint32_t size)
 {
   struct entry_flow *flow = entry_flow (plane, handle);
-  struct search_row *search;
+  struct search_row *search = NULL;
 
   entry_opening_end (plane, flow);
   entry_search_end (plane, flow);
   flow->state = FLOW_SOUGHT;
-  search = galena_table_insert (plane->entry->searches, &flow->search);
+  if (size <= sizeof search->bytes)
+    search = galena_table_insert (plane->entry->searches, &flow->search);
   if (search == NULL)
     {
       plane_count (plane, GALENA_PLANE_TABLE_FULL);
@@ -202,6 +230,11 @@
   search->flow = handle;
   search->began = plane->now;
   search->patience_ms = PATIENCE_MIN_MS;
+  search->wave = WAVE_MIN;
+  search->size = size;
+  memcpy (search->bytes, bytes, size);
+  if (!galena_handle_is_none (denier))
+    deny (search, denier);
   plane_count (plane, GALENA_PLANE_SOUGHT);
   plane_note (plane,
               (struct galena_plane_note){
@@ -210,8 +243,7 @@
                   .version = plane->entry->version,
                   .age_ms = galena_clock_between (flow->began, plane->now),
                   .detail = galena_table_count (plane->entry->upstreams) });
-  if (bytes != NULL)
-    entry_search_packet (plane, handle, bytes, size);
+  advance (plane, handle);
 }
 
 void
@@ -237,6 +269,7 @@
                   .version = plane->entry->version,
                   .age_ms = galena_clock_between (flow->began, plane->now) });
   entry_flow_settle (plane, flow, at);
+  plane->hurry = true;
 }
 
 /* The presumed owner does not hold FLOW: another upstream that accepted it
@@ -247,7 +280,6 @@
              uint32_t size)
 {
   struct entry_flow *flow = entry_flow (plane, handle);
-  struct search_row *search;
 
   for (uint32_t i = 0; i < flow->try_count; i++)
     {
@@ -265,13 +297,7 @@
                          size);
         return;
       }
-  entry_seek (plane, handle, NULL, 0);
-  flow = entry_flow (plane, handle);
-  if (flow == NULL)
-    return;
-  search = search_of (plane, flow);
-  deny (search, disowner);
-  entry_search_packet (plane, handle, bytes, size);
+  entry_seek (plane, handle, disowner, bytes, size);
 }
 
 void
@@ -297,7 +323,8 @@
   if (flow->state != FLOW_SOUGHT || search == NULL)
     return;
   deny (search, at);
-  end_without_owner (plane, handle);
+  if (search->awaited == 0)
+    advance (plane, handle);
 }
 
 void
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -103,19 +103,27 @@
   struct galena_clock began;
   /* Whether upstreams of all services are asked.  */
   bool wide;
-  /* Bit of each upstream that does not hold the flow, by its row.  */
+  /* Bits of upstreams by their rows: those that do not hold the flow, and
+     those that were asked in this round.  */
   uint64_t denied[SEARCH_WORDS];
-  /* When the upstreams were last asked, and how long to wait for them.  */
-  struct galena_clock asked;
+  uint64_t asked[SEARCH_WORDS];
+  /* Upstreams that the next wave of the round asks at most.  */
+  uint32_t wave;
+  /* Upstreams that were asked and have not replied.  */
+  uint32_t awaited;
+  /* When upstreams were last asked, and how long to wait for them.  */
+  struct galena_clock asked_at;
   uint32_t patience_ms;
   /* The newest packet, to ask with again.  */
   uint32_t size;
   uint8_t bytes[GALENA_KEPT_BYTES];
 };
 
-/* A packet that came before any configuration was known.  */
+/* A packet that waits for a configuration, or for its flow's owner.  */
 struct parked_row
 {
+  /* Whether it was taken; the row goes with the next tick.  */
+  bool taken;
   struct galena_clock since;
   struct galena_packet packet;
   uint8_t bytes[GALENA_KEPT_BYTES];
@@ -129,7 +137,7 @@
      wins.  USUAL_US is the service time where none was told.  */
   double (*cost) (const struct galena_plane *plane,
                   const struct upstream_row *upstream, double usual_us);
-  /* Upstreams drawn at random for each flow; 0 compares all.  */
+  /* Upstreams compared for each flow: those that come first for it.  */
   uint32_t draws;
 };
 
@@ -164,6 +172,9 @@
    the published one.  */
 galena_service_key entry_service_of (const struct upstream_row *upstream);
 
+/* Tells whether UPSTREAM takes new flows.  */
+bool entry_is_ready (const struct upstream_row *upstream);
+
 /* Tells whether UPSTREAM is certain to hold no flow any more.  */
 bool entry_is_gone (const struct galena_plane *plane,
                     const struct upstream_row *upstream);
@@ -189,6 +200,25 @@
 
 /* entry_choice.c */
 
+enum
+{
+  RANKING_MAX = 16
+};
+
+/* The upstreams of the highest ranks, in their order.  */
+struct ranking
+{
+  /* Most of them, up to RANKING_MAX.  */
+  uint32_t limit;
+  uint32_t count;
+  struct galena_handle rows[RANKING_MAX];
+  uint64_t ranks[RANKING_MAX];
+};
+
+/* Adds the upstream that HANDLE names, if its rank is high enough.  */
+void entry_rank_add (struct ranking *ranking, struct galena_handle handle,
+                     uint64_t rank);
+
 /* Returns the policy with NAME, the default for NULL; NULL when unknown.  */
 const struct choice_policy *entry_choice_named (const char *name);
 
@@ -205,6 +235,13 @@
                                   const struct entry_flow *flow,
                                   struct galena_handle *chosen);
 
+/* Returns how early UPSTREAM comes among those that may take or hold flow KEY:
+   the greatest value first.  It is the same at all entries of a zone, so that
+   a flow's owner is found where it was placed.  */
+uint64_t entry_rank (const struct galena_plane *plane,
+                     struct galena_flow_key key,
+                     const struct upstream_row *upstream);
+
 /* Returns the service that takes new flow KEY on ROUTE.  */
 galena_service_key entry_share_of (const struct galena_route *route,
                                    struct galena_flow_key key);
@@ -240,7 +277,11 @@
                            enum galena_peer_type type, const uint8_t *bytes,
                            uint32_t size);
 
-/* System: takes the packets that were kept until a configuration came.  */
+/* Keeps PACKET until a configuration or its flow's owner is known.  */
+void entry_park_packet (struct galena_plane *plane,
+                        const struct galena_packet *packet);
+
+/* System: takes the packets whose wait has ended.  */
 void entry_run_parked (struct galena_plane *plane);
 
 /* Handler of packets from callers.  */
@@ -273,15 +314,11 @@
 
 /* entry_search.c */
 
-/* Begins to look for the owner of FLOW, for a packet of SIZE BYTES.  */
+/* Begins to look for the owner of FLOW with the packet of SIZE BYTES; the
+   upstream that DENIER names, if any, does not hold it.  */
 void entry_seek (struct galena_plane *plane, struct galena_handle handle,
-                 const uint8_t *bytes, uint32_t size);
-
-/* Sends a packet to all upstreams that may own FLOW, or ends the search with
-   a reset when none can.  */
-void entry_search_packet (struct galena_plane *plane,
-                          struct galena_handle handle, const uint8_t *bytes,
-                          uint32_t size);
+                 struct galena_handle denier, const uint8_t *bytes,
+                 uint32_t size);
 
 /* System: asks again those that have not replied.  */
 void entry_run_searches (struct galena_plane *plane);
--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -47,6 +47,12 @@
   return upstream->listed_service;
 }
 
+bool
+entry_is_ready (const struct upstream_row *upstream)
+{
+  return upstream->listing == GALENA_LISTING_READY && !upstream->load.leaving;
+}
+
 bool
 entry_is_gone (const struct galena_plane *plane,
                const struct upstream_row *upstream)
@@ -245,6 +251,8 @@
   struct galena_peer_message hello = { .type = GALENA_PEER_HELLO };
 
   hello.slots = upstream->slots;
+  hello.listing = upstream->listing;
+  hello.born_ms = upstream->born_ms;
   plane_send_message (plane, upstream->agent, &hello);
 }
 
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -376,6 +376,7 @@
   plane->departure_count = 0;
   plane->note_count = 0;
   plane->directory = directory;
+  plane->hurry = false;
   move_clock (plane, now);
   plane_count (plane, GALENA_PLANE_TICKS);
   for (uint32_t i = 0; i < plane->role->system_count; i++)
@@ -422,6 +423,8 @@
 {
   struct galena_clock first = { INT64_MAX };
 
+  if (plane->hurry)
+    return plane->now;
   for (uint32_t i = 0; i < plane->role->system_count; i++)
     if (plane->role->systems[i].period_ms != 0 && plane->due[i].ms < first.ms)
       first = plane->due[i];
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -78,6 +78,8 @@
   uint64_t counters[GALENA_PLANE_COUNTER_COUNT];
   struct galena_histogram histograms[GALENA_PLANE_HISTOGRAM_COUNT];
   bool draining;
+  /* Whether the next tick is due at once.  */
+  bool hurry;
   /* What is published may have changed unseen during a pause; until then, or
      until the front end says that it has caught up.  */
   struct galena_clock stale_until;
--- a/packages/runtime/include/galenaford/log.h
+++ b/packages/runtime/include/galenaford/log.h
@@ -5,6 +5,7 @@
 #ifndef GALENAFORD_LOG_H
 #define GALENAFORD_LOG_H
 
+#include <stdbool.h>
 #include <syslog.h>
 
 /* Writes one line: "<severity>event=EVENT process=NAME ...".  FORMAT gives
@@ -13,6 +14,14 @@
 void galena_log (int severity, const char *event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
+/* Tells whether a line of EVENT may be written now, and counts it as written
+   or left out; for callers to whom the pairs cost much.  */
+bool galena_log_admits (const char *event);
+
+/* Writes a line that galena_log_admits has let through.  */
+void galena_log_admitted (int severity, const char *event, const char *format,
+                          ...) __attribute__ ((format (printf, 3, 4)));
+
 /* Writes how many lines were left out of windows that have ended.  */
 void galena_log_flush (void);
 
--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -112,21 +112,43 @@
                  ended.left_out);
 }
 
+bool
+galena_log_admits (const char *event)
+{
+  struct galena_clock now = galena_monotonic_now ();
+  bool admitted;
+
+  pthread_mutex_lock (&limit_lock);
+  write_left_out (now);
+  admitted = galena_log_limit_take (&limit, event, now);
+  pthread_mutex_unlock (&limit_lock);
+  return admitted;
+}
+
+void
+galena_log_admitted (int severity, const char *event, const char *format, ...)
+{
+  va_list arguments;
+
+  va_start (arguments, format);
+  pthread_mutex_lock (&limit_lock);
+  write_line (severity, event, format, arguments);
+  pthread_mutex_unlock (&limit_lock);
+  va_end (arguments);
+}
+
 void
 galena_log (int severity, const char *event, const char *format, ...)
 {
-  struct galena_clock now = galena_monotonic_now ();
   va_list arguments;
 
+  if (!galena_log_admits (event))
+    return;
+  va_start (arguments, format);
   pthread_mutex_lock (&limit_lock);
-  write_left_out (now);
-  if (galena_log_limit_take (&limit, event, now))
-    {
-      va_start (arguments, format);
-      write_line (severity, event, format, arguments);
-      va_end (arguments);
-    }
+  write_line (severity, event, format, arguments);
   pthread_mutex_unlock (&limit_lock);
+  va_end (arguments);
 }
 
 void
--- a/packages/wire/include/galenaford/peer_wire.h
+++ b/packages/wire/include/galenaford/peer_wire.h
@@ -11,7 +11,7 @@
 enum
 {
   /* Schema version of the messages.  */
-  GALENA_PEER_SCHEMA = 1,
+  GALENA_PEER_SCHEMA = 2,
   /* Most bytes of one message without its packet.  */
   GALENA_PEER_HEAD_MAX = 128
 };
--- /dev/null
+++ b/test/unit/test_agent.c
@@ -0,0 +1,355 @@
+/* An agent's plane by itself, between one entry and its upstream.  */
+
+#include <glib.h>
+
+#include <galenaford/plane.h>
+
+enum
+{
+  STEPS_MAX = 16,
+  HEAD_BYTES = 32,
+  ENTRY_IP = 0x0A010001,
+  AGENT_IP = 0x0A020001,
+  CALLER_IP = 0x64400001,
+  ROUTE_IP = 0xC6120001,
+  PORT = 443,
+  PEER_PORT = 7000
+};
+
+enum step_kind
+{
+  END,
+  /* The entry passes on the flow's opening packet, a packet of the open flow,
+     or one of a flow whose owner it looks for; VALUE is acknowledged.  */
+  OPEN,
+  FORWARD,
+  FIND,
+  /* The upstream accepts the flow with first sequence number VALUE, sends
+     data or a reset on it, or returns what it was given last.  */
+  ACCEPT,
+  ANSWER,
+  RESET,
+  RETURN,
+  /* The entry says that the life of the upstream that began at VALUE is ready
+     or draining.  */
+  HELLO_READY,
+  HELLO_DRAINING,
+  /* What was sent since the last step of its kind: packets to the upstream
+     and to the caller, and replies of the type VALUE to the entry.  */
+  EXPECT_TO_UPSTREAM,
+  EXPECT_TO_CALLER,
+  EXPECT_REPLY,
+  EXPECT_NO_REPLY,
+  /* Bytes of the packet in the last reply.  */
+  EXPECT_BYTES
+};
+
+struct step
+{
+  int64_t at_ms;
+  enum step_kind kind;
+  uint32_t value;
+};
+
+struct agent_case
+{
+  const char *name;
+  /* Whether the agent knows that no flow is older than itself.  */
+  bool first_start;
+  struct step steps[STEPS_MAX];
+};
+
+static const struct agent_case CASES[] = {
+  { "/agent/open",
+    true,
+    { { 10, OPEN, 0 },
+      { 10, EXPECT_TO_UPSTREAM, 1 },
+      { 11, ACCEPT, 1000 },
+      { 11, EXPECT_REPLY, GALENA_PEER_OPENED },
+      { 20, FORWARD, 1001 },
+      { 20, EXPECT_TO_UPSTREAM, 1 },
+      { 30, ANSWER, 0 },
+      { 30, EXPECT_TO_CALLER, 2 } } },
+  /* Two upstreams accepted a flow; its caller opened it at the other one.  */
+  { "/agent/opened-elsewhere",
+    true,
+    { { 10, OPEN, 0 },
+      { 11, ACCEPT, 1000 },
+      { 11, EXPECT_TO_UPSTREAM, 1 },
+      { 11, EXPECT_REPLY, GALENA_PEER_OPENED },
+      { 11, EXPECT_TO_CALLER, 1 },
+      { 20, FORWARD, 9000000 },
+      { 20, EXPECT_TO_UPSTREAM, 0 },
+      { 20, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 20, EXPECT_BYTES, HEAD_BYTES },
+      { 30, FIND, 9000000 },
+      { 30, EXPECT_TO_UPSTREAM, 0 },
+      { 30, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 30, EXPECT_BYTES, 0 },
+      { 40, RESET, 0 },
+      { 40, EXPECT_TO_CALLER, 0 } } },
+  { "/agent/reset-of-open-flow",
+    true,
+    { { 10, OPEN, 0 },
+      { 11, ACCEPT, 1000 },
+      { 20, FORWARD, 1001 },
+      { 30, RESET, 0 },
+      { 30, EXPECT_TO_CALLER, 2 } } },
+  { "/agent/found-after-restart",
+    false,
+    { { 10, FIND, 5 },
+      { 10, EXPECT_TO_UPSTREAM, 1 },
+      { 10, EXPECT_NO_REPLY, 0 },
+      { 12, ANSWER, 0 },
+      { 12, EXPECT_REPLY, GALENA_PEER_OWNED } } },
+  { "/agent/not-found-after-restart",
+    false,
+    { { 10, FIND, 5 },
+      { 12, RETURN, 0 },
+      { 12, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 12, EXPECT_BYTES, 0 } } },
+  { "/agent/forward-not-held",
+    false,
+    { { 10, FORWARD, 5 },
+      { 12, RETURN, 0 },
+      { 12, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 12, EXPECT_BYTES, HEAD_BYTES } } },
+  { "/agent/not-found-at-first-start",
+    true,
+    { { 10, FIND, 5 },
+      { 10, EXPECT_TO_UPSTREAM, 0 },
+      { 10, EXPECT_REPLY, GALENA_PEER_DISOWNED } } },
+  /* What one entry knows of the upstream holds for opens of all.  */
+  { "/agent/draining",
+    true,
+    { { 10, HELLO_DRAINING, 100 },
+      { 20, OPEN, 0 },
+      { 20, EXPECT_TO_UPSTREAM, 0 },
+      { 20, EXPECT_REPLY, GALENA_PEER_REFUSED },
+      { 2000, HELLO_READY, 99 },
+      { 2010, OPEN, 0 },
+      { 2010, EXPECT_TO_UPSTREAM, 0 } } },
+  { "/agent/new-life-after-draining",
+    true,
+    { { 10, HELLO_DRAINING, 100 },
+      { 20, HELLO_READY, 200 },
+      { 30, OPEN, 0 },
+      { 30, EXPECT_TO_UPSTREAM, 1 },
+      { 40, HELLO_DRAINING, 100 },
+      { 50, OPEN, 0 },
+      { 50, EXPECT_TO_UPSTREAM, 1 } } },
+  { "/agent/draining-unconfirmed",
+    true,
+    { { 10, HELLO_DRAINING, 100 },
+      { 4000, OPEN, 0 },
+      { 4000, EXPECT_TO_UPSTREAM, 1 } } },
+};
+
+struct run
+{
+  struct galena_plane *plane;
+  struct galena_clock now;
+  uint8_t bytes[HEAD_BYTES];
+  struct galena_packet given;
+  uint32_t to_upstream;
+  uint32_t to_caller;
+  uint32_t replies;
+  struct galena_peer_message reply;
+};
+
+static const struct galena_flow_key FLOW
+    = { { CALLER_IP, 40001 }, { ROUTE_IP, PORT } };
+
+static void
+tick (struct run *run)
+{
+  galena_plane_tick (run->plane, run->now, NULL);
+  for (uint32_t i = 0; i < galena_plane_departure_count (run->plane); i++)
+    {
+      const struct galena_departure *departure
+          = galena_plane_departure (run->plane, i);
+
+      if (departure->kind == GALENA_DEPARTURE_PACKET)
+        {
+          run->to_upstream += departure->link == GALENA_LINK_APPLICATION;
+          run->to_caller += departure->link == GALENA_LINK_CALLER;
+        }
+      else if (departure->message.type != GALENA_PEER_LOAD
+               && departure->message.type != GALENA_PEER_HELLO)
+        {
+          run->replies++;
+          run->reply = departure->message;
+        }
+    }
+}
+
+static void
+run_message (struct run *run, const struct step *step)
+{
+  static const enum galena_peer_type TYPES[] = {
+    [OPEN] = GALENA_PEER_OPEN,
+    [FORWARD] = GALENA_PEER_FORWARD,
+    [FIND] = GALENA_PEER_FIND,
+  };
+  struct galena_arrival *arrival = galena_plane_arrival (run->plane);
+
+  run->given = (struct galena_packet){
+    .source = FLOW.caller,
+    .destination = FLOW.service,
+    .acknowledged = step->value,
+    .flags
+    = step->kind == OPEN ? GALENA_PACKET_OPENS : GALENA_PACKET_ACKNOWLEDGES,
+    .bytes = run->bytes,
+    .size = HEAD_BYTES,
+  };
+  arrival->link = GALENA_LINK_PEER;
+  arrival->peer = (struct galena_endpoint){ ENTRY_IP, PEER_PORT };
+  arrival->message = (struct galena_peer_message){
+    .type = TYPES[step->kind],
+    .role = GALENA_ROLE_ENTRY,
+    .flow = FLOW,
+    .service = galena_service_key_of ("first"),
+    .bytes = run->bytes,
+    .size = HEAD_BYTES,
+    .packet = run->given,
+  };
+  galena_plane_push (run->plane);
+  tick (run);
+}
+
+static void
+run_packet (struct run *run, const struct step *step)
+{
+  static const uint8_t FLAGS[] = {
+    [ACCEPT] = GALENA_PACKET_OPENS | GALENA_PACKET_ACKNOWLEDGES,
+    [ANSWER] = GALENA_PACKET_ACKNOWLEDGES,
+    [RESET] = GALENA_PACKET_RESETS,
+  };
+  struct galena_arrival *arrival = galena_plane_arrival (run->plane);
+
+  arrival->link = GALENA_LINK_APPLICATION;
+  if (step->kind == RETURN)
+    {
+      arrival->packet = run->given;
+      arrival->packet.flags |= GALENA_PACKET_RETURNED;
+    }
+  else
+    arrival->packet = (struct galena_packet){
+      .source = FLOW.service,
+      .destination = FLOW.caller,
+      .sequence = step->value,
+      .flags = FLAGS[step->kind],
+      .bytes = run->bytes,
+      .size = HEAD_BYTES,
+    };
+  galena_plane_push (run->plane);
+  tick (run);
+}
+
+static void
+run_hello (struct run *run, const struct step *step)
+{
+  struct galena_arrival *arrival = galena_plane_arrival (run->plane);
+
+  arrival->link = GALENA_LINK_PEER;
+  arrival->peer = (struct galena_endpoint){ ENTRY_IP, PEER_PORT };
+  arrival->message = (struct galena_peer_message){
+    .type = GALENA_PEER_HELLO,
+    .role = GALENA_ROLE_ENTRY,
+    .slots = 3,
+    .listing = step->kind == HELLO_READY ? GALENA_LISTING_READY
+                                         : GALENA_LISTING_DRAINING,
+    .born_ms = step->value,
+  };
+  galena_plane_push (run->plane);
+  tick (run);
+}
+
+static void
+expect_count (uint32_t *count, uint32_t expected)
+{
+  g_assert_cmpuint (*count, ==, expected);
+  *count = 0;
+}
+
+static void
+expect_to_upstream (struct run *run, const struct step *step)
+{
+  expect_count (&run->to_upstream, step->value);
+}
+
+static void
+expect_to_caller (struct run *run, const struct step *step)
+{
+  expect_count (&run->to_caller, step->value);
+}
+
+static void
+expect_reply (struct run *run, const struct step *step)
+{
+  g_assert_cmpint (run->reply.type, ==, step->value);
+  expect_count (&run->replies, 1);
+}
+
+static void
+expect_no_reply (struct run *run, const struct step *step)
+{
+  (void)step;
+  expect_count (&run->replies, 0);
+}
+
+static void
+expect_bytes (struct run *run, const struct step *step)
+{
+  g_assert_cmpuint (run->reply.size, ==, step->value);
+}
+
+static void (*const RUNNERS[]) (struct run *run, const struct step *step) = {
+  [OPEN] = run_message,
+  [FORWARD] = run_message,
+  [FIND] = run_message,
+  [ACCEPT] = run_packet,
+  [ANSWER] = run_packet,
+  [RESET] = run_packet,
+  [RETURN] = run_packet,
+  [HELLO_READY] = run_hello,
+  [HELLO_DRAINING] = run_hello,
+  [EXPECT_TO_UPSTREAM] = expect_to_upstream,
+  [EXPECT_TO_CALLER] = expect_to_caller,
+  [EXPECT_REPLY] = expect_reply,
+  [EXPECT_NO_REPLY] = expect_no_reply,
+  [EXPECT_BYTES] = expect_bytes,
+};
+
+static void
+run_agent_case (gconstpointer data)
+{
+  const struct agent_case *test = data;
+  struct galena_plane_options options
+      = { .role = GALENA_ROLE_AGENT,
+          .seed = 1,
+          .self = { AGENT_IP, PEER_PORT },
+          .flows = 64,
+          .messages = 64,
+          .flow_idle_ms = 60000,
+          .service = galena_service_key_of ("first"),
+          .first_start = test->first_start };
+  struct run run = { 0 };
+
+  g_assert_cmpint (galena_plane_create (&options, &run.plane), ==, GALENA_OK);
+  for (const struct step *step = test->steps; step->kind != END; step++)
+    {
+      run.now.ms = step->at_ms;
+      RUNNERS[step->kind](&run, step);
+    }
+  galena_plane_destroy (run.plane);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
+    g_test_add_data_func (CASES[i].name, &CASES[i], run_agent_case);
+  return g_test_run ();
+}
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -1,5 +1,5 @@
-/* An entry's plane by itself: what one packet makes it send, before and after
-   a pause.  */
+/* An entry's plane by itself: what a packet makes it send, also after a pause
+   and while the owner of a flow is looked for.  */
 
 #include <string.h>
 
@@ -9,7 +9,8 @@
 
 enum
 {
-  STEPS_MAX = 12,
+  STEPS_MAX = 16,
+  UPSTREAMS_MAX = 32,
   HEAD_BYTES = 32,
   ENTRY_IP = 0x0A010001,
   AGENT_IP = 0x0A020001,
@@ -26,18 +27,26 @@
   OPEN,
   /* As OPEN, of another flow.  */
   OPEN_OTHER,
-  /* A packet of the flow that OPEN opened.  */
+  /* A packet of the flow that OPEN opened, which acknowledges VALUE.  */
   DATA,
-  /* The agent accepted the flow that OPEN opened.  */
+  /* The agent that was sent that flow's open last accepted it, with the first
+     sequence number VALUE.  */
   ACCEPTED,
-  /* The agent refused it.  */
+  /* It refused it.  */
   REFUSED,
+  /* Of those that were asked last, all do not hold the flow, or the first
+     does.  */
+  DISOWNED,
+  OWNED,
+  /* All upstreams are published as draining.  */
+  DRAIN,
   /* The front end has caught up with what was published.  */
   RENEWED,
-  /* One more tick, then: opens, packets of open flows, and resets sent since
-     the last such step.  */
+  /* One more tick, then: opens, packets of open flows, searches and resets
+     sent since the last such step.  */
   EXPECT_OPENS,
   EXPECT_FORWARDS,
+  EXPECT_FINDS,
   EXPECT_RESETS
 };
 
@@ -51,13 +60,15 @@
 struct entry_case
 {
   const char *name;
+  uint32_t upstreams;
   struct step steps[STEPS_MAX];
 };
 
 static const struct entry_case CASES[] = {
-  { "/entry/open", { { 10, OPEN, HEAD_BYTES }, { 10, EXPECT_OPENS, 1 } } },
+  { "/entry/open", 1, { { 10, OPEN, HEAD_BYTES }, { 10, EXPECT_OPENS, 1 } } },
   /* Too long to be kept: the caller's copies are the further tries.  */
   { "/entry/long-open",
+    1,
     { { 10, OPEN, 200 },
       { 10, EXPECT_OPENS, 1 },
       { 210, OPEN, 200 },
@@ -67,6 +78,7 @@
       { 230, EXPECT_FORWARDS, 1 },
       { 230, EXPECT_RESETS, 0 } } },
   { "/entry/long-open-refused",
+    1,
     { { 10, OPEN, 200 },
       { 10, EXPECT_OPENS, 1 },
       { 20, REFUSED, 0 },
@@ -74,6 +86,7 @@
   /* After a pause flows go on, and new ones wait for what was published
      meanwhile.  */
   { "/entry/pause-renewed",
+    1,
     { { 10, OPEN, HEAD_BYTES },
       { 20, ACCEPTED, 0 },
       { 20, EXPECT_OPENS, 1 },
@@ -86,12 +99,69 @@
       { 4010, RENEWED, 0 },
       { 4011, EXPECT_OPENS, 1 } } },
   { "/entry/pause-not-renewed",
+    1,
     { { 10, OPEN, HEAD_BYTES },
       { 20, ACCEPTED, 0 },
       { 20, EXPECT_OPENS, 1 },
       { 4000, OPEN_OTHER, HEAD_BYTES },
       { 4300, EXPECT_OPENS, 0 },
       { 4401, EXPECT_OPENS, 1 } } },
+  /* The reply of the upstream where the flow was opened did not come, that of
+     another one did.  */
+  { "/entry/opened-elsewhere",
+    2,
+    { { 10, OPEN, HEAD_BYTES },
+      { 20, ACCEPTED, 1000 },
+      { 30, DATA, 900000 },
+      { 30, EXPECT_FORWARDS, 0 },
+      { 30, EXPECT_FINDS, 2 } } },
+  { "/entry/opened-here",
+    2,
+    { { 10, OPEN, HEAD_BYTES },
+      { 20, ACCEPTED, UINT32_MAX - 1 },
+      { 30, DATA, 4000 },
+      { 30, EXPECT_FORWARDS, 1 },
+      { 30, EXPECT_FINDS, 0 } } },
+  /* A few are asked at a time, for all packets of the flow together.  */
+  { "/entry/search-waves",
+    32,
+    { { 10, DATA, 7 },
+      { 10, EXPECT_FINDS, 5 },
+      { 11, DATA, 7 },
+      { 12, DATA, 7 },
+      { 12, EXPECT_FINDS, 0 },
+      { 13, DISOWNED, 0 },
+      { 13, EXPECT_FINDS, 20 },
+      { 14, DISOWNED, 0 },
+      { 14, EXPECT_FINDS, 7 },
+      { 15, OWNED, 0 },
+      { 16, EXPECT_FORWARDS, 2 },
+      { 16, EXPECT_RESETS, 0 } } },
+  { "/entry/search-ends",
+    6,
+    { { 10, DATA, 7 },
+      { 10, EXPECT_FINDS, 5 },
+      { 13, DISOWNED, 0 },
+      { 13, EXPECT_FINDS, 1 },
+      { 13, EXPECT_RESETS, 0 },
+      { 14, DISOWNED, 0 },
+      { 14, EXPECT_RESETS, 1 } } },
+  { "/entry/search-silent",
+    6,
+    { { 10, DATA, 7 },
+      { 10, EXPECT_FINDS, 5 },
+      { 80, EXPECT_FINDS, 1 },
+      { 210, EXPECT_FINDS, 6 },
+      { 210, EXPECT_RESETS, 0 } } },
+  /* An open is not sent again to an upstream that leaves.  */
+  { "/entry/leaves-while-silent",
+    1,
+    { { 10, OPEN, HEAD_BYTES },
+      { 10, EXPECT_OPENS, 1 },
+      { 20, DRAIN, 0 },
+      { 80, EXPECT_OPENS, 0 },
+      { 210, OPEN, HEAD_BYTES },
+      { 500, EXPECT_OPENS, 0 } } },
 };
 
 struct run
@@ -100,11 +170,33 @@
   struct galena_directory *directory;
   struct galena_clock now;
   uint8_t bytes[GALENA_KEPT_BYTES];
+  uint32_t upstreams;
+  /* Agent that was sent an open last, and those that were asked last.  */
+  struct galena_endpoint opened;
+  uint32_t asked_count;
+  struct galena_endpoint asked[UPSTREAMS_MAX];
   uint32_t opens;
   uint32_t forwards;
+  uint32_t finds;
   uint32_t resets;
 };
 
+static void
+note_message (struct run *run, const struct galena_departure *departure)
+{
+  if (departure->message.type == GALENA_PEER_OPEN)
+    {
+      run->opens++;
+      run->opened = departure->peer;
+    }
+  if (departure->message.type == GALENA_PEER_FORWARD)
+    run->forwards++;
+  if (departure->message.type != GALENA_PEER_FIND)
+    return;
+  run->finds++;
+  run->asked[run->asked_count++ % UPSTREAMS_MAX] = departure->peer;
+}
+
 static void
 tick (struct run *run)
 {
@@ -115,10 +207,8 @@
           = galena_plane_departure (run->plane, i);
 
       run->resets += departure->kind == GALENA_DEPARTURE_RESET;
-      if (departure->kind != GALENA_DEPARTURE_MESSAGE)
-        continue;
-      run->opens += departure->message.type == GALENA_PEER_OPEN;
-      run->forwards += departure->message.type == GALENA_PEER_FORWARD;
+      if (departure->kind == GALENA_DEPARTURE_MESSAGE)
+        note_message (run, departure);
     }
 }
 
@@ -141,6 +231,7 @@
     .destination = key.service,
     .flags
     = step->kind == DATA ? GALENA_PACKET_ACKNOWLEDGES : GALENA_PACKET_OPENS,
+    .acknowledged = step->kind == DATA ? step->value : 0,
     .bytes = run->bytes,
     .size = step->kind == DATA ? HEAD_BYTES : step->value,
   };
@@ -148,21 +239,61 @@
   tick (run);
 }
 
+/* Has the agent at PEER send MESSAGE.  */
 static void
-run_reply (struct run *run, const struct step *step)
+arrive (struct run *run, struct galena_endpoint peer,
+        struct galena_peer_message message)
 {
   struct galena_arrival *arrival = galena_plane_arrival (run->plane);
 
   arrival->link = GALENA_LINK_PEER;
-  arrival->peer = (struct galena_endpoint){ AGENT_IP, PEER_PORT };
-  arrival->message = (struct galena_peer_message){
-    .type = step->kind == ACCEPTED ? GALENA_PEER_OPENED : GALENA_PEER_REFUSED,
-    .role = GALENA_ROLE_AGENT,
-    .flow = key_of (OPEN),
-    .service = galena_service_key_of ("first"),
-    .result = step->kind == ACCEPTED ? GALENA_OK : GALENA_REFUSED_BY_UPSTREAM,
-  };
+  arrival->peer = peer;
+  arrival->message = message;
+  arrival->message.role = GALENA_ROLE_AGENT;
+  arrival->message.flow = key_of (OPEN);
+  arrival->message.service = galena_service_key_of ("first");
   galena_plane_push (run->plane);
+}
+
+static void
+run_accepted (struct run *run, const struct step *step)
+{
+  arrive (run, run->opened,
+          (struct galena_peer_message){ .type = GALENA_PEER_OPENED,
+                                        .sequence = step->value });
+  tick (run);
+}
+
+static void
+run_refused (struct run *run, const struct step *step)
+{
+  (void)step;
+  arrive (
+      run, run->opened,
+      (struct galena_peer_message){ .type = GALENA_PEER_REFUSED,
+                                    .result = GALENA_REFUSED_BY_UPSTREAM });
+  tick (run);
+}
+
+static void
+run_disowned (struct run *run, const struct step *step)
+{
+  uint32_t count = run->asked_count;
+
+  (void)step;
+  run->asked_count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    arrive (run, run->asked[i],
+            (struct galena_peer_message){ .type = GALENA_PEER_DISOWNED });
+  tick (run);
+}
+
+static void
+run_owned (struct run *run, const struct step *step)
+{
+  (void)step;
+  arrive (run, run->asked[0],
+          (struct galena_peer_message){ .type = GALENA_PEER_OWNED });
   tick (run);
 }
 
@@ -193,48 +324,68 @@
   expect (run, &run->forwards, step->value);
 }
 
+static void
+expect_finds (struct run *run, const struct step *step)
+{
+  expect (run, &run->finds, step->value);
+}
+
 static void
 expect_resets (struct run *run, const struct step *step)
 {
   expect (run, &run->resets, step->value);
 }
 
-static void (*const RUNNERS[]) (struct run *run, const struct step *step) = {
-  [OPEN] = run_packet,
-  [OPEN_OTHER] = run_packet,
-  [DATA] = run_packet,
-  [ACCEPTED] = run_reply,
-  [REFUSED] = run_reply,
-  [RENEWED] = run_renewed,
-  [EXPECT_OPENS] = expect_opens,
-  [EXPECT_FORWARDS] = expect_forwards,
-  [EXPECT_RESETS] = expect_resets,
-};
-
 static struct galena_directory *
-make_directory (void)
+make_directory (uint32_t count, enum galena_listing state)
 {
   galena_service_key service = galena_service_key_of ("first");
   struct galena_route route = { .address = { ROUTE_IP, PORT },
                                 .share_count = 1,
                                 .shares = { { service, 1 } } };
-  struct galena_listed_upstream upstream = { .id = "u-1",
-                                             .service = service,
-                                             .address = { AGENT_IP, 8080 },
-                                             .state = GALENA_LISTING_READY,
-                                             .slots = 3 };
+  struct galena_listed_upstream upstreams[UPSTREAMS_MAX] = { 0 };
   struct galena_directory_options options = { .version = 1,
                                               .routes = &route,
                                               .route_count = 1,
-                                              .upstreams = &upstream,
-                                              .upstream_count = 1 };
+                                              .upstreams = upstreams,
+                                              .upstream_count = count };
   struct galena_directory *directory;
 
+  for (uint32_t i = 0; i < count; i++)
+    upstreams[i]
+        = (struct galena_listed_upstream){ .service = service,
+                                           .address = { AGENT_IP + i, 8080 },
+                                           .state = state,
+                                           .slots = 3 };
   g_assert_cmpint (galena_directory_create (&options, &directory), ==,
                    GALENA_OK);
   return directory;
 }
 
+static void
+run_drain (struct run *run, const struct step *step)
+{
+  (void)step;
+  galena_directory_destroy (run->directory);
+  run->directory = make_directory (run->upstreams, GALENA_LISTING_DRAINING);
+}
+
+static void (*const RUNNERS[]) (struct run *run, const struct step *step) = {
+  [OPEN] = run_packet,
+  [OPEN_OTHER] = run_packet,
+  [DATA] = run_packet,
+  [ACCEPTED] = run_accepted,
+  [REFUSED] = run_refused,
+  [DISOWNED] = run_disowned,
+  [OWNED] = run_owned,
+  [DRAIN] = run_drain,
+  [RENEWED] = run_renewed,
+  [EXPECT_OPENS] = expect_opens,
+  [EXPECT_FORWARDS] = expect_forwards,
+  [EXPECT_FINDS] = expect_finds,
+  [EXPECT_RESETS] = expect_resets,
+};
+
 static void
 run_entry_case (gconstpointer data)
 {
@@ -245,7 +396,9 @@
                                           .flows = 64,
                                           .messages = 64,
                                           .flow_idle_ms = 60000 };
-  struct run run = { .directory = make_directory () };
+  struct run run
+      = { .directory = make_directory (test->upstreams, GALENA_LISTING_READY),
+          .upstreams = test->upstreams };
 
   g_assert_cmpint (galena_plane_create (&options, &run.plane), ==, GALENA_OK);
   for (const struct step *step = test->steps; step->kind != END; step++)
--- /dev/null
+++ b/test/unit/test_log.c
@@ -0,0 +1,86 @@
+/* Log lines to a reader that does not read: writing never waits, and what was
+   left out is counted.  */
+
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include <galenaford/log.h>
+
+enum
+{
+  PIPE_BYTES = 4096,
+  TEXT_BYTES = 32 * 1024,
+  NAME_BYTES = 32
+};
+
+struct log_case
+{
+  const char *name;
+  /* Lines of about a hundred bytes before the reader reads.  */
+  uint32_t lines;
+  /* Whether some are left out then.  */
+  bool untaken;
+};
+
+static const struct log_case CASES[] = {
+  { "/log/room", 10, false },
+  { "/log/no-room", 80, true },
+};
+
+/* Reads what is in the pipe to TEXT.  */
+static void
+drain (int fd, char *text)
+{
+  ssize_t size = read (fd, text, TEXT_BYTES - 1);
+
+  text[size > 0 ? size : 0] = '\0';
+}
+
+static void
+run_log_case (gconstpointer data)
+{
+  const struct log_case *test = data;
+  char *first = g_malloc0 (TEXT_BYTES);
+  char *second = g_malloc0 (TEXT_BYTES);
+  char event[NAME_BYTES];
+  int standard = dup (STDOUT_FILENO);
+  int ends[2];
+
+  g_assert_cmpint (pipe (ends), ==, 0);
+  fcntl (ends[1], F_SETPIPE_SZ, PIPE_BYTES);
+  fcntl (ends[0], F_SETFL, O_NONBLOCK);
+  fflush (stdout);
+  dup2 (ends[1], STDOUT_FILENO);
+  galena_log_name ("test");
+  g_snprintf (event, sizeof event, "%s", strrchr (test->name, '/') + 1);
+  for (uint32_t i = 0; i < test->lines; i++)
+    galena_log (LOG_INFO, event, "line=%u filler=%070u", i, i);
+  drain (ends[0], first);
+  galena_log (LOG_INFO, event, "line=%u", test->lines);
+  drain (ends[0], second);
+  dup2 (standard, STDOUT_FILENO);
+  close (standard);
+  close (ends[0]);
+  close (ends[1]);
+  g_assert_nonnull (strstr (first, "line=0 "));
+  g_assert_cmpint (strstr (second, "event=log-untaken") != NULL, ==,
+                   test->untaken);
+  /* Lines are whole or not there.  */
+  g_assert_true (g_str_has_suffix (first, "\n"));
+  g_free (first);
+  g_free (second);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
+    g_test_add_data_func (CASES[i].name, &CASES[i], run_log_case);
+  return g_test_run ();
+}
--- a/test/unit/test_peer_wire.c
+++ b/test/unit/test_peer_wire.c
@@ -43,6 +43,13 @@
       .role = GALENA_ROLE_AGENT,
       .result = GALENA_REFUSED_BY_UPSTREAM },
     NULL },
+  { "/peer/hello",
+    { .type = GALENA_PEER_HELLO,
+      .role = GALENA_ROLE_ENTRY,
+      .slots = 3,
+      .listing = GALENA_LISTING_DRAINING,
+      .born_ms = UINT64_MAX },
+    NULL },
   { "/peer/members",
     { .type = GALENA_PEER_MEMBERS,
       .member_count = 3,
@@ -76,6 +83,8 @@
       galena_endpoint_equal (read.flow.service, message.flow.service));
   g_assert_cmpuint (read.service, ==, message.service);
   g_assert_cmpuint (read.slots, ==, message.slots);
+  g_assert_cmpint (read.listing, ==, message.listing);
+  g_assert_cmpuint (read.born_ms, ==, message.born_ms);
   g_assert_cmpuint (read.sequence, ==, message.sequence);
   g_assert_cmpint (read.result, ==, message.result);
   g_assert_cmpuint (read.load.running, ==, message.load.running);
