Ask agents without the packet, bound searches, let full entries step aside

Uploads alone fill such links in a burst, since routers give each entry the same share of flows. Ruled out: processor time; handing packets to other entries, which takes the same link twice. Change: an entry asks agents by a short message; only agents that can't know are given the packet, at most twice. Searches take a quarter of the link. An agent whose upstream was born with or after it knows that it has seen all flows. Denials of more than a second ago are not trusted for a reset. Accepted flows wait 12 s for their first packet at the agent. An open is given up after four times the mean reply time, 60 to 180 ms. Log lines carry the time of day; galenactl story prints what a log holds on one flow.

--- a/packages/ctl/src/arguments.h
+++ b/packages/ctl/src/arguments.h
@@ -45,6 +45,7 @@
 
 int run_check (const struct arguments *arguments);
 int run_plan (const struct arguments *arguments);
+int run_story (const struct arguments *arguments);
 int run_view (const struct arguments *arguments);
 int run_audit (const struct arguments *arguments);
 int run_generation (const struct arguments *arguments);
--- a/packages/ctl/src/main.c
+++ b/packages/ctl/src/main.c
@@ -18,6 +18,8 @@
     "tells every fault of a service record" },
   { "plan", "OLD NEW", 2, false, run_plan,
     "tells what changes between two records, or folders of records" },
+  { "story", "LOG CALLER", 2, false, run_story,
+    "what a log, or - for standard input, holds on the flow of a caller" },
   { "status", "", 0, true, run_view, "state of each process" },
   { "upstreams", "", 0, true, run_view,
     "upstreams as each process sees them" },
--- a/packages/daemon/src/packet_log.c
+++ b/packages/daemon/src/packet_log.c
@@ -20,6 +20,18 @@
   return text;
 }
 
+void
+packet_log_started (const struct process *process)
+{
+  const struct galena_settings *settings = &process->settings;
+  char address[ENDPOINT_TEXT_BYTES];
+
+  galena_log (LOG_NOTICE, "started", "role=%s zone=%s version=%s address=%s",
+              settings->role == GALENA_ROLE_ENTRY ? "entry" : "agent",
+              settings->zone, GALENA_VERSION,
+              write_endpoint (settings->peers_address, address));
+}
+
 static void
 log_note (const struct galena_plane_note *note)
 {
--- a/packages/daemon/src/packet_loop.c
+++ b/packages/daemon/src/packet_loop.c
@@ -20,7 +20,8 @@
      several agents and for announcements.  */
   TICK_MESSAGES = 12 * GALENA_BATCH_MAX,
   SHARE_PERIOD_MS = 500,
-  MS_PER_S = 1000
+  MS_PER_S = 1000,
+  KBPS_PER_MBPS = 1000
 };
 
 /* Sockets of the loop.  */
@@ -75,10 +76,12 @@
     .self = settings->peers_address,
     .flows = settings->packets_flows,
     .messages = TICK_MESSAGES,
+    .link_kbps = settings->packets_link_mbps * KBPS_PER_MBPS,
     .flow_idle_ms = settings->packets_flow_max_s * MS_PER_S,
     .choice = settings->packets_choice,
     .zone = galena_service_key_of (settings->zone),
     .first_start = settings->packets_first_start,
+    .started_unix_ms = loop->packets->process->started_unix_ms,
   };
 
   if (settings->role == GALENA_ROLE_AGENT)
@@ -339,6 +342,9 @@
                      rcu_dereference (loop->packets->directory));
   rcu_read_unlock ();
   follow_pauses (loop);
+  atomic_store_explicit (&loop->packets->aside,
+                         galena_plane_is_aside (loop->plane),
+                         memory_order_relaxed);
   send_departures (loop);
   packet_log_notes (loop->plane);
   share_state (loop, now);
--- a/packages/daemon/src/packet_status.c
+++ b/packages/daemon/src/packet_status.c
@@ -109,7 +109,7 @@
 static enum MHD_Result
 answer_ready (struct packets *packets, struct MHD_Connection *connection)
 {
-  bool ready = atomic_load (&packets->ready)
+  bool ready = atomic_load (&packets->ready) && !atomic_load (&packets->aside)
                && !atomic_load (&packets->process->draining);
 
   return reply (connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
--- a/packages/daemon/src/packets.c
+++ b/packages/daemon/src/packets.c
@@ -15,9 +15,7 @@
 
   packets.process = process;
   pthread_mutex_init (&packets.snapshot_lock, NULL);
-  galena_log (LOG_NOTICE, "started", "role=%s zone=%s version=%s",
-              process->settings.role == GALENA_ROLE_ENTRY ? "entry" : "agent",
-              process->settings.zone, GALENA_VERSION);
+  packet_log_started (process);
   result = packet_status_start (&packets, &status);
   if (result != GALENA_OK)
     goto done;
--- a/packages/daemon/src/packets.h
+++ b/packages/daemon/src/packets.h
@@ -33,6 +33,8 @@
   struct galena_directory *directory;
   /* Whether routes and upstreams are known, and the process does not stop. */
   atomic_bool ready;
+  /* Whether the entry steps aside for stronger ones.  */
+  atomic_bool aside;
   /* Counters as of the last copy, and the gauges.  */
   atomic_ullong counters[GALENA_PLANE_COUNTER_COUNT];
   atomic_ullong buckets[GALENA_PLANE_HISTOGRAM_COUNT]
@@ -86,6 +88,10 @@
 
 /* packet_log.c */
 
+/* Writes the line of a start, with the address that peers know the process
+   by.  */
+void packet_log_started (const struct process *process);
+
 /* Writes a line for each note of the last tick of PLANE.  */
 void packet_log_notes (const struct galena_plane *plane);
 
--- a/packages/daemon/src/process.c
+++ b/packages/daemon/src/process.c
@@ -21,6 +21,7 @@
 process_init (struct process *process)
 {
   process->started = galena_monotonic_now ();
+  process->started_unix_ms = galena_unix_ms ();
   process->stop_fd = eventfd (0, EFD_CLOEXEC);
   process->drain_fd = eventfd (0, EFD_CLOEXEC);
   if (process->stop_fd >= 0 && process->drain_fd >= 0)
--- a/packages/flows/include/galenaford/peer.h
+++ b/packages/flows/include/galenaford/peer.h
@@ -20,7 +20,8 @@
   X (GALENA_PEER_OPEN, 1, "open")                                             \
   /* Entry to agent: a packet of a flow that the agent owns, it seems.  */    \
   X (GALENA_PEER_FORWARD, 2, "forward")                                       \
-  /* Entry to agent: a packet of a flow whose owner is looked for.  */        \
+  /* Entry to agent: a packet of a flow whose owner is looked for, to an      \
+     agent that is unsure.  */                                                \
   X (GALENA_PEER_FIND, 3, "find")                                             \
   /* Agent to entry: the upstream accepted the flow.  */                      \
   X (GALENA_PEER_OPENED, 4, "opened")                                         \
@@ -37,7 +38,11 @@
   /* To an agent or a seed: the sender is there.  */                          \
   X (GALENA_PEER_HELLO, 10, "hello")                                          \
   /* Reply to a hello: the entries that the sender knows.  */                 \
-  X (GALENA_PEER_MEMBERS, 11, "members")
+  X (GALENA_PEER_MEMBERS, 11, "members")                                      \
+  /* Entry to agent: whether the upstream holds the flow.  */                 \
+  X (GALENA_PEER_ASK, 12, "ask")                                              \
+  /* Agent to entry: only the upstream can tell that, by a packet.  */        \
+  X (GALENA_PEER_UNSURE, 13, "unsure")
 
 enum galena_peer_type
 {
@@ -65,6 +70,17 @@
   bool leaving;
 };
 
+/* What an entry tells others of itself.  */
+struct galena_entry_state
+{
+  /* Key of its availability zone, made as a service's; 0 when unknown.  */
+  uint64_t zone;
+  /* Capacity of its link; 0 when unknown.  */
+  uint32_t link_kbps;
+  /* Whether it is in rotation.  */
+  bool ready;
+};
+
 struct galena_peer_message
 {
   enum galena_peer_type type;
@@ -75,15 +91,18 @@
   galena_service_key service;
   /* Requests that the agent's upstream runs at once, as published.  */
   uint32_t slots;
-  /* State and start in Unix milliseconds of the agent's upstream, as published,
-     in hello.  */
+  /* State and start in Unix milliseconds of the agent's upstream, as
+     published, in hello.  */
   enum galena_listing listing;
   uint64_t born_ms;
-  /* First sequence number of the upstream, in opened.  */
+  /* First sequence number of the upstream, in opened; what the caller
+     acknowledged last, in ask.  */
   uint32_t sequence;
   /* Reason, in refused.  */
   enum galena_result result;
   struct galena_load load;
+  /* The sender, in hello and members of entries.  */
+  struct galena_entry_state state;
   /* Addresses of entries.  */
   uint32_t member_count;
   uint32_t members[GALENA_PEER_MEMBERS_MAX];
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -44,8 +44,13 @@
   galena_service_key service;
   /* Agent only: whether no flow can be older than this process.  */
   bool first_start;
+  /* Agent only: Unix milliseconds of the process's start by the machine's time
+     of day, which its upstream uses as well; 0 when unknown.  */
+  uint64_t started_unix_ms;
   /* Entry only: key of the availability zone, made as a service's.  */
   uint64_t zone;
+  /* Entry only: capacity of the machine's link; 0 when unknown.  */
+  uint32_t link_kbps;
   /* Entry only: name of the choice policy, or NULL for the default.  */
   const char *choice;
 };
@@ -108,6 +113,9 @@
      "An agent is avoided since it left a packet unanswered.")                \
   X (GALENA_EVENT_HEARD, "agent-heard", "An avoided agent was heard again.")  \
   X (GALENA_EVENT_CONFIG, "config-taken", "A configuration is in force.")     \
+  X (GALENA_EVENT_ASIDE, "entry-aside",                                       \
+     "The link is nearly full; stronger entries take the flows.")             \
+  X (GALENA_EVENT_BACK, "entry-back", "The entry is in rotation again.")      \
   X (GALENA_EVENT_WOKE, "paused", "No tick ran for a while.")
 
 enum galena_plane_event
@@ -136,8 +144,8 @@
   /* Milliseconds since the agent was last heard, the pause, or the time that
      the flow has waited; -1 when it does not apply.  */
   int64_t age_ms;
-  /* Running requests at the upstream as known, upstreams asked, or the
-     listing of the upstream.  */
+  /* Running requests at the upstream as known, upstreams asked, the listing of
+     the upstream, or the share of the link that is used in percent.  */
   uint32_t detail;
 };
 
@@ -269,6 +277,10 @@
    entry places new flows again.  */
 void galena_plane_renewed (struct galena_plane *plane);
 
+/* Entry only: tells whether the entry should be out of rotation, since its
+   link is nearly full and stronger entries of its zone can take its flows.  */
+bool galena_plane_is_aside (const struct galena_plane *plane);
+
 /* Asks the plane to take no new flows; it goes on with those it has.  */
 void galena_plane_drain (struct galena_plane *plane);
 
--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -11,7 +11,11 @@
   EXPIRE_PERIOD_MS = 1000,
   /* An upstream counts as draining for so long after an entry said so: six
      hellos of one.  */
-  DRAINING_MS = 3000
+  DRAINING_MS = 3000,
+  /* A machine starts its processes within some milliseconds, and one that has
+     ended half a second later again: an upstream that was born before its
+     agent by less than this has had no other agent.  */
+  TOGETHER_MS = 100
 };
 
 /* Takes what an entry knows of the upstream, which may have started again at
@@ -28,6 +32,10 @@
   if (message->born_ms > agent->born_ms)
     agent->draining_until = plane->now;
   agent->born_ms = message->born_ms;
+  /* Packets reach the upstream through its agent alone.  */
+  if (plane->options.started_unix_ms != 0
+      && message->born_ms + TOGETHER_MS >= plane->options.started_unix_ms)
+    agent->complete = true;
   if (message->listing != GALENA_LISTING_DRAINING)
     return;
   if (!agent_is_leaving (plane))
@@ -110,6 +118,7 @@
   .messages = {
     [GALENA_PEER_OPEN] = agent_take_open,
     [GALENA_PEER_FORWARD] = agent_take_forward,
+    [GALENA_PEER_ASK] = agent_take_ask,
     [GALENA_PEER_FIND] = agent_take_find,
     [GALENA_PEER_HELLO] = take_hello,
     [GALENA_PEER_MEMBERS] = members_take_list,
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -8,9 +8,12 @@
   /* An ended flow is kept for late packets: the longest interval of
      retransmissions, twice.  */
   ENDED_LINGER_MS = 3200,
-  /* A packet that the upstream may return, or the first one after the open,
-     is waited for so long; callers give an opening up after 1.4 s.  */
-  PROBED_LINGER_MS = 1500
+  /* A packet that the upstream may return is waited for so long.  */
+  PROBED_LINGER_MS = 1500,
+  /* An upstream keeps an accepted flow for its caller's first packet until it
+     has repeated its answer eight times, at intervals that double from 200 ms
+     to 1.6 s.  */
+  HALF_LINGER_MS = 12000
 };
 
 static struct agent_flow *
@@ -135,6 +138,8 @@
       refuse (plane, peer, message->flow, GALENA_REFUSED_CONNECTIONS);
       return;
     }
+  if (flow->state == AGENT_FLOW_PROBED)
+    flow->state = AGENT_FLOW_HALF;
   flow->entry = peer;
   flow->active = plane->now;
   send_to_upstream (plane, message);
@@ -191,22 +196,51 @@
   agent_reply (plane, entry, &answer);
 }
 
-/* Takes the first PACKET of FLOW since its upstream accepted it.  False when
-   its caller has opened it at another upstream: it acknowledges numbers that
-   this one did not choose.  */
+/* Takes what the caller of FLOW acknowledges first.  False when it is open at
+   another upstream: this one has not accepted it yet, or has chosen other
+   numbers.  */
 static bool
 take_first (struct galena_plane *plane, struct agent_flow *flow,
-            const struct galena_packet *packet)
+            uint32_t acknowledged)
 {
-  if (flow->state != AGENT_FLOW_HALF || !flow->accepted
-      || (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0)
+  if (flow->state != AGENT_FLOW_HALF)
     return true;
-  if (!galena_packet_opens_at (packet->acknowledged, flow->sequence))
+  if (!flow->accepted
+      || !galena_packet_opens_at (acknowledged, flow->sequence))
     return false;
   become_open (plane, flow);
   return true;
 }
 
+/* Takes the first PACKET of FLOW, as take_first does.  */
+static bool
+take_first_packet (struct galena_plane *plane, struct agent_flow *flow,
+                   const struct galena_packet *packet)
+{
+  return (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0
+         || take_first (plane, flow, packet->acknowledged);
+}
+
+void
+agent_take_ask (struct galena_plane *plane, struct galena_endpoint peer,
+                const struct galena_peer_message *message)
+{
+  struct galena_handle handle;
+  struct agent_flow *flow = find_flow (plane, message->flow, &handle);
+  enum galena_peer_type reply = GALENA_PEER_UNSURE;
+
+  hear_entry (plane, peer, message);
+  if (flow == NULL ? plane->agent->complete
+                   : !take_first (plane, flow, message->sequence))
+    reply = GALENA_PEER_DISOWNED;
+  else if (flow != NULL && flow->state == AGENT_FLOW_OPEN)
+    {
+      flow->entry = peer;
+      reply = GALENA_PEER_OWNED;
+    }
+  answer_search (plane, peer, message->flow, reply, NULL);
+}
+
 void
 agent_take_forward (struct galena_plane *plane, struct galena_endpoint peer,
                     const struct galena_peer_message *message)
@@ -215,7 +249,7 @@
 
   hear_entry (plane, peer, message);
   flow = flow_for (plane, peer, message);
-  if (flow != NULL && !take_first (plane, flow, &message->packet))
+  if (flow != NULL && !take_first_packet (plane, flow, &message->packet))
     {
       answer_search (plane, peer, message->flow, GALENA_PEER_DISOWNED,
                      &message->packet);
@@ -235,7 +269,7 @@
 
   hear_entry (plane, peer, message);
   if (flow == NULL ? plane->agent->complete
-                   : !take_first (plane, flow, &message->packet))
+                   : !take_first_packet (plane, flow, &message->packet))
     {
       answer_search (plane, peer, message->flow, GALENA_PEER_DISOWNED, NULL);
       return;
@@ -369,6 +403,8 @@
 {
   if (flow->upstream_ended || flow->caller_ended)
     return ENDED_LINGER_MS;
+  if (flow->state == AGENT_FLOW_HALF && flow->accepted)
+    return HALF_LINGER_MS;
   return flow->state == AGENT_FLOW_OPEN ? plane->options.flow_idle_ms
                                         : PROBED_LINGER_MS;
 }
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -80,6 +80,8 @@
 void agent_take_forward (struct galena_plane *plane,
                          struct galena_endpoint peer,
                          const struct galena_peer_message *message);
+void agent_take_ask (struct galena_plane *plane, struct galena_endpoint peer,
+                     const struct galena_peer_message *message);
 void agent_take_find (struct galena_plane *plane, struct galena_endpoint peer,
                       const struct galena_peer_message *message);
 
--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -12,7 +12,8 @@
   OPENINGS_PERIOD_MS = 20,
   SEARCHES_PERIOD_MS = 20,
   EXPIRE_PERIOD_MS = 1000,
-  HELLO_PERIOD_MS = 500
+  HELLO_PERIOD_MS = 500,
+  CAPACITY_PERIOD_MS = 100
 };
 
 static void
@@ -30,6 +31,7 @@
   { "searches", SEARCHES_PERIOD_MS, entry_run_searches },
   { "openings", OPENINGS_PERIOD_MS, entry_run_openings },
   { "expire", EXPIRE_PERIOD_MS, entry_run_expire },
+  { "capacity", CAPACITY_PERIOD_MS, entry_run_capacity },
   { "hello", HELLO_PERIOD_MS, entry_run_hello },
   { "members", HELLO_PERIOD_MS, members_run },
 };
@@ -153,6 +155,7 @@
     [GALENA_PEER_OPENED] = entry_take_opened,
     [GALENA_PEER_REFUSED] = entry_take_refused,
     [GALENA_PEER_OWNED] = entry_take_owned,
+    [GALENA_PEER_UNSURE] = entry_take_unsure,
     [GALENA_PEER_DISOWNED] = entry_take_disowned,
     [GALENA_PEER_LOST] = entry_take_lost,
     [GALENA_PEER_LOAD] = take_load,
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -143,22 +143,19 @@
   memcpy (departure->kept, bytes, size);
 }
 
-/* Returns the try whose sequence numbers the caller acknowledges, or the only
-   one when none is known to have accepted; NULL when that does not tell.  */
+/* Returns the try whose sequence numbers the caller acknowledges; NULL when
+   none is known to have chosen them.  */
 static const struct flow_try *
 acknowledged_try (const struct entry_flow *flow, uint32_t acknowledged)
 {
-  bool accepted = false;
-
   for (uint32_t i = 0; i < flow->try_count; i++)
     {
       const struct flow_try *at = &flow->tries[i];
 
-      accepted |= at->accepted;
       if (at->accepted && galena_packet_opens_at (acknowledged, at->sequence))
         return at;
     }
-  return accepted || flow->try_count != 1 ? NULL : &flow->tries[0];
+  return NULL;
 }
 
 /* The first packet after the opening one: the flow is open at the upstream
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -9,7 +9,13 @@
   /* An open without a reply goes to another upstream after so long: forty
      times the way between two availability zones, and before the caller's
      first copy.  */
-  OPEN_PATIENCE_MS = 60
+  OPEN_PATIENCE_MS = 60,
+  /* Where replies take longer, a multiple of their mean, still before the
+     caller's first copy.  */
+  OPEN_PATIENCE_MAX_MS = 180,
+  PATIENCE_REPLIES = 4,
+  /* Part of a new sample in the mean: one in so many.  */
+  REPLY_SHARE = 8
 };
 
 /* Keeps PACKET to be sent again; false when there is no room.  */
@@ -99,6 +105,32 @@
   return true;
 }
 
+/* Takes the time that the reply to the open of FLOW took.  */
+static void
+note_reply_time (struct galena_plane *plane, const struct entry_flow *flow,
+                 struct galena_handle upstream)
+{
+  const struct opening_row *opening
+      = galena_table_get (plane->entry->openings, flow->opening);
+  double *mean = &plane->entry->reply_ms;
+
+  if (opening == NULL
+      || galena_handle_pack (flow->owner) != galena_handle_pack (upstream))
+    return;
+  *mean += ((double)galena_clock_between (opening->sent, plane->now) - *mean)
+           / REPLY_SHARE;
+}
+
+static int64_t
+open_patience_ms (const struct galena_plane *plane)
+{
+  int64_t ms = (int64_t)(plane->entry->reply_ms * PATIENCE_REPLIES);
+
+  if (ms < OPEN_PATIENCE_MS)
+    return OPEN_PATIENCE_MS;
+  return ms < OPEN_PATIENCE_MAX_MS ? ms : OPEN_PATIENCE_MAX_MS;
+}
+
 /* Tells whether an upstream of FLOW has accepted it.  */
 static bool
 is_accepted (const struct entry_flow *flow)
@@ -230,6 +262,7 @@
   if (try == NULL || try->accepted)
     return;
   entry_note_reply (upstream);
+  note_reply_time (plane, flow, at);
   try->accepted = true;
   try->sequence = message->sequence;
   plane_count (plane, GALENA_PLANE_OPENED);
@@ -305,7 +338,7 @@
                               GALENA_REFUSED_NO_UPSTREAM);
         }
       else if (galena_clock_between (opening->sent, plane->now)
-               >= OPEN_PATIENCE_MS)
+               >= open_patience_ms (plane))
         leave_silent (plane, flow, opening);
     }
 }
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -1,6 +1,10 @@
-/* The search for a flow's owner.  The upstreams that come first for the flow
-   are asked first, then further ones, wave by wave; each agent says whether
-   its upstream holds the flow.  */
+/* The search for a flow's owner.  The agents of the upstreams that come first
+   for the flow are asked first, then further ones, wave by wave; each says
+   whether its upstream holds the flow.  One that can't know, since it started
+   after its upstream, is sent a packet, which its upstream takes or returns.
+
+   Searches take a part of the link at most: replies that come late on a full
+   link would otherwise bring still more questions.  */
 
 #include <string.h>
 
@@ -9,16 +13,28 @@
 enum
 {
   /* Agents of a wave get so long to reply, then twice as long, up to the
-     most.  */
+     longest interval of a caller's retransmissions.  */
   PATIENCE_MIN_MS = 60,
-  PATIENCE_MAX_MS = 480,
+  PATIENCE_MAX_MS = 1600,
+  /* What agents denied longer ago may have changed: a flow's first packet can
+     be under way to its upstream for as long on a full link.  */
+  DENIALS_VALID_MS = 1000,
   /* Upstreams of other services are asked after so long: a route may have
      gone to another service while the flow stayed.  */
   WIDEN_MS = 100,
   /* Upstreams of the first wave: as many as a new flow is compared for, and
      one; each further wave is so many times as large.  */
   WAVE_MIN = 5,
-  WAVE_GROWTH = 4
+  WAVE_GROWTH = 4,
+  /* Searches take one part in so many of the link, and save up what they did
+     not take for so long.  */
+  LINK_SHARE = 4,
+  SAVED_MS = 250,
+  /* Where the link is not known: 100 Mbit/s.  */
+  USUAL_LINK_KBPS = 100000,
+  /* Bytes of a question, with the heads of its datagram.  */
+  QUESTION_BYTES = 120,
+  BITS = 8
 };
 
 static struct search_row *
@@ -49,8 +65,12 @@
 
 /* Notes that UPSTREAM does not hold the flow.  */
 static void
-deny (struct search_row *search, struct galena_handle upstream)
+deny (const struct galena_plane *plane, struct search_row *search,
+      struct galena_handle upstream)
 {
+  if (search->denials == 0)
+    search->denied_since = plane->now;
+  search->denials++;
   if (!has_bit (search->denied, upstream) && has_bit (search->asked, upstream)
       && search->awaited > 0)
     search->awaited--;
@@ -104,16 +124,54 @@
   return false;
 }
 
-/* Asks the upstream that HANDLE names.  */
+/* Takes BYTES of what searches may send; false when that is used up.  */
+static bool
+spend (struct galena_plane *plane, uint32_t bytes)
+{
+  struct entry_tables *entry = plane->entry;
+
+  if (entry->search_bytes < 0)
+    return false;
+  entry->search_bytes -= bytes;
+  return true;
+}
+
+/* Adds what searches may send since the last time.  */
 static void
+save_up (struct galena_plane *plane)
+{
+  struct entry_tables *entry = plane->entry;
+  uint32_t kbps = plane->options.link_kbps > 0 ? plane->options.link_kbps
+                                               : USUAL_LINK_KBPS;
+  double per_ms = (double)kbps / BITS / LINK_SHARE;
+
+  entry->search_bytes
+      += per_ms
+         * (double)galena_clock_between (entry->search_saved, plane->now);
+  entry->search_saved = plane->now;
+  if (entry->search_bytes > per_ms * SAVED_MS)
+    entry->search_bytes = per_ms * SAVED_MS;
+}
+
+/* Asks the agent of the upstream that HANDLE names; false when searches have
+   used up what they may send.  */
+static bool
 ask (struct galena_plane *plane, const struct entry_flow *flow,
      struct search_row *search, struct galena_handle handle)
 {
+  const struct upstream_row *upstream = entry_upstream (plane, handle);
+  struct galena_peer_message question = { .type = GALENA_PEER_ASK,
+                                          .flow = flow->key,
+                                          .sequence = flow->acknowledged };
+
+  if (!spend (plane, QUESTION_BYTES))
+    return false;
+  question.slots = upstream->slots;
   set_bit (search->asked, handle);
   search->awaited++;
   plane_count (plane, GALENA_PLANE_FINDS);
-  entry_flow_send_copy (plane, flow, handle, GALENA_PEER_FIND, search->bytes,
-                        search->size);
+  plane_send_message (plane, upstream->agent, &question);
+  return true;
 }
 
 /* Fills RANKING with upstreams that may hold FLOW and were not asked.  */
@@ -134,7 +192,7 @@
                       entry_rank (plane, flow->key, upstream));
 }
 
-/* Asks the upstreams of the next wave.  Returns how many.  */
+/* Asks the upstreams of the next wave.  Returns how many it should ask.  */
 static uint32_t
 ask_wave (struct galena_plane *plane, const struct entry_flow *flow,
           struct search_row *search)
@@ -150,7 +208,8 @@
       ranking.count = 0;
       rank_unasked (plane, flow, search, &ranking);
       for (uint32_t i = 0; i < ranking.count; i++)
-        ask (plane, flow, search, ranking.rows[i]);
+        if (!ask (plane, flow, search, ranking.rows[i]))
+          return asked + 1;
       asked += ranking.count;
     }
   while (asked < search->wave && ranking.count == ranking.limit);
@@ -159,6 +218,32 @@
   return asked;
 }
 
+/* Begins a further round.  An upstream is given the packet again once, in case
+   that one was lost.  */
+static void
+ask_anew (struct search_row *search)
+{
+  memset (search->asked, 0, sizeof search->asked);
+  if (search->rounds == 0)
+    memset (search->given, 0, sizeof search->given);
+  search->rounds++;
+  search->awaited = 0;
+}
+
+/* Tells whether all denials of SEARCH still count; forgets them otherwise.  */
+static bool
+denials_hold (const struct galena_plane *plane, struct search_row *search)
+{
+  if (galena_clock_between (search->denied_since, plane->now)
+      <= DENIALS_VALID_MS)
+    return true;
+  memset (search->denied, 0, sizeof search->denied);
+  search->denials = 0;
+  search->wave = WAVE_MIN;
+  ask_anew (search);
+  return false;
+}
+
 /* Asks the next wave, or all of those anew that have not replied.  */
 static void
 ask_more (struct galena_plane *plane, const struct entry_flow *flow,
@@ -166,8 +251,7 @@
 {
   if (ask_wave (plane, flow, search) > 0)
     return;
-  memset (search->asked, 0, sizeof search->asked);
-  search->awaited = 0;
+  ask_anew (search);
   ask_wave (plane, flow, search);
 }
 
@@ -181,7 +265,7 @@
 
   if (!has_candidate (plane, flow, search))
     search->wide = true;
-  if (has_candidate (plane, flow, search))
+  if (has_candidate (plane, flow, search) || !denials_hold (plane, search))
     ask_more (plane, flow, search);
   else
     entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
@@ -194,6 +278,7 @@
   struct galena_handle row;
   uint32_t cursor = 0;
 
+  save_up (plane);
   while ((search = galena_table_next (plane->entry->searches, &cursor, &row))
          != NULL)
     {
@@ -234,7 +319,7 @@
   search->size = size;
   memcpy (search->bytes, bytes, size);
   if (!galena_handle_is_none (denier))
-    deny (search, denier);
+    deny (plane, search, denier);
   plane_count (plane, GALENA_PLANE_SOUGHT);
   plane_note (plane,
               (struct galena_plane_note){
@@ -246,6 +331,29 @@
   advance (plane, handle);
 }
 
+void
+entry_take_unsure (struct galena_plane *plane, struct galena_endpoint peer,
+                   const struct galena_peer_message *message)
+{
+  struct galena_handle at;
+  struct galena_handle handle;
+  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
+  const struct entry_flow *flow
+      = entry_flow_find (plane, message->flow, &handle);
+  struct search_row *search;
+
+  if (upstream == NULL || flow == NULL)
+    return;
+  search = search_of (plane, flow);
+  if (flow->state != FLOW_SOUGHT || search == NULL
+      || has_bit (search->given, at) || has_bit (search->denied, at)
+      || !spend (plane, QUESTION_BYTES + search->size))
+    return;
+  set_bit (search->given, at);
+  entry_flow_send_copy (plane, flow, at, GALENA_PEER_FIND, search->bytes,
+                        search->size);
+}
+
 void
 entry_take_owned (struct galena_plane *plane, struct galena_endpoint peer,
                   const struct galena_peer_message *message)
@@ -254,13 +362,15 @@
   struct galena_handle handle;
   const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
   struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
+  const struct search_row *search;
 
-  if (upstream == NULL || flow == NULL || flow->state != FLOW_SOUGHT
-      || search_of (plane, flow) == NULL)
+  if (upstream == NULL || flow == NULL)
+    return;
+  search = search_of (plane, flow);
+  if (flow->state != FLOW_SOUGHT || search == NULL)
     return;
   plane_count (plane, GALENA_PLANE_FOUND);
-  plane_measure (plane, GALENA_PLANE_SEARCH_MS,
-                 search_of (plane, flow)->began);
+  plane_measure (plane, GALENA_PLANE_SEARCH_MS, search->began);
   plane_note (plane,
               (struct galena_plane_note){
                   .event = GALENA_EVENT_FOUND,
@@ -268,6 +378,9 @@
                   .agent = peer,
                   .version = plane->entry->version,
                   .age_ms = galena_clock_between (flow->began, plane->now) });
+  if (!has_bit (search->given, at))
+    entry_flow_send_copy (plane, flow, at, GALENA_PEER_FORWARD, search->bytes,
+                          search->size);
   entry_flow_settle (plane, flow, at);
   plane->hurry = true;
 }
@@ -322,7 +435,7 @@
   search = search_of (plane, flow);
   if (flow->state != FLOW_SOUGHT || search == NULL)
     return;
-  deny (search, at);
+  deny (plane, search, at);
   if (search->awaited == 0)
     advance (plane, handle);
 }
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -103,10 +103,16 @@
   struct galena_clock began;
   /* Whether upstreams of all services are asked.  */
   bool wide;
-  /* Bits of upstreams by their rows: those that do not hold the flow, and
-     those that were asked in this round.  */
+  /* Bits of upstreams by their rows: those that do not hold the flow, those
+     that were asked in this round, and those that were given the packet.  */
   uint64_t denied[SEARCH_WORDS];
   uint64_t asked[SEARCH_WORDS];
+  uint64_t given[SEARCH_WORDS];
+  /* Denials taken, and since when.  */
+  uint32_t denials;
+  struct galena_clock denied_since;
+  /* Rounds that have ended.  */
+  uint32_t rounds;
   /* Upstreams that the next wave of the round asks at most.  */
   uint32_t wave;
   /* Upstreams that were asked and have not replied.  */
@@ -141,8 +147,21 @@
   uint32_t draws;
 };
 
+/* How full the link is, and whether the entry is out of rotation for it.  */
+struct capacity
+{
+  struct galena_clock measured;
+  /* Moving mean.  */
+  double kbps;
+  bool aside;
+  /* When that changed last, and how long the entry is aside.  */
+  struct galena_clock changed;
+  int64_t aside_ms;
+};
+
 struct entry_tables
 {
+  struct capacity capacity;
   struct galena_table *upstreams;
   struct galena_map *upstreams_by_ip;
   struct galena_table *flows;
@@ -151,6 +170,12 @@
   struct galena_table *searches;
   struct galena_table *parked;
   const struct choice_policy *choice;
+  /* Moving mean of the time that agents take to reply to an open.  */
+  double reply_ms;
+  /* Bytes that searches may send, and when that was last brought up to
+     date.  */
+  double search_bytes;
+  struct galena_clock search_saved;
   /* Directory that the rows were last compared with.  */
   uint64_t directory;
   uint64_t version;
@@ -198,6 +223,11 @@
 void entry_run_directory (struct galena_plane *plane);
 void entry_run_hello (struct galena_plane *plane);
 
+/* entry_capacity.c */
+
+/* System: measures the link, and steps aside or comes back.  */
+void entry_run_capacity (struct galena_plane *plane);
+
 /* entry_choice.c */
 
 enum
@@ -329,6 +359,9 @@
 /* Handlers.  */
 void entry_take_owned (struct galena_plane *plane, struct galena_endpoint peer,
                        const struct galena_peer_message *message);
+void entry_take_unsure (struct galena_plane *plane,
+                        struct galena_endpoint peer,
+                        const struct galena_peer_message *message);
 void entry_take_disowned (struct galena_plane *plane,
                           struct galena_endpoint peer,
                           const struct galena_peer_message *message);
--- a/packages/flows/src/plane.c
+++ b/packages/flows/src/plane.c
@@ -10,7 +10,10 @@
 {
   /* A longer time without a tick counts as a pause: the longest period of a
      system is a second.  */
-  PAUSE_MS = 1500
+  PAUSE_MS = 1500,
+  /* Heads of IP and UDP, and of a message between peers, in bytes.  */
+  DATAGRAM_HEAD_BYTES = 28,
+  MESSAGE_HEAD_BYTES = 72
 };
 
 static const struct plane_role *const ROLES[GALENA_ROLE_COUNT] = {
@@ -332,9 +335,34 @@
   galena_table_remove (table, handle);
 }
 
+static void
+count_arrival (struct galena_plane *plane,
+               const struct galena_arrival *arrival)
+{
+  plane->bytes_in += DATAGRAM_HEAD_BYTES;
+  plane->bytes_in += arrival->link == GALENA_LINK_PEER
+                         ? MESSAGE_HEAD_BYTES + arrival->message.size
+                         : arrival->packet.size;
+}
+
+static void
+count_departures (struct galena_plane *plane)
+{
+  for (uint32_t i = 0; i < plane->departure_count; i++)
+    {
+      const struct galena_departure *departure = &plane->departures[i];
+
+      plane->bytes_out += DATAGRAM_HEAD_BYTES + departure->size
+                          + departure->kept_size + departure->message.size;
+      if (departure->kind == GALENA_DEPARTURE_MESSAGE)
+        plane->bytes_out += MESSAGE_HEAD_BYTES;
+    }
+}
+
 static void
 take_arrival (struct galena_plane *plane, const struct galena_arrival *arrival)
 {
+  count_arrival (plane, arrival);
   if (arrival->link == GALENA_LINK_PEER)
     {
       plane_message_handler *handler
@@ -390,6 +418,7 @@
     }
   for (uint32_t i = 0; i < plane->arrival_count; i++)
     take_arrival (plane, &plane->arrivals[i]);
+  count_departures (plane);
   plane->arrival_count = 0;
   plane->directory = NULL;
 }
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -49,7 +49,7 @@
 
 enum
 {
-  PLANE_SYSTEMS_MAX = 8,
+  PLANE_SYSTEMS_MAX = 12,
   PLANE_NOTES_MAX = 256,
   /* Most entries that a process remembers.  */
   PLANE_MEMBERS_MAX = 512
@@ -63,6 +63,8 @@
   struct galena_clock heard;
   /* When it was last heard or named.  */
   struct galena_clock known;
+  /* What it told of itself last.  */
+  struct galena_entry_state state;
   /* Agent only: when it last sent a packet that opens a flow.  */
   struct galena_clock opened;
 };
@@ -72,6 +74,10 @@
   struct galena_plane_options options;
   const struct plane_role *role;
   struct galena_clock now;
+  /* Bytes that arrived and departed since the role read them last, with the
+     heads of datagrams.  */
+  uint64_t bytes_in;
+  uint64_t bytes_out;
   /* Set during a tick only; NULL while nothing is known.  */
   const struct galena_directory *directory;
   struct galena_random random;
@@ -175,7 +181,8 @@
                         struct galena_endpoint peer,
                         const struct galena_peer_message *message);
 
-/* System: says hello to seeds, and forgets entries that are silent.  */
+/* System: says hello to seeds and, as an entry, to other entries, and forgets
+ * entries that are silent.  */
 void members_run (struct galena_plane *plane);
 
 /* Calls SEND for at most COUNT entries, each time going on with the next.  */
--- a/packages/runtime/include/galenaford/monotonic.h
+++ b/packages/runtime/include/galenaford/monotonic.h
@@ -8,4 +8,8 @@
 /* Returns the present instant.  Never fails.  */
 struct galena_clock galena_monotonic_now (void);
 
+/* Returns the Unix milliseconds by the machine's time of day, which may
+   jump.  */
+uint64_t galena_unix_ms (void);
+
 #endif
--- a/packages/runtime/include/galenaford/settings.h
+++ b/packages/runtime/include/galenaford/settings.h
@@ -55,6 +55,7 @@
   char packets_service[GALENA_LABEL_BYTES];
   char packets_choice[GALENA_NAME_BYTES];
   uint32_t packets_flows;
+  uint32_t packets_link_mbps;
   uint32_t packets_flow_max_s;
   bool packets_first_start;
   /* [platform] */
--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -78,8 +78,9 @@
             va_list arguments)
 {
   char line[LINE_BYTES];
-  int used = snprintf (line, sizeof line, "<%d>event=%s process=%s ", severity,
-                       event, process_name);
+  int used = snprintf (
+      line, sizeof line, "<%d>event=%s process=%s time_ms=%llu ", severity,
+      event, process_name, (unsigned long long)galena_unix_ms ());
 
   if (used < 0)
     return;
--- a/packages/runtime/src/monotonic.c
+++ b/packages/runtime/src/monotonic.c
@@ -1,15 +1,33 @@
-/* Reads the machine's clock; includes the time that it was suspended.  */
+/* Reads the machine's clocks: the one that includes the time that it was
+   suspended, and the time of day.  */
 
 #include <time.h>
 
 #include <galenaford/monotonic.h>
 
+enum
+{
+  MS_PER_S = 1000,
+  NS_PER_MS = 1000000
+};
+
+static int64_t
+read_ms (clockid_t clock)
+{
+  struct timespec time;
+
+  clock_gettime (clock, &time);
+  return (int64_t)time.tv_sec * MS_PER_S + time.tv_nsec / NS_PER_MS;
+}
+
 struct galena_clock
 galena_monotonic_now (void)
 {
-  struct timespec time;
+  return (struct galena_clock){ read_ms (CLOCK_BOOTTIME) };
+}
 
-  clock_gettime (CLOCK_BOOTTIME, &time);
-  return (struct galena_clock){ (int64_t)time.tv_sec * 1000
-                                + time.tv_nsec / 1000000 };
+uint64_t
+galena_unix_ms (void)
+{
+  return (uint64_t)read_ms (CLOCK_REALTIME);
 }
--- a/packages/runtime/src/settings.c
+++ b/packages/runtime/src/settings.c
@@ -59,6 +59,23 @@
   return true;
 }
 
+/* Reads a number whose fraction does not matter.  */
+static bool
+read_rounded (const struct setting_row *row, const char *text, void *at)
+{
+  char whole[GALENA_SETTING_BYTES];
+  size_t digits = strspn (text, "0123456789");
+  const char *rest = text + digits;
+
+  if (digits == 0 || digits >= sizeof whole
+      || (*rest != '\0'
+          && (*rest != '.' || rest[1 + strspn (rest + 1, "0123456789")] != 0)))
+    return false;
+  memcpy (whole, text, digits);
+  whole[digits] = '\0';
+  return read_number (row, whole, at);
+}
+
 static bool
 read_text (const struct setting_row *row, const char *text, void *at)
 {
@@ -388,6 +405,13 @@
     16,
     1000000,
     BY_ALL },
+  { { "packets", "link_mbps", "0", "0 to 1000000 Mbit/s",
+      "Capacity of the machine's link; 0 when unknown.", NULL },
+    read_rounded,
+    PLACE (packets_link_mbps),
+    0,
+    1000000,
+    BY_ALL },
   { { "packets", "flow_max_s", "60", "1 to 86400 seconds",
       "A flow without packets for so long is forgotten.", NULL },
     read_number,
--- a/packages/wire/src/peer.c
+++ b/packages/wire/src/peer.c
@@ -29,6 +29,9 @@
   PLACE_FLOWS,
   PLACE_SERVICE_US,
   PLACE_LEAVING,
+  PLACE_ZONE,
+  PLACE_LINK,
+  PLACE_READY,
   PLACE_BODY,
   PLACE_COUNT
 };
@@ -56,6 +59,9 @@
   [PLACE_FLOWS] = UINT32_MAX,
   [PLACE_SERVICE_US] = UINT32_MAX,
   [PLACE_LEAVING] = 1,
+  [PLACE_ZONE] = UINT64_MAX,
+  [PLACE_LINK] = UINT32_MAX,
+  [PLACE_READY] = 1,
 };
 
 static enum galena_result
@@ -131,6 +137,9 @@
   message->load.flows = (uint32_t)rows[PLACE_FLOWS].value;
   message->load.service_us = (uint32_t)rows[PLACE_SERVICE_US].value;
   message->load.leaving = rows[PLACE_LEAVING].value != 0;
+  message->state.zone = rows[PLACE_ZONE].value;
+  message->state.link_kbps = (uint32_t)rows[PLACE_LINK].value;
+  message->state.ready = rows[PLACE_READY].value != 0;
   return read_body (&rows[PLACE_BODY], message);
 }
 
@@ -169,6 +178,9 @@
     [PLACE_FLOWS] = message->load.flows,
     [PLACE_SERVICE_US] = message->load.service_us,
     [PLACE_LEAVING] = message->load.leaving,
+    [PLACE_ZONE] = message->state.zone,
+    [PLACE_LINK] = message->state.link_kbps,
+    [PLACE_READY] = message->state.ready,
   };
   struct pack_buffer buffer = { bytes, capacity, 0 };
   msgpack_packer packer;
