Withhold resets of upstreams that only a search reached

Ruled out: opens accepted twice; their resets were withheld already. Change: such a reset is taken as the word that the flow is not here. Counter withheld. Test: /agent/reset-of-searched-flow failed before.

--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -360,6 +360,32 @@
   flow->upstream_ended = true;
 }
 
+/* Tells whether FLOW may be open at another upstream: this one accepted it and
+   was not chosen, or was given a packet only to find the owner.  Its reset
+   would reach the caller as the word of the other one.  */
+static bool
+is_foreign (const struct agent_flow *flow)
+{
+  return flow->state == AGENT_FLOW_HALF
+         || (flow->state == AGENT_FLOW_PROBED && flow->asked);
+}
+
+/* Keeps the upstream's reset of FLOW from the caller; to a search it says that
+   the flow is not here.  */
+static void
+withhold_reset (struct galena_plane *plane, struct agent_flow *flow,
+                struct galena_handle handle)
+{
+  struct galena_endpoint entry = flow->entry;
+  struct galena_flow_key key = flow->key;
+
+  plane_count (plane, GALENA_PLANE_WITHHELD);
+  if (!flow->asked)
+    return;
+  remove_flow (plane, flow, handle);
+  answer_search (plane, entry, key, GALENA_PEER_DISOWNED, NULL);
+}
+
 void
 agent_take_packet (struct galena_plane *plane,
                    const struct galena_packet *packet)
@@ -375,12 +401,10 @@
       return;
     }
   flow = find_flow (plane, key, &handle);
-  /* An upstream that accepted a flow and lost it to another one may reset it,
-     which would reach the caller as the other one's word.  */
-  if (flow != NULL && flow->state == AGENT_FLOW_HALF
-      && (packet->flags & GALENA_PACKET_RESETS) != 0)
+  if (flow != NULL && (packet->flags & GALENA_PACKET_RESETS) != 0
+      && is_foreign (flow))
     {
-      plane_count (plane, GALENA_PLANE_UNEXPECTED);
+      withhold_reset (plane, flow, handle);
       return;
     }
   plane_send_packet (plane, GALENA_LINK_CALLER, packet);
--- /dev/null
+++ b/soak/callers.c
@@ -0,0 +1,319 @@
+/* Callers: long flows with pauses, and a flow for each request.  */
+
+#include <string.h>
+#include <unistd.h>
+
+#include <galenaford/platform/packet_codec.h>
+
+#include "soak.h"
+
+enum
+{
+  THINK_MIN_MS = 100,
+  THINK_RANGE_MS = 300,
+  FIRST_COPY_MS = 200,
+  SECOND_COPY_MS = 600,
+  OPEN_LIMIT_MS = 1400,
+  RESEND_MS = 200,
+  RESEND_MAX_MS = 1600,
+  DEADLINE_MS = 3000,
+  TRIES_MAX = 3,
+  FIRST_PORT = 1024,
+  PORTS = 200,
+  /* Requests that begin so long before the end count for the recovery, but
+     for those that can't be answered any more.  */
+  LATE_BEGIN_MS = 4000,
+  LATE_END_MS = 1000,
+  ANSWER_ALL = ANSWER_PACKETS * ANSWER_BYTES
+};
+
+static void
+plan_request (struct soak *soak, struct caller *caller)
+{
+  caller->state = CALLER_IDLE;
+  caller->due = galena_clock_after (
+      soak->now,
+      THINK_MIN_MS + galena_random_below (&soak->random, THINK_RANGE_MS));
+}
+
+bool
+callers_create (struct soak *soak)
+{
+  for (uint32_t i = 0; i < soak->options.callers; i++)
+    {
+      struct caller *caller = &soak->callers[i];
+
+      caller->fd = net_socket (net_caller (soak, i, PORT_PACKETS));
+      if (caller->fd < 0)
+        return false;
+      caller->fresh = i % 2 == 0;
+      caller->port = (uint16_t)(FIRST_PORT + i % PORTS);
+      caller->route = i % (SERVICES + 1);
+      plan_request (soak, caller);
+    }
+  return true;
+}
+
+void
+callers_destroy (struct soak *soak)
+{
+  for (uint32_t i = 0; i < soak->options.callers; i++)
+    if (soak->callers[i].fd > 0)
+      close (soak->callers[i].fd);
+}
+
+static struct galena_flow_key
+key_of (const struct soak *soak, uint32_t index)
+{
+  const struct caller *caller = &soak->callers[index];
+
+  return (struct galena_flow_key){ net_caller (soak, index, caller->port),
+                                   net_route (caller->route) };
+}
+
+static void
+send_packet (struct soak *soak, uint32_t index, uint8_t flags,
+             uint32_t sequence, uint32_t acknowledged, const uint8_t *data,
+             uint32_t size)
+{
+  struct galena_flow_key key = key_of (soak, index);
+  struct galena_packet packet = { .source = key.caller,
+                                  .destination = key.service,
+                                  .flags = flags,
+                                  .sequence = sequence,
+                                  .acknowledged = acknowledged };
+  uint8_t bytes[PACKET_BYTES_MAX];
+  uint32_t length = wire_write (&packet, data, size, bytes);
+  int entry = rotation_entry (soak, key);
+
+  if (entry >= 0)
+    net_send (soak, soak->callers[index].fd,
+              net_entry (soak, (uint32_t)entry, PORT_PACKETS), bytes, length);
+}
+
+static void
+send_open (struct soak *soak, uint32_t index)
+{
+  struct caller *caller = &soak->callers[index];
+  static const uint32_t COPIES_MS[]
+      = { FIRST_COPY_MS, SECOND_COPY_MS, OPEN_LIMIT_MS };
+
+  send_packet (soak, index, GALENA_PACKET_OPENS, caller->sequence - 1,
+               caller->copies, NULL, 0);
+  caller->due = galena_clock_after (caller->opened, COPIES_MS[caller->copies]);
+  caller->copies++;
+}
+
+static void
+begin_open (struct soak *soak, uint32_t index)
+{
+  struct caller *caller = &soak->callers[index];
+
+  caller->port++;
+  caller->open = false;
+  caller->state = CALLER_OPENING;
+  caller->copies = 0;
+  caller->opened = soak->now;
+  caller->sequence = (uint32_t)galena_random_next (&soak->random);
+  send_open (soak, index);
+}
+
+static void
+send_request (struct soak *soak, uint32_t index)
+{
+  struct caller *caller = &soak->callers[index];
+  uint8_t data[REQUEST_BYTES] = { 0 };
+
+  wire_write_number (data, caller->request);
+  data[8] = caller->fresh;
+  send_packet (soak, index, GALENA_PACKET_ACKNOWLEDGES, caller->sequence,
+               caller->acknowledged, data, sizeof data);
+  caller->due = galena_clock_after (soak->now, caller->interval_ms);
+  if (caller->interval_ms < RESEND_MAX_MS)
+    caller->interval_ms *= 2;
+}
+
+/* Tells whether the request of CALLER counts for the recovery.  */
+static bool
+is_late (const struct soak *soak, const struct caller *caller)
+{
+  int64_t end_ms = (int64_t)soak->options.faults_ms + soak->options.calm_ms;
+  int64_t at_ms = galena_clock_between (soak->started, caller->began);
+
+  return at_ms > end_ms - LATE_BEGIN_MS && at_ms < end_ms - LATE_END_MS;
+}
+
+static void
+finish_request (struct soak *soak, uint32_t index, bool answered)
+{
+  struct caller *caller = &soak->callers[index];
+
+  soak->report.answered += answered;
+  soak->report.failed += !answered && caller->owed;
+  if (caller->owed && is_late (soak, caller))
+    {
+      soak->report.late_requests++;
+      soak->report.late_answered += answered;
+    }
+  if (caller->fresh || !answered)
+    {
+      if (caller->open)
+        send_packet (soak, index,
+                     GALENA_PACKET_ACKNOWLEDGES | GALENA_PACKET_ENDS,
+                     caller->sequence, caller->acknowledged, NULL, 0);
+      caller->open = false;
+    }
+  plan_request (soak, caller);
+}
+
+/* The flow is gone: another one, where the request may be repeated.  */
+static void
+try_again (struct soak *soak, uint32_t index)
+{
+  struct caller *caller = &soak->callers[index];
+  bool opened = caller->state == CALLER_WAITING;
+
+  caller->tries++;
+  caller->open = false;
+  caller->received = 0;
+  if (caller->tries == TRIES_MAX || (caller->fresh && opened))
+    finish_request (soak, index, false);
+  else
+    begin_open (soak, index);
+}
+
+static void
+begin_request (struct soak *soak, uint32_t index)
+{
+  struct caller *caller = &soak->callers[index];
+
+  caller->request = ++soak->next_request;
+  caller->began = soak->now;
+  caller->tries = 0;
+  caller->received = 0;
+  /* One that begins around a change of its route is not owed.  */
+  caller->owed = !soak->routes[caller->route].dropped
+                 && galena_clock_between (soak->routes[caller->route].changed,
+                                          soak->now)
+                        > CONFIG_BOUND_MS;
+  soak->report.requests++;
+  if (!caller->open)
+    {
+      begin_open (soak, index);
+      return;
+    }
+  caller->state = CALLER_WAITING;
+  caller->interval_ms = RESEND_MS;
+  send_request (soak, index);
+}
+
+void
+callers_run (struct soak *soak)
+{
+  for (uint32_t i = 0; i < soak->options.callers; i++)
+    {
+      struct caller *caller = &soak->callers[i];
+
+      if (!galena_clock_reached (soak->now, caller->due))
+        continue;
+      if (caller->state == CALLER_IDLE)
+        begin_request (soak, i);
+      else if (galena_clock_between (caller->began, soak->now) > DEADLINE_MS)
+        finish_request (soak, i, false);
+      else if (caller->state == CALLER_WAITING)
+        send_request (soak, i);
+      else if (caller->copies < 3)
+        send_open (soak, i);
+      else
+        try_again (soak, i);
+    }
+}
+
+/* Counts a reset of an open flow whose upstream lives and was left alone, as
+   were all processes.  */
+static void
+check_reset (struct soak *soak, uint32_t index)
+{
+  const struct caller *caller = &soak->callers[index];
+  uint32_t host;
+
+  if (!caller->open || soak->routes[caller->route].dropped
+      || !hosts_hold (soak, key_of (soak, index), &host))
+    return;
+  soak->report.cut
+      += soak_is_calm (soak, STABLE_MS)
+         && galena_clock_between (soak->hosts[host].disturbed, soak->now)
+                > STABLE_MS;
+}
+
+/* Takes one packet of an answer: whole, in order, and to this request.  */
+static void
+take_answer (struct soak *soak, uint32_t index,
+             const struct galena_packet *packet)
+{
+  struct caller *caller = &soak->callers[index];
+  const uint8_t *data = packet->bytes + GALENA_PLATFORM_HEAD_BYTES;
+
+  if (packet->sequence == caller->acknowledged
+      && caller->state == CALLER_WAITING)
+    {
+      if (wire_read_number (data) != caller->request
+          || wire_read_number (data + 8) != caller->received / ANSWER_BYTES
+          || data[ANSWER_BYTES - 1] != caller->request % 251)
+        soak->report.mixed++;
+      caller->acknowledged += packet->data_size;
+      caller->received += packet->data_size;
+    }
+  send_packet (soak, index, GALENA_PACKET_ACKNOWLEDGES,
+               caller->sequence + REQUEST_BYTES, caller->acknowledged, NULL,
+               0);
+  if (caller->state != CALLER_WAITING || caller->received < ANSWER_ALL)
+    return;
+  caller->sequence += REQUEST_BYTES;
+  finish_request (soak, index, true);
+}
+
+static void
+take_packet (struct soak *soak, uint32_t index,
+             const struct galena_packet *packet)
+{
+  struct caller *caller = &soak->callers[index];
+
+  if (packet->destination.port != caller->port)
+    return;
+  if ((packet->flags & GALENA_PACKET_RESETS) != 0)
+    {
+      check_reset (soak, index);
+      if (caller->state == CALLER_IDLE)
+        caller->open = false;
+      else
+        try_again (soak, index);
+    }
+  else if (galena_packet_is_accept (packet))
+    {
+      if (caller->state != CALLER_OPENING)
+        return;
+      caller->open = true;
+      caller->acknowledged = packet->sequence + 1;
+      caller->state = CALLER_WAITING;
+      caller->interval_ms = RESEND_MS;
+      send_request (soak, index);
+    }
+  else if (packet->data_size == ANSWER_BYTES)
+    take_answer (soak, index, packet);
+}
+
+void
+callers_receive (struct soak *soak, uint32_t index)
+{
+  struct galena_packet packet;
+  uint8_t bytes[PACKET_BYTES_MAX];
+  bool forged;
+
+  while (wire_receive (soak->callers[index].fd, bytes, &packet, &forged))
+    {
+      soak->report.forged += forged;
+      if (!forged)
+        take_packet (soak, index, &packet);
+    }
+}
--- /dev/null
+++ b/soak/hosts.c
@@ -0,0 +1,310 @@
+/* Upstreams: they take flows, run requests, and return what they do not
+   hold.  */
+
+#include <string.h>
+#include <unistd.h>
+
+#include <galenaford/monotonic.h>
+#include <galenaford/platform/packet_codec.h>
+
+#include "soak.h"
+
+enum
+{
+  WORK_MIN_MS = 5,
+  WORK_RANGE_MS = 30,
+  RESEND_MS = 200,
+  RESEND_MAX_MS = 1600,
+  /* A flow that its caller left is forgotten.  */
+  FLOW_IDLE_MS = 20000,
+  AT_FLAGS = 30,
+  FLAG_BOUNCED = 16,
+  ANSWER_ALL = ANSWER_PACKETS * ANSWER_BYTES
+};
+
+bool
+hosts_create (struct soak *soak)
+{
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    {
+      struct host *host = &soak->hosts[i];
+
+      host->service = i % SERVICES;
+      host->fd = net_socket (net_host (soak, i, PORT_HOST));
+      if (host->fd < 0)
+        return false;
+      hosts_start (soak, i);
+    }
+  return true;
+}
+
+void
+hosts_destroy (struct soak *soak)
+{
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    if (soak->hosts[i].fd > 0)
+      close (soak->hosts[i].fd);
+}
+
+void
+hosts_start (struct soak *soak, uint32_t index)
+{
+  struct host *host = &soak->hosts[index];
+
+  memset (host->flows, 0, sizeof host->flows);
+  host->life++;
+  host->born_ms = galena_unix_ms ();
+  host->up = true;
+  host->listed = true;
+  host->draining = false;
+  host->start_at.ms = 0;
+  publish_host (soak, index);
+}
+
+void
+hosts_crash (struct soak *soak, uint32_t index)
+{
+  struct host *host = &soak->hosts[index];
+
+  memset (host->flows, 0, sizeof host->flows);
+  host->up = false;
+  host->disturbed = soak->now;
+}
+
+static struct host_flow *
+find_flow (struct host *host, struct galena_flow_key key)
+{
+  for (uint32_t i = 0; i < HOST_FLOWS_MAX; i++)
+    {
+      struct host_flow *flow = &host->flows[i];
+
+      if (flow->state != HOST_FLOW_FREE
+          && galena_endpoint_equal (flow->key.caller, key.caller)
+          && galena_endpoint_equal (flow->key.service, key.service))
+        return flow;
+    }
+  return NULL;
+}
+
+bool
+hosts_hold (struct soak *soak, struct galena_flow_key key, uint32_t *index)
+{
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    {
+      const struct host_flow *flow = find_flow (&soak->hosts[i], key);
+
+      if (soak->hosts[i].up && flow != NULL && flow->state == HOST_FLOW_OPEN)
+        {
+          *index = i;
+          return true;
+        }
+    }
+  return false;
+}
+
+static void
+send_packet (struct soak *soak, uint32_t index, const struct host_flow *flow,
+             uint8_t flags, uint32_t sequence, const uint8_t *data,
+             uint32_t size)
+{
+  struct galena_packet packet = { .source = flow->key.service,
+                                  .destination = flow->key.caller,
+                                  .flags = flags,
+                                  .sequence = sequence,
+                                  .acknowledged = flow->caller_next };
+  uint8_t bytes[PACKET_BYTES_MAX];
+  uint32_t length = wire_write (&packet, data, size, bytes);
+
+  net_send (soak, soak->hosts[index].fd, net_host (soak, index, PORT_OUTBOUND),
+            bytes, length);
+}
+
+static void
+return_packet (struct soak *soak, uint32_t index, uint8_t *bytes,
+               const struct galena_packet *packet)
+{
+  bytes[AT_FLAGS] |= FLAG_BOUNCED;
+  net_send (soak, soak->hosts[index].fd, net_host (soak, index, PORT_OUTBOUND),
+            bytes, packet->size);
+}
+
+/* Counts promises that the opening of a flow at host INDEX breaks.  */
+static void
+check_open (struct soak *soak, uint32_t index, uint32_t route)
+{
+  const struct host *host = &soak->hosts[index];
+
+  if (route >= ROUTES_MAX || soak->routes[route].service != host->service)
+    soak->report.misrouted++;
+  if (route < ROUTES_MAX && soak->routes[route].dropped
+      && galena_clock_between (soak->routes[route].changed, soak->now)
+             > CONFIG_BOUND_MS
+      && soak_is_calm (soak, STABLE_MS + CONFIG_BOUND_MS))
+    soak->report.stale++;
+  if (host->draining
+      && galena_clock_between (host->drained_since, soak->now) > DRAIN_BOUND_MS
+      && soak_is_calm (soak, STABLE_MS + DRAIN_BOUND_MS))
+    soak->report.drained++;
+}
+
+static void
+take_open (struct soak *soak, uint32_t index, uint8_t *bytes,
+           const struct galena_packet *packet)
+{
+  struct host *host = &soak->hosts[index];
+  struct galena_flow_key key = { packet->source, packet->destination };
+  struct host_flow *flow = find_flow (host, key);
+
+  for (uint32_t i = 0; flow == NULL && i < HOST_FLOWS_MAX; i++)
+    if (host->flows[i].state == HOST_FLOW_FREE)
+      {
+        flow = &host->flows[i];
+        *flow = (struct host_flow){ .state = HOST_FLOW_HALF, .key = key };
+        flow->sequence = (uint32_t)galena_random_next (&soak->random);
+        flow->caller_next = packet->sequence + 1;
+        flow->resend_at = soak->now;
+        check_open (soak, index, key.service.ip - net_route (0).ip);
+      }
+  if (flow == NULL || flow->state == HOST_FLOW_OPEN)
+    return_packet (soak, index, bytes, packet);
+  else
+    send_packet (soak, index, flow,
+                 GALENA_PACKET_OPENS | GALENA_PACKET_ACKNOWLEDGES,
+                 flow->sequence - 1, NULL, 0);
+}
+
+/* Begins the request in PACKET.  */
+static void
+take_request (struct soak *soak, struct host_flow *flow,
+              const struct galena_packet *packet)
+{
+  const uint8_t *data = packet->bytes + GALENA_PLATFORM_HEAD_BYTES;
+  uint64_t number = wire_read_number (data);
+  uint64_t *ran = &soak->runs[number % RUNS_MAX];
+
+  if (packet->data_size != REQUEST_BYTES
+      || packet->sequence != flow->caller_next)
+    return;
+  flow->caller_next += packet->data_size;
+  flow->request = number;
+  flow->answer_at = galena_clock_after (
+      soak->now,
+      WORK_MIN_MS + galena_random_below (&soak->random, WORK_RANGE_MS));
+  /* Requests that may run once only are marked.  */
+  if (data[8] == 0)
+    return;
+  soak->report.doubled += *ran == number;
+  *ran = number;
+}
+
+static void
+take_flow_packet (struct soak *soak, uint32_t index, struct host_flow *flow,
+                  const struct galena_packet *packet)
+{
+  uint32_t taken = packet->acknowledged - flow->sequence;
+
+  flow->state = HOST_FLOW_OPEN;
+  if ((packet->flags & (GALENA_PACKET_RESETS | GALENA_PACKET_ENDS)) != 0)
+    {
+      flow->state = HOST_FLOW_FREE;
+      return;
+    }
+  if (taken <= flow->unacknowledged)
+    {
+      flow->sequence += taken;
+      flow->unacknowledged -= taken;
+      flow->interval_ms = RESEND_MS;
+    }
+  if (packet->data_size > 0 && flow->unacknowledged == 0)
+    take_request (soak, flow, packet);
+  flow->resend_at = galena_clock_after (soak->now, RESEND_MS);
+  (void)index;
+}
+
+void
+hosts_receive (struct soak *soak, uint32_t index)
+{
+  struct host *host = &soak->hosts[index];
+  struct galena_packet packet;
+  uint8_t bytes[PACKET_BYTES_MAX];
+  bool forged;
+
+  while (wire_receive (host->fd, bytes, &packet, &forged))
+    {
+      struct galena_flow_key key = { packet.source, packet.destination };
+      struct host_flow *flow;
+
+      if (!host->up)
+        continue;
+      soak->report.forged += forged || galena_packet_is_accept (&packet);
+      if (galena_packet_is_open (&packet))
+        {
+          take_open (soak, index, bytes, &packet);
+          continue;
+        }
+      flow = find_flow (host, key);
+      if (flow == NULL)
+        return_packet (soak, index, bytes, &packet);
+      else if (flow->state == HOST_FLOW_HALF
+               && packet.acknowledged != flow->sequence)
+        /* Opened elsewhere: what this one says must not reach the caller.  */
+        send_packet (soak, index, flow, GALENA_PACKET_RESETS, flow->sequence,
+                     NULL, 0);
+      else
+        take_flow_packet (soak, index, flow, &packet);
+    }
+}
+
+/* Sends what the caller of FLOW has not acknowledged of the answer.  */
+static void
+send_answer (struct soak *soak, uint32_t index, struct host_flow *flow)
+{
+  uint32_t sent = ANSWER_ALL - flow->unacknowledged;
+
+  for (uint32_t at = sent; at < ANSWER_ALL; at += ANSWER_BYTES)
+    {
+      uint8_t data[ANSWER_BYTES];
+
+      memset (data, (int)(flow->request % 251), sizeof data);
+      wire_write_number (data, flow->request);
+      wire_write_number (data + 8, at / ANSWER_BYTES);
+      send_packet (soak, index, flow, GALENA_PACKET_ACKNOWLEDGES,
+                   flow->sequence + at - sent, data, sizeof data);
+    }
+  flow->resend_at = galena_clock_after (soak->now, flow->interval_ms);
+  if (flow->interval_ms < RESEND_MAX_MS)
+    flow->interval_ms *= 2;
+}
+
+static void
+run_flow (struct soak *soak, uint32_t index, struct host_flow *flow)
+{
+  if (flow->request != 0 && galena_clock_reached (soak->now, flow->answer_at))
+    {
+      flow->unacknowledged = ANSWER_ALL;
+      flow->interval_ms = RESEND_MS;
+      send_answer (soak, index, flow);
+      flow->answer_at.ms = INT64_MAX;
+    }
+  else if (flow->unacknowledged > 0
+           && galena_clock_reached (soak->now, flow->resend_at))
+    send_answer (soak, index, flow);
+  else if (galena_clock_between (flow->resend_at, soak->now) > FLOW_IDLE_MS)
+    flow->state = HOST_FLOW_FREE;
+}
+
+void
+hosts_run (struct soak *soak)
+{
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    {
+      struct host *host = &soak->hosts[i];
+
+      if (!host->up && host->start_at.ms != 0
+          && galena_clock_reached (soak->now, host->start_at))
+        hosts_start (soak, i);
+      for (uint32_t j = 0; host->up && j < HOST_FLOWS_MAX; j++)
+        if (host->flows[j].state != HOST_FLOW_FREE)
+          run_flow (soak, i, &host->flows[j]);
+    }
+}
--- /dev/null
+++ b/soak/publish.c
@@ -0,0 +1,80 @@
+/* What the operator and the upstreams write to the store.  */
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+
+#include "soak.h"
+
+enum
+{
+  ADDRESS_BYTES = 32,
+  KEY_BYTES = 64,
+  SLOTS = 4
+};
+
+static void
+put_json (struct soak *soak, const char *key, json_t *value)
+{
+  char *text = json_dumps (value, JSON_COMPACT);
+
+  store_put (soak->store, key, text);
+  free (text);
+  json_decref (value);
+}
+
+void
+publish_config (struct soak *soak)
+{
+  static json_int_t version;
+  json_t *routes = json_array ();
+
+  for (uint32_t i = 0; i < ROUTES_MAX; i++)
+    {
+      char address[ADDRESS_BYTES];
+      char service[ADDRESS_BYTES];
+      char prefix[ADDRESS_BYTES];
+      char *colon = address;
+
+      if (!soak->routes[i].used || soak->routes[i].dropped)
+        continue;
+      net_text (net_route (i), address, sizeof address);
+      while (*colon != ':')
+        colon++;
+      *colon = '\0';
+      snprintf (prefix, sizeof prefix, "/%s/", colon + 1);
+      snprintf (service, sizeof service, "service-%u",
+                soak->routes[i].service);
+      json_array_append_new (routes,
+                             json_pack ("{s:s, s:s, s:s}", "host", address,
+                                        "prefix", prefix, "service", service));
+    }
+  put_json (soak, "op/config",
+            json_pack ("{s:I, s:o, s:[], s:{}}", "version", ++version,
+                       "routes", routes, "services", "limits"));
+}
+
+void
+publish_host (struct soak *soak, uint32_t index)
+{
+  const struct host *host = &soak->hosts[index];
+  char address[ADDRESS_BYTES];
+  char service[ADDRESS_BYTES];
+  char key[KEY_BYTES];
+
+  snprintf (key, sizeof key, "servers/h-%u-%u", index, host->life);
+  if (!host->listed)
+    {
+      store_remove (soak->store, key);
+      return;
+    }
+  net_text (net_host (soak, index, PORT_HOST), address, sizeof address);
+  snprintf (service, sizeof service, "service-%u", host->service);
+  put_json (soak, key,
+            json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
+                       "service", service, "address", address, "zone", "z",
+                       "version", "1", "capacity", SLOTS, "state",
+                       host->draining ? "draining" : "ready", "warmupLeftMs",
+                       0, "sequence", 1, "born", (json_int_t)host->born_ms));
+}
