End a wait for reads when one has ended before it

A read that libcurl ended in the call before its wait woke nobody, and the wait had no end of its own. Ruled out: revisions passed over, the renewal after a pause, RCU; the log shows no call begun in that time. Change: a wait does not last while an ended read has not been taken. Test: test_reads (new), /reads/answered-unnoticed failed before.

--- a/packages/runtime/src/reads.c
+++ b/packages/runtime/src/reads.c
@@ -218,6 +218,9 @@
         waits[i].events |= CURL_WAIT_POLLOUT;
     }
   curl_multi_perform (reads->multi, &running);
+  /* A read that has ended wakes nobody any more.  */
+  if ((uint32_t)running < galena_table_count (reads->rows))
+    timeout_ms = 0;
   curl_multi_poll (reads->multi, waits, count, (int)timeout_ms, NULL);
   curl_multi_perform (reads->multi, &running);
 }
