--- a/soak/faults.c
+++ b/soak/faults.c
@@ -11,6 +11,7 @@
   CRASH_BACK_MS = 400,
   SLOW_MS = 400,
   LOSS_ONE_IN = 20,
+  LATE_ONE_IN = 6,
   ROUTE_MOVED = 2
 };
 
@@ -215,6 +216,20 @@
   soak->loss = 0;
 }
 
+static void
+delay_packets (struct soak *soak, uint32_t target)
+{
+  (void)target;
+  soak->late = LATE_ONE_IN;
+}
+
+static void
+hurry_packets (struct soak *soak, uint32_t target)
+{
+  (void)target;
+  soak->late = 0;
+}
+
 static const struct fault_kind KINDS[] = {
   { "kill-entry", false, 0, 0, kill_entry, NULL },
   { "kill-agent", false, 0, 0, kill_agent, NULL },
@@ -230,6 +245,8 @@
   { "relay-one-way", false, 500, 4000, relay_one_way, relay_back },
   { "relay-silent", false, 500, 4000, relay_silent, relay_back },
   { "lossy", false, 500, 3000, lose_packets, keep_packets },
+  /* Packets may come late and in another order at any time.  */
+  { "late-packets", true, 1000, 4000, delay_packets, hurry_packets },
   { "end-entry", true, 0, 0, end_entry, NULL },
   { "reload", true, 0, 0, reload_entry, NULL },
   { "drain-host", true, 4000, 5000, drain_host, remove_host },
@@ -240,7 +257,9 @@
 {
   KIND_COUNT = sizeof KINDS / sizeof KINDS[0],
   /* Planned kinds stand last.  */
-  FIRST_PLANNED = 14
+  FIRST_PLANNED = 14,
+  /* Faults in the calm.  */
+  FAULTS_CALM = 4
 };
 
 static void
@@ -266,10 +285,13 @@
 {
   const struct soak_options *options = &soak->options;
 
-  for (uint32_t i = 0; i < options->faults && i < FAULTS_MAX - 4; i++)
+  for (uint32_t i = 0; i < options->faults && i < FAULTS_MAX - FAULTS_CALM;
+       i++)
     plan_fault (soak, &KINDS[galena_random_below (&soak->random, KIND_COUNT)],
                 START_MS, options->faults_ms - START_MS);
   /* Planned work in the calm must not be noticed.  */
+  plan_fault (soak, &KINDS[FIRST_PLANNED], options->faults_ms + STABLE_MS,
+              options->calm_ms / 4);
   for (uint32_t i = 0; i < 3; i++)
     plan_fault (soak,
                 &KINDS[FIRST_PLANNED
--- a/soak/main.c
+++ b/soak/main.c
@@ -31,7 +31,7 @@
 static const struct soak_system SYSTEMS[] = {
   { "fleet", fleet_run },     { "hosts", hosts_run },
   { "callers", callers_run }, { "rotation", rotation_run },
-  { "faults", faults_run },
+  { "faults", faults_run },   { "late", net_run_late },
 };
 
 bool
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -26,6 +26,7 @@
   HOST_FLOWS_MAX = 512,
   RUNS_MAX = 65536,
   FAULTS_MAX = 32,
+  LATE_PACKETS_MAX = 1024,
   RELAY_CONNECTIONS_MAX = 512,
   PATH_BYTES = 256,
   PACKET_BYTES_MAX = 1232,
@@ -188,6 +189,17 @@
   uint32_t misses;
 };
 
+/* A packet that is late.  */
+struct late_packet
+{
+  bool used;
+  int fd;
+  struct galena_endpoint to;
+  struct galena_clock due;
+  uint32_t size;
+  uint8_t bytes[PACKET_BYTES_MAX];
+};
+
 struct report
 {
   uint32_t requests;
@@ -248,6 +260,9 @@
   struct galena_clock disturbed;
   /* One in so many packets of callers and hosts is lost; 0 for none.  */
   uint32_t loss;
+  /* One in so many is late; 0 for none.  */
+  uint32_t late;
+  struct late_packet late_packets[LATE_PACKETS_MAX];
   struct child children[CHILDREN_MAX];
   struct host hosts[HOSTS_MAX];
   struct caller callers[CALLERS_MAX];
@@ -351,6 +366,8 @@
 void net_text (struct galena_endpoint address, char *text, size_t size);
 void net_send (struct soak *soak, int fd, struct galena_endpoint to,
                const uint8_t *bytes, uint32_t size);
+/* System: sends late packets whose time has come.  */
+void net_run_late (struct soak *soak);
 /* Writes PACKET with SIZE bytes of DATA to BYTES; returns the packet's size.
  */
 uint32_t wire_write (const struct galena_packet *packet, const uint8_t *data,
--- a/soak/wire.c
+++ b/soak/wire.c
@@ -25,7 +25,9 @@
   AT_FLAGS = 30,
   AT_PAD = 31,
   FLAG_BOUNCED = 16,
-  BUFFER_BYTES = 1 << 20
+  BUFFER_BYTES = 1 << 20,
+  LATE_MIN_MS = 40,
+  LATE_RANGE_MS = 700
 };
 
 static struct galena_endpoint
@@ -96,19 +98,68 @@
             address.ip & 255, address.port);
 }
 
-void
-net_send (struct soak *soak, int fd, struct galena_endpoint to,
-          const uint8_t *bytes, uint32_t size)
+static void
+send_now (int fd, struct galena_endpoint to, const uint8_t *bytes,
+          uint32_t size)
 {
   struct sockaddr_in address = to_sockaddr (to);
 
-  if (soak->loss != 0 && galena_random_below (&soak->random, soak->loss) == 0)
-    return;
   /* A datagram that does not go out is one that the network lost.  */
   (void)!sendto (fd, bytes, size, 0, (struct sockaddr *)&address,
                  sizeof address);
 }
 
+/* Keeps a packet back for a while; false when there is no room.  */
+static bool
+keep_late (struct soak *soak, int fd, struct galena_endpoint to,
+           const uint8_t *bytes, uint32_t size)
+{
+  for (uint32_t i = 0; i < LATE_PACKETS_MAX; i++)
+    {
+      struct late_packet *packet = &soak->late_packets[i];
+
+      if (packet->used)
+        continue;
+      *packet = (struct late_packet){
+        .used = true,
+        .fd = fd,
+        .to = to,
+        .size = size,
+        .due = galena_clock_after (
+            soak->now,
+            LATE_MIN_MS + galena_random_below (&soak->random, LATE_RANGE_MS)),
+      };
+      memcpy (packet->bytes, bytes, size);
+      return true;
+    }
+  return false;
+}
+
+void
+net_send (struct soak *soak, int fd, struct galena_endpoint to,
+          const uint8_t *bytes, uint32_t size)
+{
+  if (soak->loss != 0 && galena_random_below (&soak->random, soak->loss) == 0)
+    return;
+  if (soak->late == 0 || galena_random_below (&soak->random, soak->late) != 0
+      || !keep_late (soak, fd, to, bytes, size))
+    send_now (fd, to, bytes, size);
+}
+
+void
+net_run_late (struct soak *soak)
+{
+  for (uint32_t i = 0; i < LATE_PACKETS_MAX; i++)
+    {
+      struct late_packet *packet = &soak->late_packets[i];
+
+      if (!packet->used || !galena_clock_reached (soak->now, packet->due))
+        continue;
+      packet->used = false;
+      send_now (packet->fd, packet->to, packet->bytes, packet->size);
+    }
+}
+
 static void
 write_big (uint8_t *bytes, uint32_t count, uint32_t number)
 {
