--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 	liburcu-dev libmsgpack-dev libglib2.0-dev libinih-dev libjansson-dev \
 	libcurl4-openssl-dev libxxhash-dev libmicrohttpd-dev nettle-dev
 
-.PHONY: all setup packages demo faults test bench measure propagation capacity clean
+.PHONY: all setup packages demo faults test bench measure propagation \
+	capacity soak soak-regressions clean
 
 all:
 	cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
@@ -36,6 +37,21 @@
 	ctest --test-dir $(BUILD) --output-on-failure -j $(shell nproc) \
 	  $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
+# The fault soak: SEEDS seeds from SEED on, JOBS at a time.
+SEED ?= $(shell date +%s)
+SEEDS ?= 8
+JOBS ?= 4
+SOAK = $(BUILD)/soak/soak $(BUILD)/packages/daemon/galenaford \
+	--folder $(BUILD)/soak
+
+soak: all
+	$(SOAK) --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS)
+
+# Seeds that failed once.
+soak-regressions: all
+	for seed in $$(sed -n 's/^\([0-9]*\) .*/\1/p' soak/seeds.txt); do \
+	  $(SOAK) --seed $$seed || exit 1; done
+
 # Prints the tables that docs/MEASUREMENTS.md quotes.
 measure: all
 	$(BUILD)/measure/policy/measure
--- a/packages/ctl/src/story.c
+++ b/packages/ctl/src/story.c
@@ -62,6 +62,8 @@
 
 struct line
 {
+  /* Place in the log.  */
+  size_t number;
   char cells[CELL_COUNT][CELL_BYTES];
 };
 
@@ -75,7 +77,7 @@
 struct names
 {
   uint32_t count;
-  const char *rows[NAMES_MAX];
+  char rows[NAMES_MAX][CELL_BYTES];
 };
 
 /* What the story is about.  */
@@ -89,10 +91,19 @@
 };
 
 static bool
-is_named (const char *name, const char *const *names, size_t count)
+is_event (const char *name, const char *const *events, size_t count)
 {
   for (size_t i = 0; i < count; i++)
-    if (strcmp (name, names[i]) == 0)
+    if (strcmp (name, events[i]) == 0)
+      return true;
+  return false;
+}
+
+static bool
+has_name (const struct names *names, const char *name)
+{
+  for (uint32_t i = 0; i < names->count; i++)
+    if (strcmp (name, names->rows[i]) == 0)
       return true;
   return false;
 }
@@ -100,9 +111,8 @@
 static void
 add_name (struct names *names, const char *name)
 {
-  if (*name != '\0' && names->count < NAMES_MAX
-      && !is_named (name, names->rows, names->count))
-    names->rows[names->count++] = name;
+  if (*name != '\0' && names->count < NAMES_MAX && !has_name (names, name))
+    snprintf (names->rows[names->count++], CELL_BYTES, "%s", name);
 }
 
 /* Fills the cells of LINE from the pairs in TEXT; false when it is no line of
@@ -158,8 +168,10 @@
   while (room && getline (&text, &size, in) >= 0)
     {
       room = make_room (lines);
-      if (room && read_line (text, &lines->rows[lines->count]))
-        lines->count++;
+      if (!room || !read_line (text, &lines->rows[lines->count]))
+        continue;
+      lines->rows[lines->count].number = lines->count;
+      lines->count++;
     }
   free (text);
   return room;
@@ -200,8 +212,7 @@
   /* Agents are processes too; each tells its address when it starts.  */
   for (size_t i = 0; i < lines->count; i++)
     if (strcmp (lines->rows[i].cells[CELL_EVENT], "started") == 0
-        && is_named (lines->rows[i].cells[CELL_ADDRESS], subject->agents.rows,
-                     subject->agents.count))
+        && has_name (&subject->agents, lines->rows[i].cells[CELL_ADDRESS]))
       add_name (&subject->processes, lines->rows[i].cells[CELL_PROCESS]);
   return subject->processes.count > 0;
 }
@@ -215,44 +226,54 @@
   if (is_own (subject, line))
     return true;
   if (ms + BEFORE_MS < subject->first_ms || ms > subject->last_ms + AFTER_MS
-      || !is_named (line->cells[CELL_PROCESS], subject->processes.rows,
-                    subject->processes.count))
+      || !has_name (&subject->processes, line->cells[CELL_PROCESS]))
     return false;
-  if (is_named (event, AGENT_EVENTS,
+  if (is_event (event, AGENT_EVENTS,
                 sizeof AGENT_EVENTS / sizeof AGENT_EVENTS[0]))
-    return is_named (line->cells[CELL_AGENT], subject->agents.rows,
-                     subject->agents.count);
-  return is_named (event, PROCESS_EVENTS,
+    return has_name (&subject->agents, line->cells[CELL_AGENT]);
+  return is_event (event, PROCESS_EVENTS,
                    sizeof PROCESS_EVENTS / sizeof PROCESS_EVENTS[0]);
 }
 
 static int
-compare_times (const void *a, const void *b)
+compare_lines (const void *a, const void *b)
 {
-  const struct line *const *left = a;
-  const struct line *const *right = b;
-  uint64_t left_ms = time_of (*left);
-  uint64_t right_ms = time_of (*right);
+  const struct line *left = a;
+  const struct line *right = b;
+  uint64_t left_ms = time_of (left);
+  uint64_t right_ms = time_of (right);
 
   if (left_ms != right_ms)
     return left_ms < right_ms ? -1 : 1;
-  return *left < *right ? -1 : 1;
+  return left->number < right->number ? -1 : 1;
+}
+
+/* Keeps the lines that are told, in the order of time.  */
+static void
+keep_told (struct lines *lines, const struct subject *subject)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < lines->count; i++)
+    if (is_told (subject, &lines->rows[i]))
+      lines->rows[kept++] = lines->rows[i];
+  lines->count = kept;
+  qsort (lines->rows, kept, sizeof *lines->rows, compare_lines);
 }
 
 static void
-print_told (const struct arguments *arguments, const struct line *const *told,
-            size_t count)
+print_lines (const struct arguments *arguments, const struct lines *lines)
 {
   struct sheet *sheet;
 
   if (sheet_create (KEYS, CELL_SHOWN, &sheet) != GALENA_OK)
     return;
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < lines->count; i++)
     {
       if (sheet_add_row (sheet) != GALENA_OK)
         break;
       for (uint32_t cell = 0; cell < CELL_SHOWN; cell++)
-        sheet_set_text (sheet, cell, told[i]->cells[cell]);
+        sheet_set_text (sheet, cell, lines->rows[i].cells[cell]);
       sheet_filter_row (sheet, arguments->filters, arguments->filter_count);
     }
   if (arguments->json)
@@ -263,11 +284,9 @@
 }
 
 static int
-tell (const struct arguments *arguments, const struct lines *lines)
+tell (const struct arguments *arguments, struct lines *lines)
 {
   struct subject subject = { .caller = arguments->words[2] };
-  const struct line **told;
-  size_t count = 0;
 
   if (!find_subject (lines, &subject))
     {
@@ -275,15 +294,8 @@
                arguments->words[1], subject.caller);
       return EXIT_FAILURE;
     }
-  told = calloc (lines->count, sizeof *told);
-  if (told == NULL)
-    return EXIT_FAILURE;
-  for (size_t i = 0; i < lines->count; i++)
-    if (is_told (&subject, &lines->rows[i]))
-      told[count++] = &lines->rows[i];
-  qsort (told, count, sizeof *told, compare_times);
-  print_told (arguments, told, count);
-  free (told);
+  keep_told (lines, &subject);
+  print_lines (arguments, lines);
   return EXIT_SUCCESS;
 }
 
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -294,6 +294,20 @@
     }
 }
 
+static void
+note_search (struct galena_plane *plane, enum galena_plane_event event,
+             const struct entry_flow *flow, struct galena_endpoint agent)
+{
+  plane_note (plane,
+              (struct galena_plane_note){
+                  .event = event,
+                  .flow = flow->key,
+                  .agent = agent,
+                  .version = plane->entry->version,
+                  .age_ms = galena_clock_between (flow->began, plane->now),
+                  .detail = galena_table_count (plane->entry->upstreams) });
+}
+
 void
 entry_seek (struct galena_plane *plane, struct galena_handle handle,
             struct galena_handle denier, const uint8_t *bytes, uint32_t size)
@@ -321,67 +335,74 @@
   if (!galena_handle_is_none (denier))
     deny (plane, search, denier);
   plane_count (plane, GALENA_PLANE_SOUGHT);
-  plane_note (plane,
-              (struct galena_plane_note){
-                  .event = GALENA_EVENT_SOUGHT,
-                  .flow = flow->key,
-                  .version = plane->entry->version,
-                  .age_ms = galena_clock_between (flow->began, plane->now),
-                  .detail = galena_table_count (plane->entry->upstreams) });
+  note_search (plane, GALENA_EVENT_SOUGHT, flow,
+               (struct galena_endpoint){ 0, 0 });
   advance (plane, handle);
 }
 
+/* A reply to a search, and what it is about.  */
+struct reply
+{
+  struct galena_handle upstream;
+  struct galena_handle handle;
+  struct entry_flow *flow;
+  /* NULL when the owner of the flow is not looked for.  */
+  struct search_row *search;
+};
+
+/* Hears the agent at PEER and finds what MESSAGE is about; false when the flow
+   is not known.  */
+static bool
+take_reply (struct galena_plane *plane, struct galena_endpoint peer,
+            const struct galena_peer_message *message, struct reply *reply)
+{
+  *reply = (struct reply){ 0 };
+  if (entry_hear (plane, peer, message, &reply->upstream) == NULL)
+    return false;
+  reply->flow = entry_flow_find (plane, message->flow, &reply->handle);
+  if (reply->flow == NULL)
+    return false;
+  if (reply->flow->state == FLOW_SOUGHT)
+    reply->search = search_of (plane, reply->flow);
+  return true;
+}
+
 void
 entry_take_unsure (struct galena_plane *plane, struct galena_endpoint peer,
                    const struct galena_peer_message *message)
 {
-  struct galena_handle at;
-  struct galena_handle handle;
-  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
-  const struct entry_flow *flow
-      = entry_flow_find (plane, message->flow, &handle);
+  struct reply reply;
   struct search_row *search;
 
-  if (upstream == NULL || flow == NULL)
+  if (!take_reply (plane, peer, message, &reply) || reply.search == NULL)
     return;
-  search = search_of (plane, flow);
-  if (flow->state != FLOW_SOUGHT || search == NULL
-      || has_bit (search->given, at) || has_bit (search->denied, at)
+  search = reply.search;
+  if (has_bit (search->given, reply.upstream)
+      || has_bit (search->denied, reply.upstream)
       || !spend (plane, QUESTION_BYTES + search->size))
     return;
-  set_bit (search->given, at);
-  entry_flow_send_copy (plane, flow, at, GALENA_PEER_FIND, search->bytes,
-                        search->size);
+  set_bit (search->given, reply.upstream);
+  entry_flow_send_copy (plane, reply.flow, reply.upstream, GALENA_PEER_FIND,
+                        search->bytes, search->size);
 }
 
 void
 entry_take_owned (struct galena_plane *plane, struct galena_endpoint peer,
                   const struct galena_peer_message *message)
 {
-  struct galena_handle at;
-  struct galena_handle handle;
-  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
-  struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
+  struct reply reply;
   const struct search_row *search;
 
-  if (upstream == NULL || flow == NULL)
-    return;
-  search = search_of (plane, flow);
-  if (flow->state != FLOW_SOUGHT || search == NULL)
+  if (!take_reply (plane, peer, message, &reply) || reply.search == NULL)
     return;
+  search = reply.search;
   plane_count (plane, GALENA_PLANE_FOUND);
   plane_measure (plane, GALENA_PLANE_SEARCH_MS, search->began);
-  plane_note (plane,
-              (struct galena_plane_note){
-                  .event = GALENA_EVENT_FOUND,
-                  .flow = flow->key,
-                  .agent = peer,
-                  .version = plane->entry->version,
-                  .age_ms = galena_clock_between (flow->began, plane->now) });
-  if (!has_bit (search->given, at))
-    entry_flow_send_copy (plane, flow, at, GALENA_PEER_FORWARD, search->bytes,
-                          search->size);
-  entry_flow_settle (plane, flow, at);
+  note_search (plane, GALENA_EVENT_FOUND, reply.flow, peer);
+  if (!has_bit (search->given, reply.upstream))
+    entry_flow_send_copy (plane, reply.flow, reply.upstream,
+                          GALENA_PEER_FORWARD, search->bytes, search->size);
+  entry_flow_settle (plane, reply.flow, reply.upstream);
   plane->hurry = true;
 }
 
@@ -417,50 +438,35 @@
 entry_take_disowned (struct galena_plane *plane, struct galena_endpoint peer,
                      const struct galena_peer_message *message)
 {
-  struct galena_handle at;
-  struct galena_handle handle;
-  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
-  struct entry_flow *flow = entry_flow_find (plane, message->flow, &handle);
-  struct search_row *search;
+  struct reply reply;
 
-  if (upstream == NULL || flow == NULL)
+  if (!take_reply (plane, peer, message, &reply))
     return;
-  if (flow->state == FLOW_OPEN)
-    {
-      if (galena_handle_pack (flow->owner) == galena_handle_pack (at)
-          && message->bytes != NULL)
-        leave_owner (plane, handle, at, message->bytes, message->size);
-      return;
-    }
-  search = search_of (plane, flow);
-  if (flow->state != FLOW_SOUGHT || search == NULL)
+  if (reply.flow->state == FLOW_OPEN
+      && galena_handle_pack (reply.flow->owner)
+             == galena_handle_pack (reply.upstream)
+      && message->bytes != NULL)
+    leave_owner (plane, reply.handle, reply.upstream, message->bytes,
+                 message->size);
+  if (reply.search == NULL)
     return;
-  deny (plane, search, at);
-  if (search->awaited == 0)
-    advance (plane, handle);
+  deny (plane, reply.search, reply.upstream);
+  if (reply.search->awaited == 0)
+    advance (plane, reply.handle);
 }
 
 void
 entry_take_lost (struct galena_plane *plane, struct galena_endpoint peer,
                  const struct galena_peer_message *message)
 {
-  struct galena_handle at;
-  struct galena_handle handle;
-  const struct upstream_row *upstream = entry_hear (plane, peer, message, &at);
-  const struct entry_flow *flow
-      = entry_flow_find (plane, message->flow, &handle);
+  struct reply reply;
 
-  if (upstream == NULL || flow == NULL
-      || (flow->state == FLOW_OPEN
-          && galena_handle_pack (flow->owner) != galena_handle_pack (at)))
+  if (!take_reply (plane, peer, message, &reply)
+      || (reply.flow->state == FLOW_OPEN
+          && galena_handle_pack (reply.flow->owner)
+                 != galena_handle_pack (reply.upstream)))
     return;
   plane_count (plane, GALENA_PLANE_LOST);
-  plane_note (plane,
-              (struct galena_plane_note){
-                  .event = GALENA_EVENT_LOST,
-                  .flow = flow->key,
-                  .agent = peer,
-                  .version = plane->entry->version,
-                  .age_ms = galena_clock_between (flow->began, plane->now) });
-  entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
+  note_search (plane, GALENA_EVENT_LOST, reply.flow, peer);
+  entry_flow_reset (plane, reply.handle, GALENA_UNKNOWN_FLOW);
 }
--- a/soak/relay.c
+++ b/soak/relay.c
@@ -1,9 +1,7 @@
 /* A relay between each entry and the store: its connections are delayed,
    reset, cut one way, or go silent.  */
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,23 +13,13 @@
   BUFFER_BYTES = 16384
 };
 
-static struct sockaddr_in
-to_sockaddr (struct galena_endpoint endpoint)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-
-  address.sin_addr.s_addr = htonl (endpoint.ip);
-  address.sin_port = htons (endpoint.port);
-  return address;
-}
-
 bool
 relay_create (struct soak *soak)
 {
   for (uint32_t i = 0; i < soak->options.entries; i++)
     {
       struct sockaddr_in address
-          = to_sockaddr (net_entry (soak, i, PORT_RELAY));
+          = net_sockaddr (net_entry (soak, i, PORT_RELAY));
       int on = 1;
       int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -107,7 +95,7 @@
 accept_one (struct soak *soak, uint32_t entry)
 {
   /* The store listens at the address of the first entry.  */
-  struct sockaddr_in address = to_sockaddr (net_entry (soak, 0, PORT_STORE));
+  struct sockaddr_in address = net_sockaddr (net_entry (soak, 0, PORT_STORE));
   struct relay_connection *connection = NULL;
   int near = accept4 (soak->relays[entry].fd, NULL, NULL, SOCK_CLOEXEC);
   int far;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -7,6 +7,7 @@
 #ifndef GALENAFORD_SOAK_H
 #define GALENAFORD_SOAK_H
 
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/types.h>
 
@@ -362,6 +363,7 @@
 struct galena_endpoint net_caller (const struct soak *soak, uint32_t index,
                                    uint16_t port);
 struct galena_endpoint net_route (uint32_t index);
+struct sockaddr_in net_sockaddr (struct galena_endpoint endpoint);
 int net_socket (struct galena_endpoint address);
 void net_text (struct galena_endpoint address, char *text, size_t size);
 void net_send (struct soak *soak, int fd, struct galena_endpoint to,
--- a/soak/wire.c
+++ b/soak/wire.c
@@ -64,8 +64,8 @@
                                    ROUTE_PORT };
 }
 
-static struct sockaddr_in
-to_sockaddr (struct galena_endpoint endpoint)
+struct sockaddr_in
+net_sockaddr (struct galena_endpoint endpoint)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
 
@@ -77,7 +77,7 @@
 int
 net_socket (struct galena_endpoint endpoint)
 {
-  struct sockaddr_in address = to_sockaddr (endpoint);
+  struct sockaddr_in address = net_sockaddr (endpoint);
   int bytes = BUFFER_BYTES;
   int fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -102,7 +102,7 @@
 send_now (int fd, struct galena_endpoint to, const uint8_t *bytes,
           uint32_t size)
 {
-  struct sockaddr_in address = to_sockaddr (to);
+  struct sockaddr_in address = net_sockaddr (to);
 
   /* A datagram that does not go out is one that the network lost.  */
   (void)!sendto (fd, bytes, size, 0, (struct sockaddr *)&address,
