Let bulk data give way on a full link

A scratch copy that logs questions and denials shows that the owner was asked several times and got one of these: an entry's link of 10 Mbit/s was full and dropped some of everything, a wave of questions most of all. Ruled out: wrong denials (none by an owner), upstreams taken for gone, the share of searches. Change: packets with 1,000 bytes of data or more take only what others leave of 90 percent of the link; further ones are dropped at the entry and counted as shed. Their senders repeat them, as they would those that the link drops. Test: /entry/bulk-gives-way (cases for a step that did not exist before).

--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -175,6 +175,8 @@
   X (GALENA_PLANE_FINDS, "finds", "Agents asked whether they own a flow.")    \
   X (GALENA_PLANE_RETURNED, "returned",                                       \
      "Packets that the upstream returned.")                                   \
+  X (GALENA_PLANE_SHED, "shed",                                               \
+     "Packets of bulk data dropped: the link is full.")                       \
   X (GALENA_PLANE_WITHHELD, "withheld",                                       \
      "Resets of upstreams that do not own the flow, not passed on.")          \
   X (GALENA_PLANE_PAUSES, "pauses", "Times that no tick ran for a while.")
--- a/packages/flows/src/entry_capacity.c
+++ b/packages/flows/src/entry_capacity.c
@@ -1,5 +1,9 @@
-/* Whether an entry should stay in rotation: one whose link is nearly full
-   steps aside while stronger entries of its availability zone are there.
+/* The link of an entry: what it leaves to bulk data, and whether the entry
+   should stay in rotation.
+
+   Packets that are full of data give way to all others before the link itself
+   would drop some of each.  An entry whose link is nearly full steps aside
+   while stronger entries of its availability zone are there.
 
    Routers go on with all entries of a zone when fewer than half of them are in
    rotation, so at least half must stay.  The stronger half never steps aside:
@@ -25,7 +29,11 @@
      hellos.  */
   MATE_HEARD_MS = 1500,
   PERCENT = 100,
-  BITS = 8
+  BITS = 8,
+  /* Bulk data gets what others leave of so many percent of the link, and what
+     was left in so many milliseconds before; the rest is for bursts.  */
+  BULK_PERCENT = 90,
+  BULK_SAVED_MS = 50
 };
 
 /* Entries of the own zone.  */
@@ -84,12 +92,13 @@
 {
   struct capacity *capacity = &plane->entry->capacity;
   int64_t ms = galena_clock_between (capacity->measured, plane->now);
-  uint64_t bytes = plane->bytes_in > plane->bytes_out ? plane->bytes_in
-                                                      : plane->bytes_out;
+  uint64_t in = plane->bytes_in - capacity->bytes_in;
+  uint64_t out = plane->bytes_out - capacity->bytes_out;
+  uint64_t bytes = in > out ? in : out;
   double kbps;
 
-  plane->bytes_in = 0;
-  plane->bytes_out = 0;
+  capacity->bytes_in = plane->bytes_in;
+  capacity->bytes_out = plane->bytes_out;
   capacity->measured = plane->now;
   if (ms <= 0)
     return 0;
@@ -149,6 +158,39 @@
   capacity->aside = false;
 }
 
+void
+entry_run_link (struct galena_plane *plane)
+{
+  struct link_room *link = &plane->entry->link;
+  double per_ms
+      = (double)plane->options.link_kbps / BITS * BULK_PERCENT / PERCENT;
+
+  link->bytes
+      += per_ms * (double)galena_clock_between (link->counted_at, plane->now);
+  link->bytes -= (double)(plane->bytes_out - link->counted);
+  if (link->bytes > per_ms * BULK_SAVED_MS)
+    link->bytes = per_ms * BULK_SAVED_MS;
+  link->counted = plane->bytes_out;
+  link->counted_at = plane->now;
+  link->bulk = 0;
+}
+
+bool
+entry_admits_bulk (struct galena_plane *plane, uint32_t bytes)
+{
+  struct link_room *link = &plane->entry->link;
+
+  if (plane->options.link_kbps == 0)
+    return true;
+  if (link->bytes < link->bulk)
+    {
+      plane_count (plane, GALENA_PLANE_SHED);
+      return false;
+    }
+  link->bulk += bytes;
+  return true;
+}
+
 bool
 galena_plane_is_aside (const struct galena_plane *plane)
 {
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -15,6 +15,9 @@
   /* A search without a reply ends once the caller's packets did: the longest
      interval of retransmissions, twice.  */
   SOUGHT_LINGER_MS = 3200,
+  /* A packet with this much data is part of a transfer; a request by itself
+     has less.  */
+  BULK_BYTES = 1000,
   /* A parked packet is of no use after its sender has given up opening.  */
   PARKED_MS = 1400
 };
@@ -186,6 +189,9 @@
         entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
       return;
     }
+  if (packet->data_size >= BULK_BYTES
+      && !entry_admits_bulk (plane, packet->size))
+    return;
   entry_flow_send (plane, flow, flow->owner, GALENA_PEER_FORWARD,
                    packet->bytes, packet->size);
 }
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -151,6 +151,9 @@
 struct capacity
 {
   struct galena_clock measured;
+  /* Counts of the plane then.  */
+  uint64_t bytes_in;
+  uint64_t bytes_out;
   /* Moving mean.  */
   double kbps;
   bool aside;
@@ -159,8 +162,20 @@
   int64_t aside_ms;
 };
 
+/* What bulk data may take of the link.  */
+struct link_room
+{
+  /* May be below 0 when others took more.  */
+  double bytes;
+  /* Bulk data of this tick.  */
+  double bulk;
+  uint64_t counted;
+  struct galena_clock counted_at;
+};
+
 struct entry_tables
 {
+  struct link_room link;
   struct capacity capacity;
   struct galena_table *upstreams;
   struct galena_map *upstreams_by_ip;
@@ -225,6 +240,13 @@
 
 /* entry_capacity.c */
 
+/* System: counts what others left of the link.  */
+void entry_run_link (struct galena_plane *plane);
+
+/* Tells whether the link has room for a packet of bulk data of BYTES, and
+   takes that.  */
+bool entry_admits_bulk (struct galena_plane *plane, uint32_t bytes);
+
 /* System: measures the link, and steps aside or comes back.  */
 void entry_run_capacity (struct galena_plane *plane);
 
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -74,8 +74,7 @@
   struct galena_plane_options options;
   const struct plane_role *role;
   struct galena_clock now;
-  /* Bytes that arrived and departed since the role read them last, with the
-     heads of datagrams.  */
+  /* Bytes that have arrived and departed, with the heads of datagrams.  */
   uint64_t bytes_in;
   uint64_t bytes_out;
   /* Set during a tick only; NULL while nothing is known.  */
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -29,6 +29,8 @@
   OPEN_OTHER,
   /* A packet of the flow that OPEN opened, which acknowledges VALUE.  */
   DATA,
+  /* VALUE packets of that flow, full of data.  */
+  BULK,
   /* The agent that was sent that flow's open last accepted it, with the first
      sequence number VALUE.  */
   ACCEPTED,
@@ -209,6 +211,31 @@
       { 1011, EXPECT_FINDS, 1 },
       { 1400, EXPECT_FINDS, 6 },
       { 1400, EXPECT_RESETS, 0 } } },
+  /* A link of 800 kbit/s has room for 90 bytes of bulk data a millisecond,
+     saved up for 50 ms, and small packets pass at any time.  */
+  { "/entry/bulk-gives-way",
+    1,
+    800,
+    { { 1000, OPEN, HEAD_BYTES },
+      { 1005, ACCEPTED, 0 },
+      { 1010, DATA, 1 },
+      { 1010, EXPECT_FORWARDS, 1 },
+      { 1100, BULK, 10 },
+      { 1100, EXPECT_FORWARDS, 4 },
+      { 1101, BULK, 10 },
+      { 1101, EXPECT_FORWARDS, 0 },
+      { 1102, DATA, 1 },
+      { 1102, EXPECT_FORWARDS, 1 },
+      { 1200, BULK, 10 },
+      { 1200, EXPECT_FORWARDS, 4 } } },
+  { "/entry/bulk-on-unknown-link",
+    1,
+    0,
+    { { 1000, OPEN, HEAD_BYTES },
+      { 1005, ACCEPTED, 0 },
+      { 1010, DATA, 1 },
+      { 1100, BULK, 10 },
+      { 1100, EXPECT_FORWARDS, 11 } } },
   /* An open is not sent again to an upstream that leaves.  */
   { "/entry/leaves-while-silent",
     1,
@@ -299,6 +326,29 @@
   tick (run);
 }
 
+static void
+run_bulk (struct run *run, const struct step *step)
+{
+  struct galena_flow_key key = key_of (OPEN);
+
+  for (uint32_t i = 0; i < step->value; i++)
+    {
+      struct galena_arrival *arrival = galena_plane_arrival (run->plane);
+
+      arrival->link = GALENA_LINK_CALLER;
+      arrival->packet = (struct galena_packet){
+        .source = key.caller,
+        .destination = key.service,
+        .flags = GALENA_PACKET_ACKNOWLEDGES,
+        .data_size = 1200,
+        .bytes = run->bytes,
+        .size = HEAD_BYTES + 1200,
+      };
+      galena_plane_push (run->plane);
+    }
+  tick (run);
+}
+
 /* Has the agent at PEER send MESSAGE.  */
 static void
 arrive (struct run *run, struct galena_endpoint peer,
@@ -450,6 +500,7 @@
   [OPEN] = run_packet,
   [OPEN_OTHER] = run_packet,
   [DATA] = run_packet,
+  [BULK] = run_bulk,
   [ACCEPTED] = run_accepted,
   [REFUSED] = run_refused,
   [DISOWNED] = run_disowned,
