--- a/soak/wire.c
+++ b/soak/wire.c
@@ -18,7 +18,6 @@
   ENTRY_NET = 1 << 8,
   HOST_NET = 2 << 8,
   CALLER_NET = 64 << 8,
-  ROUTE_IP = (198 << 24) + (18 << 16),
   ROUTE_PORT = 443,
   SUM_SEED = 0x5eed,
   AT_ECHO = 26,
@@ -30,6 +29,9 @@
   LATE_RANGE_MS = 700
 };
 
+/* Routes are 198.18.0.1 and following.  */
+static const uint32_t ROUTE_IP = (198U << 24) + (18U << 16);
+
 static struct galena_endpoint
 make_address (const struct soak *soak, uint32_t net, uint32_t index,
               uint16_t port)
@@ -60,8 +62,7 @@
 struct galena_endpoint
 net_route (uint32_t index)
 {
-  return (struct galena_endpoint){ (uint32_t)ROUTE_IP + index + 1,
-                                   ROUTE_PORT };
+  return (struct galena_endpoint){ ROUTE_IP + index + 1, ROUTE_PORT };
 }
 
 struct sockaddr_in
