--- a/packages/daemon/src/process.h
+++ b/packages/daemon/src/process.h
@@ -42,7 +42,7 @@
   /* Exit code of a shutdown.  */
   atomic_int exit_code;
   struct galena_clock started;
-  /* The same by the machine's time of day, in Unix milliseconds.  */
+  /* The same by the instance's time of day, in Unix milliseconds.  */
   uint64_t started_unix_ms;
   /* Reports of the threads that move packets, then of the control thread;
      NULL when nobody reads them.  */
--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -44,12 +44,12 @@
   galena_service_key service;
   /* Agent only: whether no flow can be older than this process.  */
   bool first_start;
-  /* Agent only: Unix milliseconds of the process's start by the machine's time
-     of day, which its upstream uses as well; 0 when unknown.  */
+  /* Agent only: Unix milliseconds of the process's start by the instance's
+     time of day, which its upstream uses as well; 0 when unknown.  */
   uint64_t started_unix_ms;
   /* Entry only: key of the availability zone, made as a service's.  */
   uint64_t zone;
-  /* Entry only: capacity of the machine's link; 0 when unknown.  */
+  /* Entry only: capacity of the instance's link; 0 when unknown.  */
   uint32_t link_kbps;
   /* Entry only: name of the choice policy, or NULL for the default.  */
   const char *choice;
--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -12,8 +12,8 @@
   /* An upstream counts as draining for so long after an entry said so: six
      hellos of one.  */
   DRAINING_MS = 3000,
-  /* A machine starts its processes within some milliseconds, and one that has
-     ended half a second later again: an upstream that was born before its
+  /* An instance starts its processes within some milliseconds, and one that
+     has ended half a second later again: an upstream that was born before its
      agent by less than this has had no other agent.  */
   TOGETHER_MS = 100
 };
--- a/packages/runtime/include/galenaford/log.h
+++ b/packages/runtime/include/galenaford/log.h
@@ -9,7 +9,7 @@
 #include <syslog.h>
 
 /* Writes one line: "<severity>event=EVENT process=NAME time_ms=MS ...", MS the
-   Unix milliseconds by the machine's time of day.  FORMAT gives
+   Unix milliseconds by the instance's time of day.  FORMAT gives
    the further pairs, as in "upstream=%u".  Lines of one event beyond the limit
    of log_limit.h are left out and counted.  Any thread may call it.  */
 void galena_log (int severity, const char *event, const char *format, ...)
--- a/packages/runtime/src/monotonic.c
+++ b/packages/runtime/src/monotonic.c
@@ -1,4 +1,4 @@
-/* Reads the machine's clocks: the one that includes the time that it was
+/* Reads the instance's clocks: the one that includes the time that it was
    suspended, and the time of day.  */
 
 #include <time.h>
--- a/packages/runtime/src/settings.c
+++ b/packages/runtime/src/settings.c
@@ -406,7 +406,7 @@
     1000000,
     BY_ALL },
   { { "packets", "link_mbps", "0", "0 to 1000000 Mbit/s",
-      "Capacity of the machine's link; 0 when unknown.", NULL },
+      "Capacity of the instance's link; 0 when unknown.", NULL },
     read_rounded,
     PLACE (packets_link_mbps),
     0,
