Hold signals back from the first line on

Signals were blocked only after the settings had been read and libraries started. Ruled out: the reload itself; the log of that start is empty. Change: signals are held back before anything else.

--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -168,16 +168,24 @@
   return NULL;
 }
 
-static enum galena_result
-start_signal_thread (struct process *process)
+/* Holds signals back until a thread waits for them: one that comes while the
+   process starts must not end it.  */
+static void
+hold_signals (void)
 {
   sigset_t signals;
-  pthread_t thread;
 
   set_ending_signals (&signals);
   sigaddset (&signals, SIGHUP);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
+}
+
+static enum galena_result
+start_signal_thread (struct process *process)
+{
+  pthread_t thread;
+
   if (pthread_create (&thread, NULL, wait_for_signal, process) != 0)
     return GALENA_ERR_IO;
   pthread_detach (thread);
@@ -246,6 +254,7 @@
   static struct process process;
   enum galena_result result;
 
+  hold_signals ();
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&ARGP, argc, argv, 0, NULL, &arguments);
   result = galena_settings_load (arguments.settings_path, &process.settings,
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -7,6 +7,7 @@
 enum
 {
   START_MS = 1500,
+  BEGIN_MS = 300,
   DRAIN_GONE_MS = 300,
   CRASH_BACK_MS = 400,
   SLOW_MS = 400,
@@ -85,7 +86,10 @@
   struct child *child = fleet_entry (soak, entry_of (soak, target));
 
   fleet_write_settings (soak, child);
-  if (child->pid > 0)
+  /* Before its first line a program can't hold a signal back; it reads the
+     settings then anyway.  */
+  if (child->pid > 0
+      && galena_clock_between (child->started, soak->now) > BEGIN_MS)
     kill (child->pid, SIGHUP);
 }
 
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -125,6 +125,7 @@
   char log[PATH_BYTES];
 
   child->start_at.ms = 0;
+  child->started = soak->now;
   child->ending = false;
   child->paused = false;
   fleet_write_settings (soak, child);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -73,6 +73,7 @@
   /* Entry or host that it stands for.  */
   uint32_t index;
   pid_t pid;
+  struct galena_clock started;
   bool paused;
   /* Asked to end, and by when it must have.  */
   bool ending;
