Soak: another net of addresses where the seed's own is in use

Ruled out: the program; it was not started. Change: a run holds a socket in its net and takes the next one when another run has it.

--- a/soak/main.c
+++ b/soak/main.c
@@ -88,7 +88,12 @@
   soak->started = soak->now;
   soak->disturbed = soak->now;
   soak->random = (struct galena_random){ soak->options.seed, 0 };
-  soak->net = FIRST_NET + (uint32_t)(soak->options.seed % NETS);
+  /* Another run may have the net of this seed.  */
+  for (uint32_t i = 0; i < NETS && soak->guard <= 0; i++)
+    {
+      soak->net = FIRST_NET + (uint32_t)((soak->options.seed + i) % NETS);
+      soak->guard = net_guard (soak);
+    }
   for (uint32_t i = 0; i < SERVICES + 1; i++)
     soak->routes[i] = (struct route){ .used = true,
                                       .service = i % SERVICES,
@@ -113,6 +118,8 @@
   hosts_destroy (soak);
   galena_reads_destroy (soak->reads);
   store_destroy (soak->store);
+  if (soak->guard > 0)
+    close (soak->guard);
 }
 
 static uint32_t
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -257,6 +257,8 @@
   struct galena_clock started;
   struct galena_random random;
   uint32_t net;
+  /* Held while the run uses the addresses of its net.  */
+  int guard;
   uint64_t next_request;
   /* When a fault that is not planned last began or ended.  */
   struct galena_clock disturbed;
@@ -366,6 +368,9 @@
 struct galena_endpoint net_route (uint32_t index);
 struct sockaddr_in net_sockaddr (struct galena_endpoint endpoint);
 int net_socket (struct galena_endpoint address);
+/* Returns a socket that keeps the net of SOAK from other runs, or -1 when one
+   of these has it.  */
+int net_guard (const struct soak *soak);
 void net_text (struct galena_endpoint address, char *text, size_t size);
 void net_send (struct soak *soak, int fd, struct galena_endpoint to,
                const uint8_t *bytes, uint32_t size);
--- a/soak/wire.c
+++ b/soak/wire.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <xxhash.h>
 
@@ -18,6 +19,7 @@
   ENTRY_NET = 1 << 8,
   HOST_NET = 2 << 8,
   CALLER_NET = 64 << 8,
+  GUARD_NET = 255 << 8,
   ROUTE_PORT = 443,
   SUM_SEED = 0x5eed,
   AT_ECHO = 26,
@@ -91,6 +93,19 @@
   return -1;
 }
 
+int
+net_guard (const struct soak *soak)
+{
+  struct sockaddr_in address
+      = net_sockaddr (make_address (soak, GUARD_NET, 0, PORT_STORE));
+  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  if (fd >= 0 && bind (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
 void
 net_text (struct galena_endpoint address, char *text, size_t size)
 {
