Log the era of the platform's store and the changes that are skipped

store-era has the era, the call whose reply showed it and the revision from which a watch went on; change-skipped has the revision of the change and the one that it was compared with. The HTTP reads return one header of the response by name; the platform folder names and decodes it.

--- a/packages/ctl/src/story.c
+++ b/packages/ctl/src/story.c
@@ -52,10 +52,10 @@
 
 /* Events of a process that may affect all of its flows.  */
 static const char *const PROCESS_EVENTS[] = {
-  "started",           "ended",        "signal",      "paused",
-  "platform-lost",     "entry-aside",  "entry-back",  "reloaded",
-  "config-taken",      "log-left-out", "log-untaken", "failed",
-  "platform-regained",
+  "started",           "ended",        "signal",         "paused",
+  "platform-lost",     "entry-aside",  "entry-back",     "reloaded",
+  "config-taken",      "log-left-out", "log-untaken",    "failed",
+  "platform-regained", "store-era",    "change-skipped", "peer-snapshot",
 };
 
 /* Events that concern one agent.  */
--- a/packages/daemon/src/packet_frontend.h
+++ b/packages/daemon/src/packet_frontend.h
@@ -54,6 +54,10 @@
   struct platform_reader *reader;
   atomic_ullong platform_calls;
   atomic_ullong platform_failures;
+  /* Changes that were skipped because something newer was known.  */
+  atomic_ullong changes_skipped;
+  /* Era of the store in its last reply; 0 while unknown.  */
+  atomic_ullong store_era;
   /* Of the configuration in the directory.  */
   atomic_ullong version;
 };
--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -40,6 +40,8 @@
   struct galena_catalog *catalog;
   /* Call in progress.  */
   struct galena_catalog_call call;
+  /* Era of the store in its last reply that had one; 0 before.  */
+  uint64_t era;
   /* Whether the last call failed.  */
   bool failing;
   /* Number of pauses of the process that this thread has noticed.  */
@@ -81,15 +83,49 @@
   struct galena_clock now;
 };
 
+/* Logs when the era of the store changes, with the call whose reply showed
+   it.  */
+static void
+update_era (struct platform_reader *reader,
+            const struct galena_completed_read *completed)
+{
+  uint64_t era;
+
+  if (galena_platform_decode_era (completed->header, &era) != GALENA_OK)
+    galena_log (LOG_WARNING, "era-unreadable", "result=type value=%s",
+                completed->header);
+  if (era == 0 || era == reader->era)
+    return;
+  galena_log (LOG_NOTICE, "store-era",
+              "era=%llu before=%llu call=%s after=%llu status=%u",
+              (unsigned long long)era, (unsigned long long)reader->era,
+              reader->call.kind == GALENA_CALL_LIST ? "list" : "watch",
+              (unsigned long long)reader->call.revision, completed->status);
+  reader->era = era;
+  atomic_store (&reader->frontend->store_era, era);
+}
+
 static void
 apply_change (void *user, const struct galena_change *change)
 {
   const struct change_context *context = user;
+  struct platform_reader *reader = context->reader;
+  uint64_t known = 0;
 
   if (change->kind == GALENA_CHANGE_UNREADABLE)
     galena_log (LOG_WARNING, "item-unreadable", "key=%s revision=%llu",
                 change->key, (unsigned long long)change->revision);
-  galena_catalog_apply_change (context->reader->catalog, context->now, change);
+  if (galena_catalog_apply_change (reader->catalog, context->now, change,
+                                   &known))
+    return;
+  atomic_fetch_add (&reader->frontend->changes_skipped, 1);
+  galena_log (
+      LOG_INFO, "change-skipped",
+      "result=older key=%s call=%s era=%llu revision=%llu "
+      "version=%llu known=%llu",
+      change->key, reader->call.kind == GALENA_CALL_LIST ? "list" : "watch",
+      (unsigned long long)reader->era, (unsigned long long)change->revision,
+      (unsigned long long)change->config.version, (unsigned long long)known);
 }
 
 /* Returns the IPv4 address of the next peer to ask, out of the seeds and the
@@ -174,6 +210,7 @@
   enum galena_call_result result = GALENA_CALL_FAILED;
   struct galena_catalog_reply reply = { 0 };
 
+  update_era (reader, completed);
   if (completed->status == GALENA_PLATFORM_HISTORY_GONE)
     result = GALENA_CALL_HISTORY_GONE;
   else if (completed->result == GALENA_OK
@@ -308,7 +345,8 @@
       = { .base_url = "",
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
           .bytes_max = REPLY_BYTES_MAX,
-          .reads_max = READS_MAX };
+          .reads_max = READS_MAX,
+          .header = GALENA_PLATFORM_ERA_HEADER };
   struct galena_catalog_options catalog
       = { .seed = frontend->process->seed,
           .wait_ms = settings->platform_wait_ms,
--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -123,10 +123,13 @@
 void galena_catalog_refresh (struct galena_catalog *catalog,
                              struct galena_clock now);
 
-/* Applies one change of the reply to the call in progress.  */
-void galena_catalog_apply_change (struct galena_catalog *catalog,
+/* Applies one change of the reply to the call in progress.  Returns false when
+   it is skipped because something newer is known, and then stores the revision
+   of that, or the version of the configuration, in *KNOWN.  */
+bool galena_catalog_apply_change (struct galena_catalog *catalog,
                                   struct galena_clock now,
-                                  const struct galena_change *change);
+                                  const struct galena_change *change,
+                                  uint64_t *known);
 
 /* Ends the call in progress, after its changes were applied.  REPLY is read
    only when RESULT is GALENA_CALL_OK.  */
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -197,7 +197,8 @@
   return item;
 }
 
-static void
+/* Returns false when a newer version than that of CONFIG is known.  */
+static bool
 apply_config (struct galena_catalog *catalog,
               const struct galena_published_config *config)
 {
@@ -206,10 +207,10 @@
   /* An older version never replaces a newer one, whatever the reply
      contains.  */
   if (config->version <= catalog->version)
-    return;
+    return config->version == catalog->version;
   routes = calloc ((size_t)config->route_count + 1, sizeof *routes);
   if (routes == NULL)
-    return;
+    return true;
   if (config->route_count > 0)
     memcpy (routes, config->routes, config->route_count * sizeof *routes);
   free (catalog->routes);
@@ -217,24 +218,27 @@
   catalog->route_count = config->route_count;
   catalog->version = config->version;
   catalog->changed = true;
+  return true;
 }
 
 /* Schedules the removal of ITEM: immediately when it was draining, else after
-   the time in which it may be published again.  */
-static void
+   the time in which it may be published again.  Returns false when it has
+   changed after REVISION.  */
+static bool
 schedule_removal (struct galena_catalog *catalog,
                   struct catalog_upstream *item, uint64_t revision,
                   struct galena_clock now)
 {
   if (revision < item->revision)
-    return;
+    return false;
   item->revision = revision;
   if (item->removal_due.ms != 0)
-    return;
+    return true;
   item->removal_due = now;
   if (item->upstream.state == GALENA_PUBLISHED_READY)
     item->removal_due = galena_clock_add_ms (now, REMOVAL_DELAY_MS);
   catalog->changed = true;
+  return true;
 }
 
 static bool
@@ -248,7 +252,17 @@
          && a->started_unix_ms == b->started_unix_ms;
 }
 
-static void
+/* Returns the revision of the newest information on ITEM, which may be
+   NULL.  */
+static uint64_t
+known_revision (const struct galena_catalog *catalog,
+                const struct catalog_upstream *item)
+{
+  return item != NULL ? item->revision : catalog->peer_revision;
+}
+
+/* Returns false when something newer than REVISION is known.  */
+static bool
 apply_upstream (struct galena_catalog *catalog, enum source source,
                 uint64_t revision,
                 const struct galena_published_upstream *upstream)
@@ -258,44 +272,43 @@
 
   /* Ignores a reply that is older than a snapshot of a peer that was merged
      while the call was in progress.  */
-  if (revision < (item != NULL ? item->revision : catalog->peer_revision))
-    return;
+  if (revision < known_revision (catalog, item))
+    return false;
   if (item == NULL)
     item = add_item (catalog, key);
   if (item == NULL)
-    return;
+    return true;
   item->rounds[source] = catalog->rounds[source];
   item->revision = revision;
   item->removal_due = (struct galena_clock){ 0 };
   if (*item->upstream.id != '\0' && upstream_equal (&item->upstream, upstream))
-    return;
+    return true;
   item->upstream = *upstream;
   catalog->changed = true;
+  return true;
 }
 
-void
+bool
 galena_catalog_apply_change (struct galena_catalog *catalog,
                              struct galena_clock now,
-                             const struct galena_change *change)
+                             const struct galena_change *change,
+                             uint64_t *known)
 {
-  struct call_state *calls = &catalog->calls;
   struct catalog_upstream *item;
 
-  calls->reply_has_changes = true;
+  catalog->calls.reply_has_changes = true;
   if (change->kind == GALENA_CHANGE_CONFIG)
     {
-      apply_config (catalog, &change->config);
-      return;
-    }
-  if (change->kind == GALENA_CHANGE_UPSTREAM)
-    {
-      apply_upstream (catalog, SOURCE_PLATFORM, change->revision,
-                      &change->upstream);
-      return;
+      *known = catalog->version;
+      return apply_config (catalog, &change->config);
     }
   item = find_item (catalog, XXH64 (change->key, strlen (change->key), 0));
-  if (item != NULL)
-    schedule_removal (catalog, item, change->revision, now);
+  *known = known_revision (catalog, item);
+  if (change->kind == GALENA_CHANGE_UPSTREAM)
+    return apply_upstream (catalog, SOURCE_PLATFORM, change->revision,
+                           &change->upstream);
+  return item == NULL
+         || schedule_removal (catalog, item, change->revision, now);
 }
 
 /* Schedules the removal of the items that SOURCE did not list at REVISION.  */
--- a/packages/runtime/include/galenaford/reads.h
+++ b/packages/runtime/include/galenaford/reads.h
@@ -21,6 +21,16 @@
   size_t bytes_max;
   /* Most concurrent reads.  */
   uint32_t reads_max;
+  /* Name of the header whose value each completed read has; NULL for none.
+     Borrowed.  */
+  const char *header;
+};
+
+enum
+{
+  /* Size of the value of a header in bytes, with its terminating zero; a
+     longer one is cut off.  */
+  GALENA_READS_HEADER_BYTES = 32
 };
 
 struct galena_reads;
@@ -35,6 +45,8 @@
   enum galena_result result;
   /* HTTP status; 0 if there was no complete response.  */
   uint32_t status;
+  /* Value of the header of the options; empty when the response has none.  */
+  char header[GALENA_READS_HEADER_BYTES];
   /* The response body, not NUL-terminated; valid until the next call of
      galena_reads_next.  */
   const char *text;
--- a/packages/runtime/src/reads.c
+++ b/packages/runtime/src/reads.c
@@ -36,6 +36,7 @@
   char base_url[BASE_URL_BYTES];
   uint32_t connect_timeout_ms;
   size_t bytes_max;
+  const char *header;
   /* Response of the read that galena_reads_next returned last.  */
   char *text;
 };
@@ -88,6 +89,7 @@
   snprintf (reads->base_url, sizeof reads->base_url, "%s", options->base_url);
   reads->connect_timeout_ms = options->connect_timeout_ms;
   reads->bytes_max = options->bytes_max;
+  reads->header = options->header;
   result = galena_table_create (&rows, &reads->rows);
   if (result != GALENA_OK)
     goto fail;
@@ -251,6 +253,19 @@
   return (uint32_t)status;
 }
 
+/* Copies the header of READS in the response of CURL to VALUE.  */
+static void
+copy_header (const struct galena_reads *reads, CURL *curl, char *value)
+{
+  struct curl_header *header;
+
+  *value = '\0';
+  if (reads->header != NULL
+      && curl_easy_header (curl, reads->header, 0, CURLH_HEADER, -1, &header)
+             == CURLHE_OK)
+    snprintf (value, GALENA_READS_HEADER_BYTES, "%s", header->value);
+}
+
 bool
 galena_reads_next (struct galena_reads *reads,
                    struct galena_completed_read *completed)
@@ -276,6 +291,7 @@
     .text = row->text,
     .size = row->size,
   };
+  copy_header (reads, message->easy_handle, completed->header);
   end_read (reads, row);
   return true;
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -86,8 +86,8 @@
 create (struct soak *soak)
 {
   struct galena_reads_options reads
-      = { "", PROBE_CONNECT_TIMEOUT_MS, PROBE_BODY_BYTES_MAX,
-          2 * ENTRIES_MAX };
+      = { "", PROBE_CONNECT_TIMEOUT_MS, PROBE_BODY_BYTES_MAX, 2 * ENTRIES_MAX,
+          NULL };
 
   soak->now = galena_monotonic_now ();
   soak->started = soak->now;
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -237,12 +237,13 @@
     {
       struct galena_change change
           = { .kind = kind, .revision = step->revision };
+      uint64_t known;
 
       if ((step->argument & (1U << i)) == 0)
         continue;
       fill_upstream (i, state, &change.upstream);
       change.key = change.upstream.id;
-      galena_catalog_apply_change (run->catalog, run->now, &change);
+      galena_catalog_apply_change (run->catalog, run->now, &change, &known);
     }
 }
 
@@ -262,9 +263,10 @@
   struct galena_change change = { .kind = GALENA_CHANGE_CONFIG,
                                   .key = "config",
                                   .config = { .version = run->version } };
+  uint64_t known;
 
   if (run->version != 0)
-    galena_catalog_apply_change (run->catalog, run->now, &change);
+    galena_catalog_apply_change (run->catalog, run->now, &change, &known);
   run->version = 0;
 }
 
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -334,6 +334,34 @@
   g_assert_cmpstr (path, ==, test->path);
 }
 
+struct era_case
+{
+  const char *name;
+  const char *value;
+  enum galena_result result;
+  uint64_t era;
+};
+
+static const struct era_case ERAS[] = {
+  { "/platform/era/number", "12", GALENA_OK, 12 },
+  { "/platform/era/absent", "", GALENA_OK, 0 },
+  { "/platform/era/word", "seven", GALENA_ERR_TYPE, 0 },
+  { "/platform/era/negative", "-3", GALENA_ERR_TYPE, 0 },
+  { "/platform/era/trailing", "3, 4", GALENA_ERR_TYPE, 0 },
+  { "/platform/era/too-large", "99999999999999999999", GALENA_ERR_TYPE, 0 },
+};
+
+static void
+run_era_case (gconstpointer data)
+{
+  const struct era_case *test = data;
+  uint64_t era = 99;
+
+  g_assert_cmpint (galena_platform_decode_era (test->value, &era), ==,
+                   test->result);
+  g_assert_cmpuint (era, ==, test->era);
+}
+
 static void
 ignore_change (void *user, const struct galena_change *change)
 {
@@ -372,6 +400,8 @@
     g_test_add_data_func (REPLIES[i].name, &REPLIES[i], run_reply_case);
   for (size_t i = 0; i < G_N_ELEMENTS (PATHS); i++)
     g_test_add_data_func (PATHS[i].name, &PATHS[i], run_path_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (ERAS); i++)
+    g_test_add_data_func (ERAS[i].name, &ERAS[i], run_era_case);
   g_test_add_func ("/platform/reset", test_reset);
   g_test_add_func ("/platform/random-bytes", test_random_bytes);
   return g_test_run ();
--- a/test/unit/test_reads.c
+++ b/test/unit/test_reads.c
@@ -32,15 +32,21 @@
   /* Whether the read is cancelled before the wait.  */
   bool cancel;
   enum galena_result result;
+  /* Value of the header X-Test.  */
+  const char *header;
 };
 
 static const struct reads_case CASES[] = {
-  { "/reads/answered", "/now", 0, WAIT_MAX_MS, false, GALENA_OK },
-  { "/reads/answered-unnoticed", "/now", 200, WAIT_MAX_MS, false, GALENA_OK },
-  { "/reads/not-found", "/none", 0, WAIT_MAX_MS, false, GALENA_ERR_NOT_FOUND },
-  { "/reads/timeout", "/never", 0, 300, false, GALENA_ERR_IO },
-  { "/reads/timeout-unnoticed", "/never", 500, 300, false, GALENA_ERR_IO },
-  { "/reads/cancelled", "/never", 0, WAIT_MAX_MS, true, GALENA_OK },
+  { "/reads/answered", "/now", 0, WAIT_MAX_MS, false, GALENA_OK, "" },
+  { "/reads/answered-unnoticed", "/now", 200, WAIT_MAX_MS, false, GALENA_OK,
+    "" },
+  { "/reads/not-found", "/none", 0, WAIT_MAX_MS, false, GALENA_ERR_NOT_FOUND,
+    "" },
+  { "/reads/timeout", "/never", 0, 300, false, GALENA_ERR_IO, "" },
+  { "/reads/timeout-unnoticed", "/never", 500, 300, false, GALENA_ERR_IO, "" },
+  { "/reads/cancelled", "/never", 0, WAIT_MAX_MS, true, GALENA_OK, "" },
+  { "/reads/header", "/header", 0, WAIT_MAX_MS, false, GALENA_ERR_NOT_FOUND,
+    "7" },
 };
 
 static enum MHD_Result
@@ -63,6 +69,8 @@
       return MHD_YES;
     }
   response = MHD_create_response_from_buffer (2, "ok", MHD_RESPMEM_PERSISTENT);
+  if (strcmp (url, "/header") == 0)
+    MHD_add_response_header (response, "x-test", "7");
   result = MHD_queue_response (
       connection, strcmp (url, "/now") == 0 ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
       response);
@@ -102,7 +110,7 @@
   struct MHD_Daemon *server = MHD_start_daemon (
       MHD_USE_INTERNAL_POLLING_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
       NULL, answer, NULL, MHD_OPTION_END);
-  struct galena_reads_options options = { "", 1000, 1024, 4 };
+  struct galena_reads_options options = { "", 1000, 1024, 4, "X-Test" };
   struct galena_completed_read end;
   struct galena_reads *reads;
   char address[ADDRESS_BYTES];
@@ -131,6 +139,7 @@
     {
       g_assert_true (wait_for_end (reads, &end));
       g_assert_cmpint (end.result, ==, test->result);
+      g_assert_cmpstr (end.header, ==, test->header);
       g_assert_cmpuint (end.user_data, ==, 7);
     }
   galena_reads_destroy (reads);
