--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -196,7 +196,7 @@
     }
   galena_log (LOG_INFO, "peer-snapshot", "version=%llu revision=%llu",
               (unsigned long long)snapshot.version,
-              (unsigned long long)snapshot.revision);
+              (unsigned long long)snapshot.position.revision);
   galena_catalog_merge_snapshot (reader->catalog, galena_monotonic_now (),
                                  &snapshot);
   galena_snapshot_release (&snapshot);
--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -40,6 +40,16 @@
   uint32_t timeout_ms;
 };
 
+/* A position in the history of the platform's store.  */
+struct galena_store_position
+{
+  /* Rises when the store comes back from an older copy, whose later history is
+     lost: revisions go back then and are given out again.  0 while
+     unknown.  */
+  uint64_t era;
+  uint64_t revision;
+};
+
 struct galena_catalog_reply
 {
   /* Revision of the platform's store when it replied.  */
@@ -123,6 +133,12 @@
 void galena_catalog_refresh (struct galena_catalog *catalog,
                              struct galena_clock now);
 
+/* Begins the reply to the call in progress, which the store sent in ERA, 0 if
+   the reply doesn't have one.  Returns GALENA_CALL_OK if the changes of the
+   reply may be applied; otherwise the call ends with the returned result.  */
+enum galena_call_result
+galena_catalog_begin_reply (struct galena_catalog *catalog, uint64_t era);
+
 /* Applies one change of the reply to the call in progress.  Returns false when
    it is skipped because something newer is known, and then stores the revision
    of that, or the version of the configuration, in *KNOWN.  */
@@ -143,8 +159,8 @@
 {
   /* Version of the configuration.  */
   uint64_t version;
-  /* Revision of the platform's store up to which upstreams are known.  */
-  uint64_t revision;
+  /* Position of the platform's store up to which upstreams are known.  */
+  struct galena_store_position position;
   uint32_t route_count;
   uint32_t upstream_count;
   /* Borrowed.  */
--- a/packages/flows/include/galenaford/directory.h
+++ b/packages/flows/include/galenaford/directory.h
@@ -71,6 +71,9 @@
   uint32_t warm_up_ms;
   /* Unix milliseconds of its start by its own clock; 0 when unknown.  */
   uint64_t started_unix_ms;
+  /* Increases with each state that the upstream publishes; begins again when
+     it starts.  */
+  uint64_t sequence;
 };
 
 struct galena_directory_options
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -288,6 +288,14 @@
   return true;
 }
 
+enum galena_call_result
+galena_catalog_begin_reply (struct galena_catalog *catalog, uint64_t era)
+{
+  (void)catalog;
+  (void)era;
+  return GALENA_CALL_OK;
+}
+
 bool
 galena_catalog_apply_change (struct galena_catalog *catalog,
                              struct galena_clock now,
@@ -446,17 +454,17 @@
       = { snapshot->version, snapshot->route_count, snapshot->routes };
 
   apply_config (catalog, &config);
-  if (snapshot->version == 0 || snapshot->revision <= calls->revision)
+  if (snapshot->version == 0 || snapshot->position.revision <= calls->revision)
     return;
   /* The list or watch in progress continues; changes in its reply that are
      older than the snapshot are skipped.  */
-  calls->revision = snapshot->revision;
+  calls->revision = snapshot->position.revision;
   catalog->rounds[SOURCE_PEER]++;
   for (uint32_t i = 0; i < snapshot->upstream_count; i++)
-    apply_upstream (catalog, SOURCE_PEER, snapshot->revision,
+    apply_upstream (catalog, SOURCE_PEER, snapshot->position.revision,
                     &snapshot->upstreams[i]);
-  remove_unlisted (catalog, SOURCE_PEER, snapshot->revision, now);
-  catalog->peer_revision = snapshot->revision;
+  remove_unlisted (catalog, SOURCE_PEER, snapshot->position.revision, now);
+  catalog->peer_revision = snapshot->position.revision;
 }
 
 void
@@ -465,7 +473,7 @@
                          struct galena_catalog_snapshot *snapshot)
 {
   snapshot->version = galena_directory_version (directory);
-  snapshot->revision = catalog->calls.revision;
+  snapshot->position.revision = catalog->calls.revision;
   snapshot->routes
       = galena_directory_routes (directory, &snapshot->route_count);
   snapshot->upstreams
--- a/packages/wire/src/snapshot.c
+++ b/packages/wire/src/snapshot.c
@@ -52,8 +52,9 @@
 {
   /* Version of the configuration; revision of the platform's store.  */
   const uint64_t numbers[HEADER_ITEMS]
-      = { GALENA_SNAPSHOT_SCHEMA, snapshot->version, snapshot->revision,
-          snapshot->route_count, snapshot->upstream_count };
+      = { GALENA_SNAPSHOT_SCHEMA, snapshot->version,
+          snapshot->position.revision, snapshot->route_count,
+          snapshot->upstream_count };
 
   return msgpack_pack_array (packer, HEADER_ITEMS)
          | pack_numbers (packer, numbers, HEADER_ITEMS);
@@ -243,7 +244,7 @@
       || items.rows[4].value > GALENA_SNAPSHOT_ROWS_MAX)
     return GALENA_ERR_TOO_LARGE;
   snapshot->version = items.rows[1].value;
-  snapshot->revision = items.rows[2].value;
+  snapshot->position.revision = items.rows[2].value;
   snapshot->route_count = (uint32_t)items.rows[3].value;
   snapshot->upstream_count = (uint32_t)items.rows[4].value;
   /* Each row takes at least the bytes of its length field.  Checking this
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -31,6 +31,16 @@
   /* The call that is due is refused because its history is gone, or fails.  */
   HISTORY_GONE,
   FAILURE,
+  /* The replies that follow come from the store in era ARGUMENT, and so do
+     the snapshots of peers.  */
+  ERA,
+  /* The upstreams that follow started at ARGUMENT and have the sequence
+     number REVISION.  */
+  INCARNATION,
+  /* The call that is due is a watch or a list; its reply comes from the store
+     in an older or newer era than was expected, and is not applied.  */
+  WATCH_NOT_APPLIED,
+  LIST_NOT_APPLIED,
   /* The next reply also contains version ARGUMENT of the configuration.  */
   CONFIG,
   /* The call that is due is a watch that gets no reply; it must time out
@@ -43,7 +53,7 @@
   /* As WATCH_READY, with a watch that does not wait for a change.  */
   WATCH_NO_WAIT,
   /* A peer's snapshot has version 1 of the configuration and the upstreams of
-     ARGUMENT at REVISION.  */
+     ARGUMENT at REVISION, of which those of DRAINING drain.  */
   PEER_SNAPSHOT,
   /* The directory has the upstreams of ARGUMENT, of which those of DRAINING
      drain.  */
@@ -208,10 +218,63 @@
       { 30, PEER_SNAPSHOT, 2, 30, 0 },
       { 40, LIST, 2, 41, 0 },
       { 2400, EXPECT, 3, 0, 0 } } },
+  /* The store comes back from an older copy: revisions go back and are given
+     out again.  */
+  { "/restored/drain-below-old-revision",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 40, 0 },
+      { 30, ERA, 2, 0, 0 },
+      { 30, HISTORY_GONE, 0, 0, 0 },
+      { 40, LIST, 7, 10, 0 },
+      { 50, WATCH_DRAINING, 2, 12, 0 },
+      { 50, EXPECT, 7, 0, 2 } } },
+  { "/restored/removal-below-old-revision",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 40, 0 },
+      { 30, ERA, 2, 0, 0 },
+      { 30, HISTORY_GONE, 0, 0, 0 },
+      { 40, LIST, 7, 10, 0 },
+      { 50, WATCH_REMOVED, 2, 12, 0 },
+      { 2060, EXPECT, 5, 0, 0 } } },
+  { "/restored/unlisted-below-old-revision",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 40, 0 },
+      { 30, ERA, 2, 0, 0 },
+      { 30, HISTORY_GONE, 0, 0, 0 },
+      { 40, LIST, 5, 10, 0 },
+      { 2030, EXPECT, 7, 0, 0 },
+      { 2050, EXPECT, 5, 0, 0 } } },
+  { "/restored/added-below-revision-of-peer",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, FAILURE, 0, 0, 0 },
+      { 320, PEER_SNAPSHOT, 1, 40, 0 },
+      { 330, ERA, 2, 0, 0 },
+      { 330, LIST, 3, 10, 0 },
+      { 330, EXPECT, 3, 0, 0 } } },
+  { "/restored/version-never-back",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, CONFIG, 6, 5, 0 },
+      { 20, LIST, 1, 40, 0 },
+      { 30, ERA, 2, 0, 0 },
+      { 30, HISTORY_GONE, 0, 0, 0 },
+      { 40, CONFIG, 4, 5, 0 },
+      { 40, LIST, 1, 10, 0 },
+      { 40, EXPECT_VERSION, 6, 0, 0 },
+      { 50, CONFIG, 7, 0, 0 },
+      { 50, WATCH_NOTHING, 0, 11, 0 },
+      { 50, EXPECT_VERSION, 7, 0, 0 } } },
 };
 
 struct run
 {
+  /* Era of the store and of the snapshots of peers.  */
+  uint64_t era;
+  /* Start and sequence number of the upstreams.  */
+  uint64_t started_unix_ms;
+  uint64_t sequence;
   struct galena_catalog *catalog;
   struct galena_directory *directory;
   struct galena_clock now;
@@ -220,9 +283,12 @@
 };
 
 static void
-fill_upstream (uint32_t index, enum galena_published_state state,
+fill_upstream (const struct run *run, uint32_t index,
+               enum galena_published_state state,
                struct galena_published_upstream *upstream)
 {
+  upstream->started_unix_ms = run->started_unix_ms;
+  upstream->sequence = run->sequence;
   g_snprintf (upstream->id, sizeof upstream->id, "u-%u", index);
   upstream->state = state;
   upstream->address = (struct galena_endpoint){ 0x0a000001 + index, 80 };
@@ -241,7 +307,7 @@
 
       if ((step->argument & (1U << i)) == 0)
         continue;
-      fill_upstream (i, state, &change.upstream);
+      fill_upstream (run, i, state, &change.upstream);
       change.key = change.upstream.id;
       galena_catalog_apply_change (run->catalog, run->now, &change, &known);
     }
@@ -296,6 +362,8 @@
 
   if (!list)
     g_assert_cmpuint (call.wait_ms == 0, ==, step->kind == WATCH_NO_WAIT);
+  g_assert_cmpint (galena_catalog_begin_reply (run->catalog, run->era), ==,
+                   GALENA_CALL_OK);
   change_version (run);
   change_upstreams (run, step, CHANGES[step->kind].kind,
                     CHANGES[step->kind].state);
@@ -308,12 +376,39 @@
   struct galena_catalog_call call;
 
   g_assert_true (galena_catalog_next_call (run->catalog, run->now, &call));
+  if (step->kind == HISTORY_GONE)
+    galena_catalog_begin_reply (run->catalog, run->era);
   galena_catalog_end_call (run->catalog, run->now,
                            step->kind == FAILURE ? GALENA_CALL_FAILED
                                                  : GALENA_CALL_HISTORY_GONE,
                            NULL);
 }
 
+static void
+run_unapplied (struct run *run, const struct step *step)
+{
+  enum galena_call_result result;
+
+  take_call (run, step->kind == LIST_NOT_APPLIED ? GALENA_CALL_LIST
+                                                 : GALENA_CALL_WATCH);
+  result = galena_catalog_begin_reply (run->catalog, run->era);
+  g_assert_cmpint (result, !=, GALENA_CALL_OK);
+  galena_catalog_end_call (run->catalog, run->now, result, NULL);
+}
+
+static void
+run_era (struct run *run, const struct step *step)
+{
+  run->era = step->argument;
+}
+
+static void
+run_incarnation (struct run *run, const struct step *step)
+{
+  run->started_unix_ms = step->argument;
+  run->sequence = step->revision;
+}
+
 static void
 run_config (struct run *run, const struct step *step)
 {
@@ -348,12 +443,16 @@
 run_peer (struct run *run, const struct step *step)
 {
   struct galena_published_upstream rows[UPSTREAMS_MAX] = { 0 };
-  struct galena_catalog_snapshot snapshot
-      = { .version = 1, .revision = step->revision, .upstreams = rows };
+  struct galena_catalog_snapshot snapshot = {
+    .version = 1, .position = { run->era, step->revision }, .upstreams = rows
+  };
 
   for (uint32_t i = 0; i < UPSTREAMS_MAX; i++)
     if ((step->argument & (1U << i)) != 0)
-      fill_upstream (i, GALENA_PUBLISHED_READY,
+      fill_upstream (run, i,
+                     (step->draining & (1U << i)) != 0
+                         ? GALENA_PUBLISHED_DRAINING
+                         : GALENA_PUBLISHED_READY,
                      &rows[snapshot.upstream_count++]);
   galena_catalog_merge_snapshot (run->catalog, run->now, &snapshot);
 }
@@ -421,6 +520,10 @@
   [WATCH_UNREADABLE] = run_reply,
   [HISTORY_GONE] = run_failure,
   [FAILURE] = run_failure,
+  [ERA] = run_era,
+  [INCARNATION] = run_incarnation,
+  [WATCH_NOT_APPLIED] = run_unapplied,
+  [LIST_NOT_APPLIED] = run_unapplied,
   [CONFIG] = run_config,
   [WATCH_TIMEOUT] = run_timeout,
   [WATCH_NO_WAIT] = run_reply,
--- a/test/unit/test_peer_wire.c
+++ b/test/unit/test_peer_wire.c
@@ -116,8 +116,9 @@
     77,
     3,
     500,
-    1700000000 },
-  { "i-2", 9, { 0x0a000002, 80 }, GALENA_PUBLISHED_DRAINING, 0, 1, 0, 0 },
+    1700000000,
+    41 },
+  { "i-2", 9, { 0x0a000002, 80 }, GALENA_PUBLISHED_DRAINING, 0, 1, 0, 0, 0 },
 };
 
 static uint8_t *
@@ -125,7 +126,7 @@
 {
   struct galena_catalog_snapshot snapshot
       = { .version = UINT64_MAX,
-          .revision = 12,
+          .position = { 3, 12 },
           .route_count = G_N_ELEMENTS (ROUTES),
           .upstream_count = G_N_ELEMENTS (UPSTREAMS),
           .routes = ROUTES,
@@ -147,7 +148,7 @@
   g_assert_cmpint (galena_snapshot_decode (bytes, size, &decoded), ==,
                    GALENA_OK);
   g_assert_cmpuint (decoded.version, ==, UINT64_MAX);
-  g_assert_cmpuint (decoded.revision, ==, 12);
+  g_assert_cmpuint (decoded.position.revision, ==, 12);
   g_assert_cmpuint (decoded.route_count, ==, G_N_ELEMENTS (ROUTES));
   g_assert_cmpuint (decoded.routes[1].shares[1].weight, ==, UINT32_MAX);
   g_assert_cmpuint (decoded.routes[1].address.port, ==, 8080);
