Compare positions of era and revision, not revisions alone

Callers' new flows went to upstreams that had said more than 3 s before that they leave (DRAIN), at all entries, after the store had come back from an older copy.

Cause: a row of an upstream kept the revision of the store at which it was last seen, and a change below it counted as older. A store that comes back gives the lost revisions out again, so that the changes that follow are below the rows that were published or changed last.

--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -83,9 +83,9 @@
   struct galena_clock now;
 };
 
-/* Logs when the era of the store changes, with the call whose reply showed
-   it.  */
-static void
+/* Returns the era of the store in COMPLETED, 0 if it has none, and logs when
+   the era changes, with the call whose reply showed it.  */
+static uint64_t
 update_era (struct platform_reader *reader,
             const struct galena_completed_read *completed)
 {
@@ -95,7 +95,7 @@
     galena_log (LOG_WARNING, "era-unreadable", "result=type value=%s",
                 completed->header);
   if (era == 0 || era == reader->era)
-    return;
+    return era;
   galena_log (LOG_NOTICE, "store-era",
               "era=%llu before=%llu call=%s after=%llu status=%u",
               (unsigned long long)era, (unsigned long long)reader->era,
@@ -103,6 +103,7 @@
               (unsigned long long)reader->call.revision, completed->status);
   reader->era = era;
   atomic_store (&reader->frontend->store_era, era);
+  return era;
 }
 
 static void
@@ -110,7 +111,7 @@
 {
   const struct change_context *context = user;
   struct platform_reader *reader = context->reader;
-  uint64_t known = 0;
+  struct galena_store_position known = { 0 };
 
   if (change->kind == GALENA_CHANGE_UNREADABLE)
     galena_log (LOG_WARNING, "item-unreadable", "key=%s revision=%llu",
@@ -122,10 +123,11 @@
   galena_log (
       LOG_INFO, "change-skipped",
       "result=older key=%s call=%s era=%llu revision=%llu "
-      "version=%llu known=%llu",
+      "version=%llu known_era=%llu known_revision=%llu",
       change->key, reader->call.kind == GALENA_CALL_LIST ? "list" : "watch",
       (unsigned long long)reader->era, (unsigned long long)change->revision,
-      (unsigned long long)change->config.version, (unsigned long long)known);
+      (unsigned long long)change->config.version,
+      (unsigned long long)known.era, (unsigned long long)known.revision);
 }
 
 /* Returns the IPv4 address of the next peer to ask, out of the seeds and the
@@ -194,35 +196,52 @@
                   galena_result_name (result), completed->status);
       return;
     }
-  galena_log (LOG_INFO, "peer-snapshot", "version=%llu revision=%llu",
+  galena_log (LOG_INFO, "peer-snapshot", "version=%llu era=%llu revision=%llu",
               (unsigned long long)snapshot.version,
+              (unsigned long long)snapshot.position.era,
               (unsigned long long)snapshot.position.revision);
   galena_catalog_merge_snapshot (reader->catalog, galena_monotonic_now (),
                                  &snapshot);
   galena_snapshot_release (&snapshot);
 }
 
+/* Applies COMPLETED to the catalog and stores what follows from it in
+ *REPLY.  */
+static enum galena_call_result
+apply_reply (struct platform_reader *reader, struct galena_clock now,
+             const struct galena_completed_read *completed,
+             struct galena_catalog_reply *reply)
+{
+  struct change_context context = { reader, now };
+  enum galena_call_result result = galena_catalog_begin_reply (
+      reader->catalog, update_era (reader, completed));
+
+  if (result != GALENA_CALL_OK)
+    return result;
+  if (completed->status == GALENA_PLATFORM_HISTORY_GONE)
+    return GALENA_CALL_HISTORY_GONE;
+  if (completed->result != GALENA_OK
+      || galena_platform_decode_reply (&reader->call, completed->text,
+                                       completed->size, apply_change, &context,
+                                       reply)
+             != GALENA_OK)
+    return GALENA_CALL_FAILED;
+  return GALENA_CALL_OK;
+}
+
 static void
 finish_call (struct platform_reader *reader,
              const struct galena_completed_read *completed)
 {
-  struct change_context context = { reader, galena_monotonic_now () };
-  enum galena_call_result result = GALENA_CALL_FAILED;
+  struct galena_clock now = galena_monotonic_now ();
   struct galena_catalog_reply reply = { 0 };
+  enum galena_call_result result
+      = apply_reply (reader, now, completed, &reply);
 
-  update_era (reader, completed);
-  if (completed->status == GALENA_PLATFORM_HISTORY_GONE)
-    result = GALENA_CALL_HISTORY_GONE;
-  else if (completed->result == GALENA_OK
-           && galena_platform_decode_reply (&reader->call, completed->text,
-                                            completed->size, apply_change,
-                                            &context, &reply)
-                  == GALENA_OK)
-    result = GALENA_CALL_OK;
   if (result == GALENA_CALL_OK)
     reader->pauses_refreshed = reader->pauses;
   update_availability (reader, completed, result == GALENA_CALL_FAILED);
-  galena_catalog_end_call (reader->catalog, context.now, result, &reply);
+  galena_catalog_end_call (reader->catalog, now, result, &reply);
 }
 
 static void
--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -140,12 +140,12 @@
 galena_catalog_begin_reply (struct galena_catalog *catalog, uint64_t era);
 
 /* Applies one change of the reply to the call in progress.  Returns false when
-   it is skipped because something newer is known, and then stores the revision
-   of that, or the version of the configuration, in *KNOWN.  */
+   it is skipped because something newer is known, and then stores the position
+   of that in *KNOWN.  */
 bool galena_catalog_apply_change (struct galena_catalog *catalog,
                                   struct galena_clock now,
                                   const struct galena_change *change,
-                                  uint64_t *known);
+                                  struct galena_store_position *known);
 
 /* Ends the call in progress, after its changes were applied.  REPLY is read
    only when RESULT is GALENA_CALL_OK.  */
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -53,8 +53,8 @@
   struct galena_published_upstream upstream;
   /* Last round of each source that listed it.  */
   uint32_t rounds[SOURCE_COUNT];
-  /* Revision of the store at which it was last seen or removed.  */
-  uint64_t revision;
+  /* Position of the store at which it was last seen or removed.  */
+  struct galena_store_position position;
   /* When its removal is due; ms 0 while it is published.  */
   struct galena_clock removal_due;
 };
@@ -68,10 +68,12 @@
   bool busy;
   /* Whether a list was read to its end once.  */
   bool list_read;
-  /* Revision up to which changes were applied.  */
-  uint64_t revision;
-  /* Revision of the first page of the current list.  */
-  uint64_t list_revision;
+  /* Position up to which changes were applied.  */
+  struct galena_store_position position;
+  /* Position of the first page of the current list.  */
+  struct galena_store_position list_position;
+  /* Era of the store in the reply that is being applied.  */
+  uint64_t reply_era;
   /* Last key of the pages that were read of the current list; empty before
      the first one.  */
   char after[GALENA_CATALOG_KEY_BYTES];
@@ -94,12 +96,15 @@
   struct galena_map *items_by_key;
   uint32_t rounds[SOURCE_COUNT];
   uint64_t version;
+  /* Position of the store at which that version was first seen.  */
+  struct galena_store_position version_position;
   uint32_t route_count;
   struct galena_route *routes;
   /* Whether something has changed since the last directory was built.  */
   bool changed;
-  /* Revision of the last merged snapshot of a peer; 0 when there is none.  */
-  uint64_t peer_revision;
+  /* Position of the last merged snapshot of a peer; revision 0 when there is
+     none.  */
+  struct galena_store_position peer_position;
   /* Since when a list has been in progress or calls have failed without a
      reply of the platform; ms 0 after a reply.  */
   struct galena_clock unanswered_since;
@@ -167,7 +172,7 @@
       memcpy (call->after, calls->after, sizeof call->after);
       return true;
     }
-  call->revision = calls->revision;
+  call->revision = calls->position.revision;
   call->wait_ms = calls->refreshing ? 0 : catalog->options.wait_ms;
   call->timeout_ms = call->wait_ms + WATCH_MARGIN_MS;
   return true;
@@ -197,9 +202,16 @@
   return item;
 }
 
+static bool
+is_before (struct galena_store_position a, struct galena_store_position b)
+{
+  return a.era != b.era ? a.era < b.era : a.revision < b.revision;
+}
+
 /* Returns false when a newer version than that of CONFIG is known.  */
 static bool
 apply_config (struct galena_catalog *catalog,
+              struct galena_store_position position,
               const struct galena_published_config *config)
 {
   struct galena_route *routes;
@@ -217,21 +229,23 @@
   catalog->routes = routes;
   catalog->route_count = config->route_count;
   catalog->version = config->version;
+  catalog->version_position = position;
   catalog->changed = true;
   return true;
 }
 
 /* Schedules the removal of ITEM: immediately when it was draining, else after
    the time in which it may be published again.  Returns false when it has
-   changed after REVISION.  */
+   changed after POSITION.  */
 static bool
 schedule_removal (struct galena_catalog *catalog,
-                  struct catalog_upstream *item, uint64_t revision,
+                  struct catalog_upstream *item,
+                  struct galena_store_position position,
                   struct galena_clock now)
 {
-  if (revision < item->revision)
+  if (is_before (position, item->position))
     return false;
-  item->revision = revision;
+  item->position = position;
   if (item->removal_due.ms != 0)
     return true;
   item->removal_due = now;
@@ -252,19 +266,19 @@
          && a->started_unix_ms == b->started_unix_ms;
 }
 
-/* Returns the revision of the newest information on ITEM, which may be
+/* Returns the position of the newest information on ITEM, which may be
    NULL.  */
-static uint64_t
-known_revision (const struct galena_catalog *catalog,
+static struct galena_store_position
+known_position (const struct galena_catalog *catalog,
                 const struct catalog_upstream *item)
 {
-  return item != NULL ? item->revision : catalog->peer_revision;
+  return item != NULL ? item->position : catalog->peer_position;
 }
 
-/* Returns false when something newer than REVISION is known.  */
+/* Returns false when something newer than POSITION is known.  */
 static bool
 apply_upstream (struct galena_catalog *catalog, enum source source,
-                uint64_t revision,
+                struct galena_store_position position,
                 const struct galena_published_upstream *upstream)
 {
   uint64_t key = XXH64 (upstream->id, strlen (upstream->id), 0);
@@ -272,14 +286,14 @@
 
   /* Ignores a reply that is older than a snapshot of a peer that was merged
      while the call was in progress.  */
-  if (revision < known_revision (catalog, item))
+  if (is_before (position, known_position (catalog, item)))
     return false;
   if (item == NULL)
     item = add_item (catalog, key);
   if (item == NULL)
     return true;
   item->rounds[source] = catalog->rounds[source];
-  item->revision = revision;
+  item->position = position;
   item->removal_due = (struct galena_clock){ 0 };
   if (*item->upstream.id != '\0' && upstream_equal (&item->upstream, upstream))
     return true;
@@ -291,8 +305,9 @@
 enum galena_call_result
 galena_catalog_begin_reply (struct galena_catalog *catalog, uint64_t era)
 {
-  (void)catalog;
-  (void)era;
+  struct call_state *calls = &catalog->calls;
+
+  calls->reply_era = era != 0 ? era : calls->position.era;
   return GALENA_CALL_OK;
 }
 
@@ -300,29 +315,31 @@
 galena_catalog_apply_change (struct galena_catalog *catalog,
                              struct galena_clock now,
                              const struct galena_change *change,
-                             uint64_t *known)
+                             struct galena_store_position *known)
 {
+  struct galena_store_position position
+      = { catalog->calls.reply_era, change->revision };
   struct catalog_upstream *item;
 
   catalog->calls.reply_has_changes = true;
   if (change->kind == GALENA_CHANGE_CONFIG)
     {
-      *known = catalog->version;
-      return apply_config (catalog, &change->config);
+      *known = catalog->version_position;
+      return apply_config (catalog, position, &change->config);
     }
   item = find_item (catalog, XXH64 (change->key, strlen (change->key), 0));
-  *known = known_revision (catalog, item);
+  *known = known_position (catalog, item);
   if (change->kind == GALENA_CHANGE_UPSTREAM)
-    return apply_upstream (catalog, SOURCE_PLATFORM, change->revision,
+    return apply_upstream (catalog, SOURCE_PLATFORM, position,
                            &change->upstream);
-  return item == NULL
-         || schedule_removal (catalog, item, change->revision, now);
+  return item == NULL || schedule_removal (catalog, item, position, now);
 }
 
-/* Schedules the removal of the items that SOURCE did not list at REVISION.  */
+/* Schedules the removal of the items that SOURCE did not list at POSITION.  */
 static void
 remove_unlisted (struct galena_catalog *catalog, enum source source,
-                 uint64_t revision, struct galena_clock now)
+                 struct galena_store_position position,
+                 struct galena_clock now)
 {
   struct catalog_upstream *item;
   struct galena_handle handle;
@@ -330,19 +347,19 @@
 
   while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
     if (item->rounds[source] != catalog->rounds[source])
-      schedule_removal (catalog, item, revision, now);
+      schedule_removal (catalog, item, position, now);
 }
 
 static void
 end_list (struct galena_catalog *catalog, struct call_state *calls,
           struct galena_clock now)
 {
-  remove_unlisted (catalog, SOURCE_PLATFORM, calls->list_revision, now);
+  remove_unlisted (catalog, SOURCE_PLATFORM, calls->list_position, now);
   if (!calls->list_read)
     catalog->changed = true;
   calls->list_read = true;
   calls->kind = GALENA_CALL_WATCH;
-  calls->revision = calls->list_revision;
+  calls->position = calls->list_position;
 }
 
 static void
@@ -378,7 +395,8 @@
                  const struct galena_catalog_reply *reply)
 {
   if (calls->after[0] == '\0')
-    calls->list_revision = reply->revision;
+    calls->list_position
+        = (struct galena_store_position){ calls->reply_era, reply->revision };
   if (reply->more)
     memcpy (calls->after, reply->next, sizeof calls->after);
   else
@@ -423,8 +441,8 @@
     apply_list_page (catalog, calls, now, reply);
   else
     {
-      if (reply->revision > calls->revision)
-        calls->revision = reply->revision;
+      if (reply->revision > calls->position.revision)
+        calls->position.revision = reply->revision;
       if (calls->reply_has_changes)
         calls->due = galena_clock_add_ms (now, COALESCE_MS);
     }
@@ -453,18 +471,19 @@
   struct galena_published_config config
       = { snapshot->version, snapshot->route_count, snapshot->routes };
 
-  apply_config (catalog, &config);
-  if (snapshot->version == 0 || snapshot->position.revision <= calls->revision)
+  apply_config (catalog, snapshot->position, &config);
+  if (snapshot->version == 0
+      || !is_before (calls->position, snapshot->position))
     return;
   /* The list or watch in progress continues; changes in its reply that are
      older than the snapshot are skipped.  */
-  calls->revision = snapshot->position.revision;
+  calls->position = snapshot->position;
   catalog->rounds[SOURCE_PEER]++;
   for (uint32_t i = 0; i < snapshot->upstream_count; i++)
-    apply_upstream (catalog, SOURCE_PEER, snapshot->position.revision,
+    apply_upstream (catalog, SOURCE_PEER, snapshot->position,
                     &snapshot->upstreams[i]);
-  remove_unlisted (catalog, SOURCE_PEER, snapshot->position.revision, now);
-  catalog->peer_revision = snapshot->position.revision;
+  remove_unlisted (catalog, SOURCE_PEER, snapshot->position, now);
+  catalog->peer_position = snapshot->position;
 }
 
 void
@@ -473,7 +492,7 @@
                          struct galena_catalog_snapshot *snapshot)
 {
   snapshot->version = galena_directory_version (directory);
-  snapshot->position.revision = catalog->calls.revision;
+  snapshot->position = catalog->calls.position;
   snapshot->routes
       = galena_directory_routes (directory, &snapshot->route_count);
   snapshot->upstreams
@@ -552,7 +571,7 @@
 galena_catalog_has_contents (const struct galena_catalog *catalog)
 {
   return catalog->version != 0
-         && (catalog->peer_revision != 0 || catalog->calls.list_read);
+         && (catalog->peer_position.revision != 0 || catalog->calls.list_read);
 }
 
 int64_t
--- a/packages/wire/include/galenaford/snapshot_wire.h
+++ b/packages/wire/include/galenaford/snapshot_wire.h
@@ -10,8 +10,9 @@
 
 enum
 {
-  /* Schema version of the snapshots.  */
-  GALENA_SNAPSHOT_SCHEMA = 1,
+  /* Schema version of encoded snapshots.  Version 1, without the era of the
+     store and the sequence numbers of upstreams, is decoded as well.  */
+  GALENA_SNAPSHOT_SCHEMA = 2,
   /* Most routes, and most upstreams, that are accepted from a peer.  */
   GALENA_SNAPSHOT_ROWS_MAX = 65536
 };
--- a/packages/wire/src/snapshot.c
+++ b/packages/wire/src/snapshot.c
@@ -14,10 +14,12 @@
 enum
 {
   LENGTH_BYTES = 4,
-  HEADER_ITEMS = 5,
+  HEADER_ITEMS = 6,
   ROUTE_ITEMS = 1,
   SHARE_ITEMS = 2,
-  UPSTREAM_ITEMS = 8
+  UPSTREAM_ITEMS = 9,
+  /* Items that schema 1 lacks at the end of the header and of an upstream.  */
+  ITEMS_SINCE_SCHEMA_2 = 1
 };
 
 /* Appends the array in ITEM to OUT, preceded by its length, and clears
@@ -50,11 +52,10 @@
 pack_header (msgpack_packer *packer,
              const struct galena_catalog_snapshot *snapshot)
 {
-  /* Version of the configuration; revision of the platform's store.  */
   const uint64_t numbers[HEADER_ITEMS]
-      = { GALENA_SNAPSHOT_SCHEMA, snapshot->version,
+      = { GALENA_SNAPSHOT_SCHEMA,      snapshot->version,
           snapshot->position.revision, snapshot->route_count,
-          snapshot->upstream_count };
+          snapshot->upstream_count,    snapshot->position.era };
 
   return msgpack_pack_array (packer, HEADER_ITEMS)
          | pack_numbers (packer, numbers, HEADER_ITEMS);
@@ -86,7 +87,7 @@
       = { upstream->service,    pack_endpoint (upstream->address),
           upstream->state,      upstream->slots,
           upstream->warm_up_ms, upstream->started_unix_ms,
-          upstream->zone };
+          upstream->zone,       upstream->sequence };
   size_t length = strlen (upstream->id);
 
   return msgpack_pack_array (packer, UPSTREAM_ITEMS)
@@ -130,6 +131,8 @@
 {
   const uint8_t *bytes;
   size_t left;
+  /* Number of items that the schema of the snapshot lacks.  */
+  uint32_t missing;
 };
 
 /* Decodes the next array into *ITEMS.  */
@@ -208,8 +211,8 @@
 
   if (result != GALENA_OK)
     return result;
-  if (items.count != UPSTREAM_ITEMS || rows[0].type != UNPACK_BINARY
-      || !are_numbers (&items, 1))
+  if (items.count + source->missing != UPSTREAM_ITEMS
+      || rows[0].type != UNPACK_BINARY || !are_numbers (&items, 1))
     return GALENA_ERR_TYPE;
   if (rows[0].size >= sizeof upstream->id)
     return GALENA_ERR_TOO_LARGE;
@@ -224,6 +227,8 @@
   upstream->warm_up_ms = (uint32_t)rows[5].value;
   upstream->started_unix_ms = rows[6].value;
   upstream->zone = rows[7].value;
+  if (source->missing == 0)
+    upstream->sequence = rows[8].value;
   return GALENA_OK;
 }
 
@@ -236,10 +241,13 @@
 
   if (result != GALENA_OK)
     return result;
-  if (items.count != HEADER_ITEMS || !are_numbers (&items, 0))
+  if (items.count == 0 || !are_numbers (&items, 0))
     return GALENA_ERR_TYPE;
-  if (items.rows[0].value != GALENA_SNAPSHOT_SCHEMA)
+  if (items.rows[0].value == 0 || items.rows[0].value > GALENA_SNAPSHOT_SCHEMA)
     return GALENA_ERR_SCHEMA;
+  source->missing = items.rows[0].value == 1 ? ITEMS_SINCE_SCHEMA_2 : 0;
+  if (items.count + source->missing != HEADER_ITEMS)
+    return GALENA_ERR_TYPE;
   if (items.rows[3].value > GALENA_SNAPSHOT_ROWS_MAX
       || items.rows[4].value > GALENA_SNAPSHOT_ROWS_MAX)
     return GALENA_ERR_TOO_LARGE;
@@ -247,6 +255,8 @@
   snapshot->position.revision = items.rows[2].value;
   snapshot->route_count = (uint32_t)items.rows[3].value;
   snapshot->upstream_count = (uint32_t)items.rows[4].value;
+  if (source->missing == 0)
+    snapshot->position.era = items.rows[5].value;
   /* Each row takes at least the bytes of its length field.  Checking this
      first avoids allocating more rows than the input can contain.  */
   if (((size_t)snapshot->route_count + snapshot->upstream_count) * LENGTH_BYTES
@@ -259,7 +269,7 @@
 galena_snapshot_decode (const uint8_t *bytes, size_t size,
                         struct galena_catalog_snapshot *snapshot)
 {
-  struct source source = { bytes, size };
+  struct source source = { bytes, size, 0 };
   struct galena_route *routes = NULL;
   struct galena_published_upstream *upstreams = NULL;
   enum galena_result result;
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -254,6 +254,25 @@
       { 330, ERA, 2, 0, 0 },
       { 330, LIST, 3, 10, 0 },
       { 330, EXPECT, 3, 0, 0 } } },
+  { "/restored/peer-of-old-era",
+    { { 10, ERA, 2, 0, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 10, 2 },
+      { 30, ERA, 1, 0, 0 },
+      { 30, PEER_SNAPSHOT, 1, 40, 0 },
+      { 2100, EXPECT, 7, 0, 0 },
+      { 2100, ERA, 2, 0, 0 },
+      { 2100, WATCH_DRAINING, 2, 11, 0 },
+      { 2100, EXPECT, 7, 0, 2 } } },
+  { "/restored/peer-of-new-era",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 40, 0 },
+      { 30, FAILURE, 0, 0, 0 },
+      { 300, EXPECT_PEER, 1, 0, 0 },
+      { 300, ERA, 2, 0, 0 },
+      { 300, PEER_SNAPSHOT, 7, 10, 2 },
+      { 300, EXPECT, 7, 0, 2 } } },
   { "/restored/version-never-back",
     { { 10, ERA, 1, 0, 0 },
       { 10, CONFIG, 6, 5, 0 },
@@ -303,7 +322,7 @@
     {
       struct galena_change change
           = { .kind = kind, .revision = step->revision };
-      uint64_t known;
+      struct galena_store_position known;
 
       if ((step->argument & (1U << i)) == 0)
         continue;
@@ -329,7 +348,7 @@
   struct galena_change change = { .kind = GALENA_CHANGE_CONFIG,
                                   .key = "config",
                                   .config = { .version = run->version } };
-  uint64_t known;
+  struct galena_store_position known;
 
   if (run->version != 0)
     galena_catalog_apply_change (run->catalog, run->now, &change, &known);
--- a/test/unit/test_peer_wire.c
+++ b/test/unit/test_peer_wire.c
@@ -148,6 +148,7 @@
   g_assert_cmpint (galena_snapshot_decode (bytes, size, &decoded), ==,
                    GALENA_OK);
   g_assert_cmpuint (decoded.version, ==, UINT64_MAX);
+  g_assert_cmpuint (decoded.position.era, ==, 3);
   g_assert_cmpuint (decoded.position.revision, ==, 12);
   g_assert_cmpuint (decoded.route_count, ==, G_N_ELEMENTS (ROUTES));
   g_assert_cmpuint (decoded.routes[1].shares[1].weight, ==, UINT32_MAX);
@@ -156,6 +157,7 @@
   g_assert_cmpstr (decoded.upstreams[0].id, ==, "i-1");
   g_assert_cmpuint (decoded.upstreams[0].started_unix_ms, ==, 1700000000);
   g_assert_cmpuint (decoded.upstreams[0].zone, ==, 77);
+  g_assert_cmpuint (decoded.upstreams[0].sequence, ==, 41);
   g_assert_cmpint (decoded.upstreams[1].state, ==, GALENA_PUBLISHED_DRAINING);
   galena_snapshot_release (&decoded);
   for (size_t cut = 0; cut < size; cut++)
@@ -164,6 +166,21 @@
   g_free (bytes);
 }
 
+/* A snapshot without rows, as an older process encodes it.  */
+static void
+test_snapshot_schema_1 (void)
+{
+  static const uint8_t bytes[] = { 0, 0, 0, 6, 0x95, 1, 4, 12, 0, 0 };
+  struct galena_catalog_snapshot decoded;
+
+  g_assert_cmpint (galena_snapshot_decode (bytes, sizeof bytes, &decoded), ==,
+                   GALENA_OK);
+  g_assert_cmpuint (decoded.version, ==, 4);
+  g_assert_cmpuint (decoded.position.era, ==, 0);
+  g_assert_cmpuint (decoded.position.revision, ==, 12);
+  galena_snapshot_release (&decoded);
+}
+
 static void
 test_random_bytes (void)
 {
@@ -195,6 +212,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (MESSAGES); i++)
     g_test_add_data_func (MESSAGES[i].name, &MESSAGES[i], run_message_case);
   g_test_add_func ("/peer/snapshot", test_snapshot);
+  g_test_add_func ("/peer/snapshot-schema-1", test_snapshot_schema_1);
   g_test_add_func ("/peer/random-bytes", test_random_bytes);
   return g_test_run ();
 }
