List again when a reply comes from another era of the store

An entry that the store did not answer for longer, because it was frozen, cut off or refused, went on with its watch although the store had come back from an older copy meanwhile. It got no 410, since the store had passed the watch's revision again, and never learned what was written below that: drains, removals, added upstreams, a configuration.

Cause: a watch was continued by the revision alone, and the pages of a list were joined whatever store they came from. Now a reply of a newer era than the call refers to is not applied and all is listed again, and one of an older era than the known one counts as failed. A reply without an era is of that of its call.

--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -213,11 +213,17 @@
              struct galena_catalog_reply *reply)
 {
   struct change_context context = { reader, now };
-  enum galena_call_result result = galena_catalog_begin_reply (
-      reader->catalog, update_era (reader, completed));
+  uint64_t era = update_era (reader, completed);
+  enum galena_call_result result
+      = galena_catalog_begin_reply (reader->catalog, era);
 
   if (result != GALENA_CALL_OK)
-    return result;
+    {
+      galena_log (LOG_NOTICE, "reply-skipped", "result=%s era=%llu status=%u",
+                  result == GALENA_CALL_FAILED ? "older-era" : "newer-era",
+                  (unsigned long long)era, completed->status);
+      return result;
+    }
   if (completed->status == GALENA_PLATFORM_HISTORY_GONE)
     return GALENA_CALL_HISTORY_GONE;
   if (completed->result != GALENA_OK
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -72,7 +72,10 @@
   struct galena_store_position position;
   /* Position of the first page of the current list.  */
   struct galena_store_position list_position;
-  /* Era of the store in the reply that is being applied.  */
+  /* Era that the reply to the current call must have, and the one that it
+     has; the first page of a list may have any that is not older than
+     POSITION.  */
+  uint64_t call_era;
   uint64_t reply_era;
   /* Last key of the pages that were read of the current list; empty before
      the first one.  */
@@ -149,6 +152,12 @@
   free (catalog);
 }
 
+static bool
+is_first_page (const struct call_state *calls)
+{
+  return calls->kind == GALENA_CALL_LIST && calls->after[0] == '\0';
+}
+
 bool
 galena_catalog_next_call (struct galena_catalog *catalog,
                           struct galena_clock now,
@@ -165,10 +174,13 @@
   memset (call, 0, sizeof *call);
   call->kind = calls->kind;
   call->timeout_ms = LIST_TIMEOUT_MS;
+  calls->call_era = calls->position.era;
   if (calls->kind == GALENA_CALL_LIST)
     {
-      if (calls->after[0] == '\0')
+      if (is_first_page (calls))
         catalog->rounds[SOURCE_PLATFORM]++;
+      else
+        calls->call_era = calls->list_position.era;
       memcpy (call->after, calls->after, sizeof call->after);
       return true;
     }
@@ -307,7 +319,14 @@
 {
   struct call_state *calls = &catalog->calls;
 
-  calls->reply_era = era != 0 ? era : calls->position.era;
+  calls->reply_era = era != 0 ? era : calls->call_era;
+  if (calls->reply_era < calls->position.era)
+    return GALENA_CALL_FAILED;
+  /* The store has lost what the call refers to, whatever its status: the
+     revision of a watch, or the earlier pages of a list, are of a history that
+     has ended.  */
+  if (calls->reply_era > calls->call_era && !is_first_page (calls))
+    return GALENA_CALL_HISTORY_GONE;
   return GALENA_CALL_OK;
 }
 
@@ -394,7 +413,7 @@
                  struct galena_clock now,
                  const struct galena_catalog_reply *reply)
 {
-  if (calls->after[0] == '\0')
+  if (is_first_page (calls))
     calls->list_position
         = (struct galena_store_position){ calls->reply_era, reply->revision };
   if (reply->more)
