Keep the newer state of an upstream when an older copy of the store lists it

When the store came back from an older copy, an upstream that was draining was taken for ready again, and one that had left was published again, until it wrote its state once more or its entry expired: callers' opens went to it meanwhile.

Cause: a list of the new era replaced what was known, row by row, although a row of the copy may be older than that. Rows of removed upstreams were not kept, so that nothing told a returned one from a new one.

Upstreams count their own states, and the count begins anew with each start. The catalog now keeps start and sequence number, skips a state of the same start with a lower number, and in the first lists of an era an earlier start. Rows of removed upstreams are kept for ten minutes, as long as there is room; one that only the copy lists is published again if its entry is still there after 6 s, longer than an entry lives without heartbeats. A change, which is written after the return, is believed even with an earlier start: the clock may have gone back.

Evidence: five cases of test_catalog_restored failed before.

--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -217,13 +217,12 @@
   enum galena_call_result result
       = galena_catalog_begin_reply (reader->catalog, era);
 
+  if (result != GALENA_CALL_OK && era != 0)
+    galena_log (LOG_NOTICE, "reply-skipped", "result=%s era=%llu status=%u",
+                result == GALENA_CALL_FAILED ? "older-era" : "newer-era",
+                (unsigned long long)era, completed->status);
   if (result != GALENA_CALL_OK)
-    {
-      galena_log (LOG_NOTICE, "reply-skipped", "result=%s era=%llu status=%u",
-                  result == GALENA_CALL_FAILED ? "older-era" : "newer-era",
-                  (unsigned long long)era, completed->status);
-      return result;
-    }
+    return result;
   if (completed->status == GALENA_PLATFORM_HISTORY_GONE)
     return GALENA_CALL_HISTORY_GONE;
   if (completed->result != GALENA_OK
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -34,7 +34,14 @@
   PEER_SNAPSHOT_AFTER_MS = 200,
   /* An upstream that is no longer published may be published again within two
      seconds, so its removal is delayed.  */
-  REMOVAL_DELAY_MS = 2000
+  REMOVAL_DELAY_MS = 2000,
+  /* An upstream that only an older copy of the store still lists is alive if
+     its entry is there after this time; otherwise the entry expires, after
+     three heartbeats.  */
+  RESTORED_EXPIRY_MS = 6000,
+  /* The row of a removed upstream is kept for this time, since the store may
+     come back from a copy that lists it.  */
+  KEEP_REMOVED_MS = 600000
 };
 
 /* Sources of upstreams: the lists and watches of the platform, and snapshots
@@ -55,8 +62,16 @@
   uint32_t rounds[SOURCE_COUNT];
   /* Position of the store at which it was last seen or removed.  */
   struct galena_store_position position;
+  /* Era in which it got its state or was removed; an older copy may list it in
+     a later one.  */
+  uint64_t state_era;
   /* When its removal is due; ms 0 while it is published.  */
   struct galena_clock removal_due;
+  /* Whether it has been removed; its row is kept.  */
+  bool removed;
+  /* When it counts as published again because its entry in an older copy has
+     not expired; ms 0 when no copy lists it.  */
+  struct galena_clock confirmed_due;
 };
 
 /* The sequence of calls to the platform.  */
@@ -200,13 +215,45 @@
   return galena_table_get (catalog->items, galena_handle_unpack (packed));
 }
 
+static void
+delete_item (struct galena_catalog *catalog,
+             const struct catalog_upstream *item, struct galena_handle handle)
+{
+  galena_map_remove (catalog->items_by_key, item->key);
+  galena_table_remove (catalog->items, handle);
+}
+
+/* Deletes the rows of removed items if ALL, else of those that have been kept
+   long enough.  */
+static void
+delete_removed (struct galena_catalog *catalog, struct galena_clock now,
+                bool all)
+{
+  const struct catalog_upstream *item;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
+    if (item->removed
+        && (all
+            || galena_clock_elapsed_ms (item->removal_due, now)
+                   >= KEEP_REMOVED_MS))
+      delete_item (catalog, item, handle);
+}
+
 static struct catalog_upstream *
-add_item (struct galena_catalog *catalog, uint64_t key)
+add_item (struct galena_catalog *catalog, uint64_t key,
+          struct galena_clock now)
 {
   struct galena_handle handle;
   struct catalog_upstream *item
       = galena_table_insert (catalog->items, &handle);
 
+  if (item == NULL)
+    {
+      delete_removed (catalog, now, true);
+      item = galena_table_insert (catalog->items, &handle);
+    }
   if (item == NULL)
     return NULL;
   item->key = key;
@@ -258,6 +305,8 @@
   if (is_before (position, item->position))
     return false;
   item->position = position;
+  item->state_era = position.era;
+  item->confirmed_due = (struct galena_clock){ 0 };
   if (item->removal_due.ms != 0)
     return true;
   item->removal_due = now;
@@ -287,10 +336,58 @@
   return item != NULL ? item->position : catalog->peer_position;
 }
 
-/* Returns false when something newer than POSITION is known.  */
+/* Cancels the removal of ITEM.  */
+static void
+publish_again (struct galena_catalog *catalog, struct catalog_upstream *item)
+{
+  catalog->changed |= item->removed;
+  item->removed = false;
+  item->removal_due = (struct galena_clock){ 0 };
+  item->confirmed_due = (struct galena_clock){ 0 };
+}
+
+/* Returns whether UPSTREAM, seen at POSITION, is an older state of ITEM, which
+   an older copy of the store has brought back.  An upstream counts its own
+   states, so that those of one start can be compared in any reply.  LISTED is
+   false for a change, which is written after the copy came back: its start may
+   be earlier only by the clock of the instance.  */
+static bool
+is_restored_state (const struct catalog_upstream *item,
+                   struct galena_store_position position, bool listed,
+                   const struct galena_published_upstream *upstream)
+{
+  const struct galena_published_upstream *known = &item->upstream;
+  bool after_copy = listed && position.era > item->state_era;
+
+  if (upstream->started_unix_ms == 0 || known->started_unix_ms == 0)
+    return false;
+  if (upstream->started_unix_ms != known->started_unix_ms)
+    return after_copy && upstream->started_unix_ms < known->started_unix_ms;
+  if (upstream->sequence == known->sequence)
+    return after_copy && item->removal_due.ms != 0;
+  return upstream->sequence < known->sequence;
+}
+
+/* Notes that SOURCE listed a state of ITEM at POSITION that is older than the
+   known one.  */
+static void
+note_restored_state (struct galena_catalog *catalog,
+                     struct catalog_upstream *item, enum source source,
+                     struct galena_store_position position,
+                     struct galena_clock now)
+{
+  item->rounds[source] = catalog->rounds[source];
+  item->position = position;
+  if (item->removal_due.ms != 0 && item->confirmed_due.ms == 0)
+    item->confirmed_due = galena_clock_add_ms (now, RESTORED_EXPIRY_MS);
+}
+
+/* Returns false when something newer than POSITION, or a newer state of the
+   upstream, is known.  LISTED tells a row of a list from a change.  */
 static bool
 apply_upstream (struct galena_catalog *catalog, enum source source,
-                struct galena_store_position position,
+                struct galena_store_position position, bool listed,
+                struct galena_clock now,
                 const struct galena_published_upstream *upstream)
 {
   uint64_t key = XXH64 (upstream->id, strlen (upstream->id), 0);
@@ -300,13 +397,19 @@
      while the call was in progress.  */
   if (is_before (position, known_position (catalog, item)))
     return false;
+  if (item != NULL && is_restored_state (item, position, listed, upstream))
+    {
+      note_restored_state (catalog, item, source, position, now);
+      return false;
+    }
   if (item == NULL)
-    item = add_item (catalog, key);
+    item = add_item (catalog, key, now);
   if (item == NULL)
     return true;
   item->rounds[source] = catalog->rounds[source];
   item->position = position;
-  item->removal_due = (struct galena_clock){ 0 };
+  item->state_era = position.era;
+  publish_again (catalog, item);
   if (*item->upstream.id != '\0' && upstream_equal (&item->upstream, upstream))
     return true;
   item->upstream = *upstream;
@@ -350,6 +453,7 @@
   *known = known_position (catalog, item);
   if (change->kind == GALENA_CHANGE_UPSTREAM)
     return apply_upstream (catalog, SOURCE_PLATFORM, position,
+                           catalog->calls.kind == GALENA_CALL_LIST, now,
                            &change->upstream);
   return item == NULL || schedule_removal (catalog, item, position, now);
 }
@@ -499,7 +603,7 @@
   calls->position = snapshot->position;
   catalog->rounds[SOURCE_PEER]++;
   for (uint32_t i = 0; i < snapshot->upstream_count; i++)
-    apply_upstream (catalog, SOURCE_PEER, snapshot->position,
+    apply_upstream (catalog, SOURCE_PEER, snapshot->position, true, now,
                     &snapshot->upstreams[i]);
   remove_unlisted (catalog, SOURCE_PEER, snapshot->position, now);
   catalog->peer_position = snapshot->position;
@@ -518,6 +622,18 @@
       = galena_directory_upstreams (directory, &snapshot->upstream_count);
 }
 
+/* Returns when the removal of ITEM, or its return, is due; INT64_MAX when
+   neither is.  */
+static struct galena_clock
+item_due (const struct catalog_upstream *item)
+{
+  if (item->removal_due.ms != 0 && !item->removed)
+    return item->removal_due;
+  if (item->confirmed_due.ms != 0)
+    return item->confirmed_due;
+  return (struct galena_clock){ INT64_MAX };
+}
+
 struct galena_clock
 galena_catalog_due (const struct galena_catalog *catalog)
 {
@@ -535,27 +651,31 @@
   if (!catalog->calls.busy && catalog->calls.due.ms < first.ms)
     first = catalog->calls.due;
   while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
-    if (item->removal_due.ms != 0 && item->removal_due.ms < first.ms)
-      first = item->removal_due;
+    if (item_due (item).ms < first.ms)
+      first = item_due (item);
   return first;
 }
 
-/* Removes the items whose removal is due.  */
+/* Removes the items whose removal is due, and publishes those again whose
+   return is due.  */
 static void
-remove_due (struct galena_catalog *catalog, struct galena_clock now)
+update_due (struct galena_catalog *catalog, struct galena_clock now)
 {
   struct catalog_upstream *item;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
   while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
-    if (item->removal_due.ms != 0
-        && galena_clock_reached (now, item->removal_due))
-      {
-        galena_map_remove (catalog->items_by_key, item->key);
-        galena_table_remove (catalog->items, handle);
-        catalog->changed = true;
-      }
+    {
+      if (!galena_clock_reached (now, item_due (item)))
+        continue;
+      if (item->removed)
+        publish_again (catalog, item);
+      else
+        item->removed = true;
+      catalog->changed = true;
+    }
+  delete_removed (catalog, now, false);
 }
 
 bool
@@ -572,14 +692,15 @@
   struct galena_handle handle;
   uint32_t cursor = 0;
 
-  remove_due (catalog, now);
+  update_due (catalog, now);
   if (!catalog->changed || !galena_catalog_has_contents (catalog))
     return false;
   upstreams = calloc ((size_t)count + 1, sizeof *upstreams);
   if (upstreams == NULL)
     return false;
   while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
-    upstreams[options.upstream_count++] = item->upstream;
+    if (!item->removed)
+      upstreams[options.upstream_count++] = item->upstream;
   options.upstreams = upstreams;
   catalog->changed = galena_directory_create (&options, out) != GALENA_OK;
   free (upstreams);
