Don't let the first watch after a failed call wait for a change

An entry learned up to a second later than others that the store had come back from an older copy: its watch went on from a revision that the copy happens to have, got no 410 and waited for the next change. It may wait for 2.5 s, while its view is that of the lost history.

After a failed call a watch now returns at once, like the one after a pause, and its reply has the era. It costs one call for each loss of the store.

--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -97,7 +97,8 @@
   char after[GALENA_CATALOG_KEY_BYTES];
   /* Whether the reply to the current call has brought a change.  */
   bool reply_has_changes;
-  /* Whether the next watch only reads missed changes and does not wait.  */
+  /* Whether the next watch only reads the era and missed changes and does not
+     wait.  */
   bool refreshing;
   uint32_t failures;
   struct galena_clock due;
@@ -504,6 +505,8 @@
   if (backoff_ms > BACKOFF_MAX_MS)
     backoff_ms = BACKOFF_MAX_MS;
   calls->failures++;
+  /* Without a change, the next reply may still have another era.  */
+  calls->refreshing = true;
   if (catalog->unanswered_since.ms == 0)
     catalog->unanswered_since = now;
   backoff_ms += galena_random_below (&catalog->random, backoff_ms);
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -305,8 +305,18 @@
       { 30, WATCH_NOT_APPLIED, 0, 40, 0 },
       { 30, EXPECT_NO_CALL, 0, 0, 0 },
       { 300, ERA, 2, 0, 0 },
+      { 300, WATCH_NO_WAIT, 0, 10, 0 },
       { 300, WATCH_DRAINING, 2, 11, 0 },
       { 300, EXPECT, 7, 0, 2 } } },
+  /* A watch from the revision that the copy happens to have gets no 410 and
+     would wait.  */
+  { "/restored/era-unknown-while-watch-waits",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 40, 0 },
+      { 30, FAILURE, 0, 0, 0 },
+      { 300, WATCH_NO_WAIT, 0, 40, 0 },
+      { 300, WATCH_NOTHING, 0, 40, 0 } } },
   { "/restored/reply-without-era",
     { { 10, ERA, 2, 0, 0 },
       { 10, CONFIG, 1, 5, 0 },
