Give the platform of the records an era too

After its platform came back from an older copy, an upstream that the list of instances marks as leaving kept getting new flows, a changed record was read only when the wait of the watch had passed, 20 s by default, and a record whose lost predecessor of the same generation had been refused was never read.

Cause: generations of the index and of the list of instances are compared without knowing that they went back. Both now may have an era; the watch names it, a new era makes the process forget what the lost index listed, and peers pass on era and generation of the list as one number, so that messages stay as they are. An instance that was leaving stays so for 5 s when the list of a new era lacks it. Records themselves never go back, as before. A generation of the list may have 53 bits, as an integer of JSON.

Evidence: restored-index, restored-leaving and restored-refused of test_sync failed before and pass now. The index of the simulated platform counts published versions now; it was the sum of the generations listed, which does not go below a lost value here. The stand-in takes the era from a file.

--- a/packages/core/include/galenaford/sync.h
+++ b/packages/core/include/galenaford/sync.h
@@ -23,6 +23,10 @@
   GALENA_SYNC_SEEDS_MAX = 8,
   /* Maximum number of addresses in one message between peers.  */
   GALENA_SYNC_PEERS_MAX = 8,
+  /* Maximum era of the platform, and bits of a generation of the list of
+     instances: together they are one number between peers.  */
+  GALENA_ERA_MAX = 1023,
+  GALENA_LIST_GENERATION_BITS = 53,
   /* Maximum number of links to peers, outgoing and accepted.  */
   GALENA_SYNC_LINKS_MAX = 32
 };
@@ -58,6 +62,9 @@
 
 struct galena_index_record
 {
+  /* Rises when the platform comes back from an older copy; generations go back
+     then and are given out again.  */
+  uint64_t era;
   /* Increases whenever the record of any service changes.  */
   uint64_t generation;
   uint32_t count;
@@ -76,6 +83,8 @@
 
 struct galena_instance_list
 {
+  /* As in the index.  */
+  uint64_t era;
   /* Increases whenever the list changes.  */
   uint64_t generation;
   /* Number of instances in the whole list; more than COUNT when only some
@@ -155,6 +164,9 @@
   enum galena_sync_read_type type;
   uint32_t service;
   char name[GALENA_NAME_BYTES];
+  /* Index: the platform replies at once if its era is not AFTER_ERA or its
+     generation is above AFTER, else after WAIT_MS.  */
+  uint64_t after_era;
   uint64_t after;
   /* Maximum time for which the platform may hold the read open, in
      milliseconds.  */
--- a/packages/core/src/sync_instances.c
+++ b/packages/core/src/sync_instances.c
@@ -1,8 +1,8 @@
 /* The upstreams that the list of instances marks as leaving.
 
-   The state of each instance carries the generation of the list that it was
-   read from; the higher generation wins.  Changes of the state are relayed
-   from peer to peer.  */
+   The state of each instance carries the position of the list that it was read
+   from, its era above its generation in one number; the higher position wins.
+   Changes of the state are relayed from peer to peer.  */
 
 #include <xxhash.h>
 
@@ -12,7 +12,10 @@
 {
   /* Time for which the row of an upstream that is no longer leaving is
      kept.  */
-  LIVE_TTL_MS = 600000
+  LIVE_TTL_MS = 600000,
+  /* In a new era, the list may lack instances that were marked as leaving
+     until they are marked again; they stay leaving for this time.  */
+  RESTORED_LEAVING_MS = 5000
 };
 
 static struct sync_instance *
@@ -41,11 +44,11 @@
 
 static void
 send_instance (struct galena_sync *sync, struct galena_handle link,
-               uint32_t number, uint64_t generation, bool leaving)
+               uint32_t number, uint64_t position, bool leaving)
 {
   struct galena_sync_message message = { .type = GALENA_SYNC_INSTANCE,
                                          .number = number,
-                                         .generation = generation,
+                                         .generation = position,
                                          .leaving = leaving };
 
   sync_send (sync, link, &message);
@@ -60,30 +63,30 @@
 
   while (galena_table_next (sync->links, &cursor, &handle) != NULL)
     if (galena_handle_pack (handle) != galena_handle_pack (except))
-      send_instance (sync, handle, row->number, row->generation, row->leaving);
+      send_instance (sync, handle, row->number, row->position, row->leaving);
 }
 
 void
 sync_handle_instance (struct galena_sync *sync, uint32_t upstream,
-                      uint64_t generation, bool leaving,
+                      uint64_t position, bool leaving,
                       struct galena_handle from)
 {
   struct sync_instance *row = find_instance (sync, upstream);
 
   if (row == NULL && !leaving)
     return;
-  if (row == NULL && generation < sync->list_generation)
+  if (row == NULL && position < sync->list_position)
     {
       /* The list read here is newer and does not mark the upstream as leaving:
          corrects the peer.  */
-      send_instance (sync, from, upstream, sync->list_generation, false);
+      send_instance (sync, from, upstream, sync->list_position, false);
       return;
     }
   if (row == NULL)
     row = add_instance (sync, upstream);
-  if (row == NULL || generation < row->generation)
+  if (row == NULL || position < row->position)
     return;
-  row->generation = generation;
+  row->position = position;
   row->updated = sync->now;
   if (row->leaving == leaving)
     return;
@@ -102,26 +105,44 @@
   return false;
 }
 
-void
-sync_handle_leaving_list (struct galena_sync *sync,
-                          const struct galena_instance_list *list)
+/* Marks the instances as live that LIST, read at POSITION, does not mark as
+   leaving.  */
+static void
+end_leaving (struct galena_sync *sync, const struct galena_instance_list *list,
+             uint64_t position)
 {
   struct sync_instance *row;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
-  if (list->generation < sync->list_generation)
+  if (!galena_clock_reached (sync->now, sync->list_complete_at))
+    return;
+  while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
+    if (row->leaving && !is_leaving_in_list (list, row->number))
+      sync_handle_instance (sync, row->number, position, false, SYNC_NO_LINK);
+}
+
+void
+sync_handle_leaving_list (struct galena_sync *sync,
+                          const struct galena_instance_list *list)
+{
+  uint64_t position
+      = (list->era << GALENA_LIST_GENERATION_BITS) | list->generation;
+
+  if (position < sync->list_position)
     return;
-  sync->list_generation = list->generation;
+  if (sync->list_position != 0
+      && position >> GALENA_LIST_GENERATION_BITS
+             != sync->list_position >> GALENA_LIST_GENERATION_BITS)
+    sync->list_complete_at
+        = galena_clock_add_ms (sync->now, RESTORED_LEAVING_MS);
+  sync->list_position = position;
   sync->list_total = list->total;
   for (uint32_t i = 0; i < list->count; i++)
     if (list->rows[i].leaving && list->rows[i].upstream != 0)
-      sync_handle_instance (sync, list->rows[i].upstream, list->generation,
-                            true, SYNC_NO_LINK);
-  while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
-    if (row->leaving && !is_leaving_in_list (list, row->number))
-      sync_handle_instance (sync, row->number, list->generation, false,
+      sync_handle_instance (sync, list->rows[i].upstream, position, true,
                             SYNC_NO_LINK);
+  end_leaving (sync, list, position);
 }
 
 uint64_t
@@ -159,7 +180,7 @@
   uint32_t cursor = 0;
 
   while ((row = galena_table_next (sync->instances, &cursor, &handle)) != NULL)
-    send_instance (sync, link, row->number, row->generation, row->leaving);
+    send_instance (sync, link, row->number, row->position, row->leaving);
 }
 
 /* System: removes the rows of upstreams that are no longer leaving, after
--- a/packages/core/src/sync_platform.c
+++ b/packages/core/src/sync_platform.c
@@ -123,6 +123,7 @@
 {
   struct galena_sync_read query
       = { .type = GALENA_SYNC_READ_INDEX,
+          .after_era = sync->synced ? sync->index_era : 0,
           .after = sync->synced ? sync->index_generation : 0,
           .wait_ms = sync->synced ? sync->options.wait_ms : 0 };
 
@@ -222,15 +223,29 @@
          < COMPARING_PROCESSES;
 }
 
+/* Forgets what the lost history listed of ROW: a record that can't be read any
+   more, and a refused one whose generation may be given out again.  */
+static void
+forget_listed (struct sync_service *row)
+{
+  row->listed_generation = 0;
+  row->refused_generation = 0;
+}
+
 static void
 on_index_read (struct galena_sync *sync, const struct sync_read *read,
                const struct galena_sync_event *event)
 {
   bool any_newer = false;
+  bool new_era;
 
   (void)read;
-  if (event->result != GALENA_OK)
+  if (event->result != GALENA_OK || event->index->era < sync->index_era)
     return;
+  new_era = event->index->era > sync->index_era;
+  if (new_era)
+    sync->index_generation = 0;
+  sync->index_era = event->index->era;
   for (uint32_t i = 0; i < event->index->count; i++)
     {
       const struct galena_index_row *listed = &event->index->rows[i];
@@ -239,6 +254,8 @@
       if (row == NULL)
         continue;
       memcpy (row->name, listed->name, sizeof row->name);
+      if (new_era)
+        forget_listed (row);
       if (listed->generation <= row->listed_generation)
         continue;
       row->listed_generation = listed->generation;
--- a/packages/core/src/sync_private.h
+++ b/packages/core/src/sync_private.h
@@ -107,7 +107,8 @@
 struct sync_instance
 {
   uint32_t number;
-  uint64_t generation;
+  /* Of the list that the state is from, see sync_instances.c.  */
+  uint64_t position;
   bool leaving;
   /* When the state was last received.  */
   struct galena_clock updated;
@@ -155,10 +156,14 @@
   struct galena_clock platform_due;
   uint32_t platform_failures;
   uint64_t platform_reads;
-  /* Highest generation of the index that was read.  */
+  /* Era and highest generation of the index that was read.  */
+  uint64_t index_era;
   uint64_t index_generation;
-  /* Generation and size of the newest list of instances that was read.  */
-  uint64_t list_generation;
+  /* Position, see sync_instances.c, and size of the newest list of instances
+     that was read, and when it is known to be complete after a change of the
+     era.  */
+  uint64_t list_position;
+  struct galena_clock list_complete_at;
   uint32_t list_total;
   /* Number of fetches from peers in progress.  */
   uint32_t fetches;
@@ -253,7 +258,7 @@
    received on the link FROM, or read from the platform when FROM is
    SYNC_NO_LINK.  */
 void sync_handle_instance (struct galena_sync *sync, uint32_t upstream,
-                           uint64_t generation, bool leaving,
+                           uint64_t position, bool leaving,
                            struct galena_handle from);
 void sync_handle_leaving_list (struct galena_sync *sync,
                                const struct galena_instance_list *list);
--- a/packages/daemon/src/control.c
+++ b/packages/daemon/src/control.c
@@ -168,8 +168,9 @@
   const char *start = READ_KINDS[query->type].path;
 
   if (query->type == GALENA_SYNC_READ_INDEX)
-    snprintf (path, PATH_BYTES, "%s?after=%llu&wait_ms=%u", start,
-              (unsigned long long)query->after, query->wait_ms);
+    snprintf (path, PATH_BYTES, "%s?after=%llu&wait_ms=%u&era=%llu", start,
+              (unsigned long long)query->after, query->wait_ms,
+              (unsigned long long)query->after_era);
   else
     snprintf (path, PATH_BYTES, "%s%s", start, query->name);
 }
--- a/packages/wire/src/instances.c
+++ b/packages/wire/src/instances.c
@@ -1,7 +1,8 @@
 /* A list of instances has the form {"generation": G, "total": N, "instances":
    [{"role": "agent", "address": "A.B.C.D:PORT", "upstream": U, "state":
-   "leaving"}]}  N is the number of instances in the whole list; a reply can
-   hold only some of them.  */
+   "leaving"}]}, where an "era" may stand beside the generation.  N is the
+   number of instances in the whole list; a reply can hold only some of them.
+ */
 
 #include <stdlib.h>
 #include <string.h>
@@ -88,10 +89,16 @@
 {
   json_int_t generation
       = json_integer_value (json_object_get (root, "generation"));
+  const json_t *era_item = json_object_get (root, "era");
+  json_int_t era = json_integer_value (era_item);
   json_int_t total = json_integer_value (json_object_get (root, "total"));
 
-  if (generation < 1 || total < 0 || total > INSTANCES_MAX)
+  if ((era_item != NULL && !json_is_integer (era_item)) || era < 0
+      || era > GALENA_ERA_MAX || generation < 1
+      || generation >> GALENA_LIST_GENERATION_BITS != 0 || total < 0
+      || total > INSTANCES_MAX)
     return GALENA_ERR_INVALID;
+  list->era = (uint64_t)era;
   list->generation = (uint64_t)generation;
   list->total = (uint32_t)total;
   return decode_rows (json_object_get (root, "instances"), list);
--- a/packages/wire/src/record.c
+++ b/packages/wire/src/record.c
@@ -471,6 +471,8 @@
 };
 
 static const struct record_field INDEX_HEADER_FIELDS[] = {
+  { "era", FIELD_NUMBER64, offsetof (struct galena_index_record, era),
+    ALL_SCHEMAS, false, 0, GALENA_ERA_MAX, "0 to 1023" },
   { "generation", FIELD_NUMBER64,
     offsetof (struct galena_index_record, generation), ALL_SCHEMAS, true, 1,
     INT64_MAX, "1 or more" },
--- a/test/fake/sync_fleet.c
+++ b/test/fake/sync_fleet.c
@@ -380,6 +380,24 @@
          && version->published_at.ms <= fleet->visible_until[replica].ms;
 }
 
+void
+sync_fleet_restore (struct sync_fleet *fleet, struct galena_clock copied_at,
+                    uint64_t list_generation)
+{
+  for (guint i = 0; i < fleet->versions->len; i++)
+    {
+      struct sync_fleet_version *version
+          = &g_array_index (fleet->versions, struct sync_fleet_version, i);
+
+      if (version->published_at.ms > copied_at.ms)
+        version->replicas = 0;
+    }
+  for (uint32_t i = 0; i < SYNC_FLEET_REPLICAS; i++)
+    fleet->indices[i].versions = 0;
+  fleet->list_generation = list_generation;
+  fleet->era++;
+}
+
 /* Returns the last version of service NUMBER visible on REPLICA.  */
 static const struct sync_fleet_version *
 newest_version (const struct sync_fleet *fleet, uint32_t replica,
@@ -404,6 +422,7 @@
   index->rows = g_renew (struct galena_index_row, index->rows,
                          fleet->versions->len + 1);
   index->count = 0;
+  index->era = fleet->era;
   index->generation = 0;
   for (guint i = 0; i < fleet->versions->len; i++)
     {
@@ -417,9 +436,13 @@
       memcpy (row->name, service->name, sizeof row->name);
       row->number = service->number;
       row->generation = service->generation;
-      index->generation += service->generation;
       index->count++;
     }
+  for (guint i = 0; i < fleet->versions->len; i++)
+    if (is_visible (
+            fleet, replica,
+            &g_array_index (fleet->versions, struct sync_fleet_version, i)))
+      index->generation++;
 }
 
 /* Returns the index of REPLICA.  */
@@ -459,7 +482,8 @@
   struct galena_sync_event event
       = { .type = GALENA_SYNC_READ_ENDED, .read = arrival->read };
   struct galena_instance_list list
-      = { .generation = fleet->list_generation,
+      = { .era = fleet->era,
+          .generation = fleet->list_generation,
           .total = fleet->instances->len,
           .count = fleet->instances->len,
           .rows = (struct galena_instance *)(void *)fleet->instances->data };
@@ -553,8 +577,9 @@
       const struct sync_fleet_process *process
           = &fleet->processes[watch.process];
 
-      if (visible_index (fleet, process->replica)->generation
-              <= watch.query.after
+      if (fleet->era == watch.query.after_era
+          && visible_index (fleet, process->replica)->generation
+                 <= watch.query.after
           && !galena_clock_reached (fleet->now, watch.due)
           && !fleet->platform_down)
         {
--- a/test/fake/sync_fleet.h
+++ b/test/fake/sync_fleet.h
@@ -87,6 +87,8 @@
      generation.  */
   GArray *instances;
   uint64_t list_generation;
+  /* Era of the platform.  */
+  uint64_t era;
   bool platform_down;
   /* Versions published later than this are not visible on the replica.  */
   struct galena_clock visible_until[SYNC_FLEET_REPLICAS];
@@ -121,6 +123,12 @@
 sync_fleet_publish (struct sync_fleet *fleet,
                     const struct galena_service_record *record, uint32_t size);
 
+/* The platform comes back from a copy made at COPIED_AT, with the generations
+   of that time and LIST_GENERATION for the list of instances.  */
+void sync_fleet_restore (struct sync_fleet *fleet,
+                         struct galena_clock copied_at,
+                         uint64_t list_generation);
+
 /* Runs the simulation until the virtual time UNTIL_MS.  */
 void sync_fleet_run (struct sync_fleet *fleet, int64_t until_ms);
 
--- a/test/standins/platform.c
+++ b/test/standins/platform.c
@@ -3,8 +3,10 @@
    Usage: standin-platform ADDRESS:PORT FOLDER
 
    GET /services/NAME returns FOLDER/NAME.json.  GET /index returns an index of
-   all services; with after=G and wait_ms=W it waits up to W ms for a
-   generation of the index above G.  GET /instances returns FOLDER/instances,
+   all services; with after=G, wait_ms=W and era=E it waits up to W ms for a
+   generation of the index above G, or for another era than E.  The era is the
+   number in FOLDER/era, 0 without that file: raise it when the folder is
+   replaced by an older copy.  GET /instances returns FOLDER/instances,
    the list of instances, if the file exists.  */
 
 #include <dirent.h>
@@ -70,6 +72,23 @@
   json_decref (record);
 }
 
+static json_int_t
+read_era (void)
+{
+  char path[PATH_BYTES];
+  long long era = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/era", folder);
+  file = fopen (path, "r");
+  if (file == NULL)
+    return 0;
+  if (fscanf (file, "%lld", &era) != 1)
+    era = 0;
+  fclose (file);
+  return era;
+}
+
 /* Returns the text of the index, which the caller frees, and sets GENERATION
    to the sum of the generations of all records.  */
 static char *
@@ -86,8 +105,8 @@
     add_row (rows, file->d_name, generation);
   if (directory != NULL)
     closedir (directory);
-  index = json_pack ("{s:i,s:I,s:o}", "schema", 1, "generation", *generation,
-                     "services", rows);
+  index = json_pack ("{s:i,s:I,s:I,s:o}", "schema", 1, "era", read_era (),
+                     "generation", *generation, "services", rows);
   text = json_dumps (index, JSON_COMPACT);
   json_decref (index);
   return text;
@@ -112,7 +131,8 @@
   json_int_t generation;
   char *text = make_index (&generation);
 
-  while (generation <= after && left_ms > 0)
+  while (generation <= after && left_ms > 0
+         && read_era () == query_argument (connection, "era"))
     {
       sleep_ms (WATCH_POLL_MS);
       left_ms -= WATCH_POLL_MS;
--- a/test/unit/test_instances.c
+++ b/test/unit/test_instances.c
@@ -35,6 +35,23 @@
     HEAD "{\"role\": \"entry\", \"address\": \"127.0.0.1:7000\", "
          "\"state\": \"live\"}, " LEAVING "]}",
     GALENA_OK, 2, 1 },
+  { "/instances/era",
+    "{\"era\": 1023, \"generation\": 9007199254740991, \"total\": 9, "
+    "\"instances\": []}",
+    GALENA_OK, 0, 0 },
+  { "/instances/era-too-high",
+    "{\"era\": 1024, \"generation\": 3, \"total\": 9, \"instances\": []}",
+    GALENA_ERR_INVALID, 0, 0 },
+  { "/instances/era-negative",
+    "{\"era\": -1, \"generation\": 3, \"total\": 9, \"instances\": []}",
+    GALENA_ERR_INVALID, 0, 0 },
+  { "/instances/era-word",
+    "{\"era\": \"two\", \"generation\": 3, \"total\": 9, "
+    "\"instances\": []}",
+    GALENA_ERR_INVALID, 0, 0 },
+  { "/instances/generation-too-high",
+    "{\"generation\": 9007199254740992, \"total\": 9, \"instances\": []}",
+    GALENA_ERR_INVALID, 0, 0 },
   { "/instances/no-json", "[", GALENA_ERR_INVALID, 0, 0 },
   { "/instances/no-list", "{\"generation\": 3, \"total\": 9}",
     GALENA_ERR_INVALID, 0, 0 },
--- a/test/unit/test_sync.c
+++ b/test/unit/test_sync.c
@@ -53,6 +53,9 @@
      live.  */
   STEP_LEAVING,
   STEP_LIVE,
+  /* The platform comes back from a copy made at the time A, in a new era, with
+     generation 1 of the list.  */
+  STEP_RESTORE,
   STEP_COUNT
 };
 
@@ -79,6 +82,40 @@
 };
 
 static const struct sync_case CASES[] = {
+  /* The platform comes back from an older copy: generations of the index and
+     of the list of instances go back and are given out again.  */
+  { "/sync/restored-index",
+    { { 10000, STEP_PUBLISH, 2, 5 },
+      { 11000, STEP_PUBLISH, 3, 5 },
+      { 12000, STEP_PUBLISH, 4, 5 },
+      { 16000, STEP_RESTORE, 9000, 0 },
+      { 17000, STEP_PUBLISH, 5, 6 } },
+    22000,
+    5,
+    6,
+    0,
+    0 },
+  { "/sync/restored-leaving",
+    { { 10000, STEP_LEAVING, 9, 0 },
+      { 10500, STEP_LIVE, 9, 0 },
+      { 11000, STEP_LEAVING, 9, 0 },
+      { 11500, STEP_LIVE, 9, 0 },
+      { 16000, STEP_RESTORE, 10000, 0 },
+      { 17000, STEP_LEAVING, 8, 0 } },
+    22000,
+    1,
+    1,
+    8,
+    0 },
+  { "/sync/restored-refused",
+    { { 10000, STEP_PUBLISH_INVALID, 2, 5 },
+      { 16000, STEP_RESTORE, 9000, 0 },
+      { 17000, STEP_PUBLISH, 2, 6 } },
+    22000,
+    2,
+    6,
+    0,
+    GALENA_AUDIT_RECORD_REFUSED },
   { "/sync/publish", { { 10000, STEP_PUBLISH, 2, 5 } }, 15000, 2, 5, 0, 0 },
   { "/sync/publish-twice",
     { { 10000, STEP_PUBLISH, 2, 5 }, { 10100, STEP_PUBLISH, 3, 4 } },
@@ -400,6 +437,12 @@
   fleet->list_generation++;
 }
 
+static void
+do_restore (struct sync_fleet *fleet, const struct step *step)
+{
+  sync_fleet_restore (fleet, (struct galena_clock){ step->a }, 1);
+}
+
 static void (*const VERBS[STEP_COUNT]) (struct sync_fleet *,
                                         const struct step *)
     = {
@@ -418,6 +461,7 @@
         [STEP_HEAL] = do_partition,
         [STEP_LEAVING] = do_leaving,
         [STEP_LIVE] = do_leaving,
+        [STEP_RESTORE] = do_restore,
       };
 
 static void
@@ -626,7 +670,7 @@
   struct galena_upstream upstreams[AGENTS_EACH];
   struct galena_service_record record = make_record (1, 1, 1, upstreams);
   struct galena_index_row row = { "service-1", 1, 2 };
-  struct galena_index_record index = { 2, 1, &row };
+  struct galena_index_record index = { 0, 2, 1, &row };
   struct galena_sync_message message = {
     .type = GALENA_SYNC_ANNOUNCE, .number = 1, .generation = 1, .digest = 1
   };
