Soak: the store comes back from an older copy

It now can be copied and restored from its copy: revisions go back, Store-Era rises, watches from revisions that it doesn't have get 410, and operator and upstreams write again after a second. Upstreams number the states that they publish, as on the users' platform.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -16,6 +16,8 @@
   CRASH_RESTART_MS = 400,
   /* Delay of the replies of a slow store.  */
   STORE_DELAY_MS = 400,
+  /* Time until what a restored store has lost is written again.  */
+  PUBLISH_AGAIN_MS = 1000,
   /* One packet in this many is lost, or delayed.  */
   LOSS_ONE_IN = 20,
   DELAY_ONE_IN = 6,
@@ -173,6 +175,22 @@
   store_set_faults (soak->store, (struct store_faults){ 0 });
 }
 
+static void
+copy_store (struct soak *soak, uint32_t target)
+{
+  (void)target;
+  store_copy (soak->store);
+}
+
+/* Upstreams and the operator notice after a heartbeat.  */
+static void
+lose_writes (struct soak *soak, uint32_t target)
+{
+  (void)target;
+  store_restore (soak->store);
+  soak->publish_again_at = galena_clock_add_ms (soak->now, PUBLISH_AGAIN_MS);
+}
+
 static void
 compact_store (struct soak *soak, uint32_t target)
 {
@@ -268,26 +286,35 @@
   { "move-route", true, 0, 0, toggle_route, NULL },
 };
 
+/* The store loses all writes of the fault's duration at its end.  It is not
+   drawn with the other kinds, so that the plans of seeds stay as they are.  */
+static const struct fault_kind RESTORED_STORE
+    = { "store-restored", false, 500, 5000, copy_store, lose_writes };
+
 enum
 {
   KIND_COUNT = sizeof KINDS / sizeof KINDS[0],
   /* Index of the first planned kind; planned kinds come last.  */
-  FIRST_PLANNED = 14
+  FIRST_PLANNED = 14,
+  /* Sets the random numbers of RESTORED_STORE apart from those of the other
+     faults.  */
+  RESTORE_SEED = 0x5702e
 };
 
 static void
-schedule_fault (struct soak *soak, const struct fault_kind *kind,
-                uint32_t from_ms, uint32_t range_ms)
+schedule_fault (struct soak *soak, struct galena_random *random,
+                const struct fault_kind *kind, uint32_t from_ms,
+                uint32_t range_ms)
 {
   struct fault *fault = &soak->faults[soak->fault_count++];
-  uint32_t at_ms = from_ms + galena_random_below (&soak->random, range_ms + 1);
+  uint32_t at_ms = from_ms + galena_random_below (random, range_ms + 1);
   uint32_t length_ms
       = kind->min_ms
-        + galena_random_below (&soak->random, kind->max_ms - kind->min_ms + 1);
+        + galena_random_below (random, kind->max_ms - kind->min_ms + 1);
 
   *fault = (struct fault){
     .kind = kind,
-    .target = (uint32_t)galena_random_next (&soak->random),
+    .target = (uint32_t)galena_random_next (random),
     .at = galena_clock_add_ms (soak->started, at_ms),
   };
   fault->until = galena_clock_add_ms (fault->at, length_ms);
@@ -297,22 +324,28 @@
 faults_schedule (struct soak *soak)
 {
   const struct soak_options *options = &soak->options;
+  struct galena_random restores = { options->seed ^ RESTORE_SEED, 0 };
+  struct galena_random *random = &soak->random;
 
   for (uint32_t i = 0; i < options->faults && i < FAULTS_MAX - CALM_FAULTS;
        i++)
-    schedule_fault (soak,
-                    &KINDS[galena_random_below (&soak->random, KIND_COUNT)],
+    schedule_fault (soak, random,
+                    &KINDS[galena_random_below (random, KIND_COUNT)],
                     FIRST_FAULT_MS, options->faults_ms - FIRST_FAULT_MS);
   /* Planned work in the calm period must not affect callers.  */
-  schedule_fault (soak, &KINDS[FIRST_PLANNED], options->faults_ms + STABLE_MS,
-                  options->calm_ms / 4);
+  schedule_fault (soak, random, &KINDS[FIRST_PLANNED],
+                  options->faults_ms + STABLE_MS, options->calm_ms / 4);
   for (uint32_t i = 0; i < 3; i++)
-    schedule_fault (soak,
-                    &KINDS[FIRST_PLANNED
-                           + galena_random_below (&soak->random,
-                                                  KIND_COUNT - FIRST_PLANNED)],
-                    options->faults_ms + STABLE_MS + CONFIG_BOUND_MS,
-                    options->calm_ms / 4);
+    schedule_fault (
+        soak, random,
+        &KINDS[FIRST_PLANNED
+               + galena_random_below (random, KIND_COUNT - FIRST_PLANNED)],
+        options->faults_ms + STABLE_MS + CONFIG_BOUND_MS,
+        options->calm_ms / 4);
+  for (uint32_t i = galena_random_below (&restores, RESTORES_MAX + 1); i > 0;
+       i--)
+    schedule_fault (soak, &restores, &RESTORED_STORE, FIRST_FAULT_MS,
+                    options->faults_ms - FIRST_FAULT_MS);
 }
 
 void
--- a/soak/hosts.c
+++ b/soak/hosts.c
@@ -58,6 +58,7 @@
   memset (host->flows, 0, sizeof host->flows);
   host->incarnation++;
   host->started_unix_ms = galena_unix_ms ();
+  host->sequence = 0;
   host->up = true;
   host->published = true;
   host->draining = false;
--- a/soak/main.c
+++ b/soak/main.c
@@ -33,9 +33,10 @@
 };
 
 static const struct soak_system SYSTEMS[] = {
-  { "fleet", fleet_run },     { "hosts", hosts_run },
-  { "callers", callers_run }, { "rotation", rotation_run },
-  { "faults", faults_run },   { "late", net_run_delayed },
+  { "fleet", fleet_run },      { "hosts", hosts_run },
+  { "callers", callers_run },  { "rotation", rotation_run },
+  { "faults", faults_run },    { "publish", publish_run },
+  { "late", net_run_delayed },
 };
 
 bool
--- a/soak/publish.c
+++ b/soak/publish.c
@@ -25,10 +25,9 @@
   json_decref (value);
 }
 
-void
-publish_config (struct soak *soak)
+static void
+put_config (struct soak *soak)
 {
-  static json_int_t version;
   json_t *routes = json_array ();
 
   for (uint32_t i = 0; i < ROUTES_MAX; i++)
@@ -52,14 +51,22 @@
                                         "prefix", prefix, "service", service));
     }
   put_json (soak, "op/config",
-            json_pack ("{s:I, s:o, s:[], s:{}}", "version", ++version,
-                       "routes", routes, "services", "limits"));
+            json_pack ("{s:i, s:o, s:[], s:{}}", "version",
+                       soak->config_version, "routes", routes, "services",
+                       "limits"));
+}
+
+void
+publish_config (struct soak *soak)
+{
+  soak->config_version++;
+  put_config (soak);
 }
 
 void
 publish_host (struct soak *soak, uint32_t index)
 {
-  const struct host *host = &soak->hosts[index];
+  struct host *host = &soak->hosts[index];
   char address[TEXT_BYTES];
   char service[TEXT_BYTES];
   char key[KEY_BYTES];
@@ -72,11 +79,24 @@
     }
   net_format (net_host (soak, index, PORT_HOST), address, sizeof address);
   snprintf (service, sizeof service, "service-%u", host->service);
+  host->sequence++;
   put_json (soak, key,
             json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
                        "service", service, "address", address, "zone", "z",
                        "version", "1", "capacity", SLOTS, "state",
                        host->draining ? "draining" : "ready", "warmupLeftMs",
-                       0, "sequence", 1, "born",
+                       0, "sequence", host->sequence, "born",
                        (json_int_t)host->started_unix_ms));
 }
+
+void
+publish_run (struct soak *soak)
+{
+  if (soak->publish_again_at.ms == 0
+      || !galena_clock_reached (soak->now, soak->publish_again_at))
+    return;
+  soak->publish_again_at.ms = 0;
+  put_config (soak);
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    publish_host (soak, i);
+}
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -30,6 +30,9 @@
   FAULTS_MAX = 32,
   /* Number of planned faults in the calm period, included in FAULTS_MAX.  */
   CALM_FAULTS = 4,
+  /* Maximum number of times that the store is restored from its copy, beside
+     the other faults.  */
+  RESTORES_MAX = 2,
   DELAYED_PACKETS_MAX = 1024,
   RELAY_CONNECTIONS_MAX = 512,
   PATH_BYTES = 256,
@@ -127,6 +130,8 @@
   /* Incremented at each start; part of the published key.  */
   uint32_t incarnation;
   uint64_t started_unix_ms;
+  /* Incremented each time that its record is written; 0 at each start.  */
+  uint32_t sequence;
   bool up;
   bool published;
   bool draining;
@@ -325,12 +330,17 @@
   struct relay relays[ENTRIES_MAX];
   struct relay_connection connections[RELAY_CONNECTIONS_MAX];
   uint32_t fault_count;
-  struct fault faults[FAULTS_MAX];
+  struct fault faults[FAULTS_MAX + RESTORES_MAX];
   /* When the next health checks of entries are sent.  */
   struct galena_clock probe_at;
   /* Health checks in progress.  */
   struct galena_reads *probes;
   struct store *store;
+  /* Version of the configuration.  */
+  uint32_t config_version;
+  /* When all records are written to the restored store again; ms 0 for
+     never.  */
+  struct galena_clock publish_again_at;
   /* Numbers of executed requests that may run at most once, at the index
      number modulo EXECUTED_REQUESTS_MAX.  */
   uint64_t executed_requests[EXECUTED_REQUESTS_MAX];
@@ -408,11 +418,16 @@
 void store_remove (struct store *store, const char *key);
 /* Discards the history, so that watches from older revisions fail.  */
 void store_compact (struct store *store);
+/* Copies all items; goes back to that copy, in a new era.  */
+void store_copy (struct store *store);
+void store_restore (struct store *store);
 void store_set_faults (struct store *store, struct store_faults faults);
 
 /* publish.c: writes to the store by the operator and the upstreams */
 void publish_config (struct soak *soak);
 void publish_host (struct soak *soak, uint32_t index);
+/* System: writes all records again some time after the store was restored.  */
+void publish_run (struct soak *soak);
 
 /* faults.c: the schedule of faults, drawn at random from the seed */
 void faults_schedule (struct soak *soak);
--- a/soak/store.c
+++ b/soak/store.c
@@ -1,5 +1,6 @@
 /* A simulated key-value store of the platform: items with revisions, range
-   queries, long-poll watches, and a history that can be compacted.  */
+   queries, long-poll watches, a history that can be compacted, and a copy from
+   which it can be restored.  */
 
 #include <pthread.h>
 #include <stdio.h>
@@ -19,6 +20,7 @@
   ITEMS_MAX = 1024,
   KEY_BYTES = 64,
   VALUE_BYTES = 4096,
+  NUMBER_BYTES = 24,
   MS_PER_S = 1000,
   NS_PER_MS = 1000000
 };
@@ -40,8 +42,12 @@
   uint64_t revision;
   /* Watches from an older revision fail with status 410.  */
   uint64_t compacted_revision;
+  /* Rises each time the store is restored from its copy.  */
+  uint64_t era;
   struct store_faults faults;
   struct item items[ITEMS_MAX];
+  struct item copied_items[ITEMS_MAX];
+  uint64_t copied_revision;
   struct MHD_Daemon *daemon;
 };
 
@@ -79,12 +85,17 @@
 }
 
 static enum MHD_Result
-reply (struct MHD_Connection *connection, unsigned status, char *text)
+reply (struct MHD_Connection *connection, const struct store *store,
+       unsigned status, char *text)
 {
+  char era[NUMBER_BYTES];
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (text), text, MHD_RESPMEM_MUST_COPY);
-  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  enum MHD_Result result;
 
+  snprintf (era, sizeof era, "%llu", (unsigned long long)store->era);
+  MHD_add_response_header (response, "Store-Era", era);
+  result = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
   return result;
 }
@@ -96,7 +107,7 @@
   json_t *body = json_pack ("{s:o, s:b, s:I}", name, rows, "truncated", 0,
                             "storeRevision", (json_int_t)store->revision);
   char *text = json_dumps (body, JSON_COMPACT);
-  enum MHD_Result result = reply (connection, MHD_HTTP_OK, text);
+  enum MHD_Result result = reply (connection, store, MHD_HTTP_OK, text);
 
   free (text);
   json_decref (body);
@@ -142,11 +153,15 @@
   uint64_t after = number_of (connection, "after");
   struct timespec until = after_ms (number_of (connection, "waitMs"));
 
-  if (after < store->compacted_revision)
-    return reply (connection, MHD_HTTP_GONE, "");
-  while (store->revision <= after && !store->closing
+  uint64_t era = store->era;
+
+  if (after < store->compacted_revision || after > store->revision)
+    return reply (connection, store, MHD_HTTP_GONE, "");
+  while (store->era == era && store->revision <= after && !store->closing
          && wait_until (store, &until))
     ;
+  if (store->era != era)
+    return reply (connection, store, MHD_HTTP_SERVICE_UNAVAILABLE, "");
   return reply_rows (connection, store, "events",
                      collect (store, after, true));
 }
@@ -171,14 +186,14 @@
          && wait_until (store, &until))
     ;
   if (store->faults.down)
-    result = reply (connection, MHD_HTTP_SERVICE_UNAVAILABLE, "");
+    result = reply (connection, store, MHD_HTTP_SERVICE_UNAVAILABLE, "");
   else if (strcmp (url, "/kv-watch") == 0)
     result = answer_watch (store, connection);
   else if (strcmp (url, "/kv-range") == 0)
     result
         = reply_rows (connection, store, "items", collect (store, 0, false));
   else
-    result = reply (connection, MHD_HTTP_NOT_FOUND, "");
+    result = reply (connection, store, MHD_HTTP_NOT_FOUND, "");
   pthread_mutex_unlock (&store->lock);
   return result;
 }
@@ -196,6 +211,7 @@
   pthread_mutex_init (&store->lock, NULL);
   pthread_cond_init (&store->changed, NULL);
   store->revision = 1;
+  store->era = 1;
   store->daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL_INTERNAL_THREAD, PORT_STORE,
       NULL, NULL, answer, store, MHD_OPTION_SOCK_ADDR, &address,
@@ -278,6 +294,28 @@
   pthread_mutex_unlock (&store->lock);
 }
 
+void
+store_copy (struct store *store)
+{
+  pthread_mutex_lock (&store->lock);
+  memcpy (store->copied_items, store->items, sizeof store->items);
+  store->copied_revision = store->revision;
+  pthread_mutex_unlock (&store->lock);
+}
+
+void
+store_restore (struct store *store)
+{
+  pthread_mutex_lock (&store->lock);
+  memcpy (store->items, store->copied_items, sizeof store->items);
+  store->revision = store->copied_revision;
+  if (store->compacted_revision > store->revision)
+    store->compacted_revision = store->revision;
+  store->era++;
+  pthread_cond_broadcast (&store->changed);
+  pthread_mutex_unlock (&store->lock);
+}
+
 void
 store_set_faults (struct store *store, struct store_faults faults)
 {
