--- a/soak/faults.c
+++ b/soak/faults.c
@@ -18,6 +18,8 @@
   STORE_DELAY_MS = 400,
   /* Time until what a restored store has lost is written again.  */
   PUBLISH_AGAIN_MS = 1000,
+  /* Number of configurations that a restored store has lost.  */
+  LOST_CONFIGS = 50,
   /* One packet in this many is lost, or delayed.  */
   LOSS_ONE_IN = 20,
   DELAY_ONE_IN = 6,
@@ -175,11 +177,16 @@
   store_set_faults (soak->store, (struct store_faults){ 0 });
 }
 
+/* Writes configurations after the copy, so that the revisions given out next
+   are lost ones for a while after the return.  */
 static void
 copy_store (struct soak *soak, uint32_t target)
 {
   (void)target;
   store_copy (soak->store);
+  soak->copied_at = soak->now;
+  for (uint32_t i = 0; i < LOST_CONFIGS; i++)
+    publish_config (soak);
 }
 
 /* Upstreams and the operator notice after a heartbeat.  */
--- a/soak/publish.c
+++ b/soak/publish.c
@@ -72,6 +72,7 @@
   char key[KEY_BYTES];
 
   snprintf (key, sizeof key, "servers/h-%u-%u", index, host->incarnation);
+  host->written_at = soak->now;
   if (!host->published)
     {
       store_remove (soak->store, key);
@@ -98,5 +99,6 @@
   soak->publish_again_at.ms = 0;
   put_config (soak);
   for (uint32_t i = 0; i < soak->options.hosts; i++)
-    publish_host (soak, i);
+    if (galena_clock_reached (soak->hosts[i].written_at, soak->copied_at))
+      publish_host (soak, i);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -132,6 +132,8 @@
   uint64_t started_unix_ms;
   /* Incremented each time that its record is written; 0 at each start.  */
   uint32_t sequence;
+  /* When its record was last written or removed.  */
+  struct galena_clock written_at;
   bool up;
   bool published;
   bool draining;
@@ -338,8 +340,9 @@
   struct store *store;
   /* Version of the configuration.  */
   uint32_t config_version;
-  /* When all records are written to the restored store again; ms 0 for
-     never.  */
+  /* When the store was copied, and when the records that were written since
+     then are written to the restored store again; ms 0 for never.  */
+  struct galena_clock copied_at;
   struct galena_clock publish_again_at;
   /* Numbers of executed requests that may run at most once, at the index
      number modulo EXECUTED_REQUESTS_MAX.  */
@@ -426,7 +429,7 @@
 /* publish.c: writes to the store by the operator and the upstreams */
 void publish_config (struct soak *soak);
 void publish_host (struct soak *soak, uint32_t index);
-/* System: writes all records again some time after the store was restored.  */
+/* System: writes what a restored store has lost again, after some time.  */
 void publish_run (struct soak *soak);
 
 /* faults.c: the schedule of faults, drawn at random from the seed */
