Compare the first list of a starting process with what a peer knows

An entry that starts just after the store came back from an older copy has the copy alone: it serves the older configuration, without routes that had been added, and takes an upstream that is draining for ready, until operator and upstreams have written again.

A peer was asked only when the store did not reply. Now one is asked after the first list too, three at most until one replies.

--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -168,14 +168,15 @@
   const struct galena_published_upstream *upstreams;
 };
 
-/* Returns whether a peer should be asked for its snapshot at NOW because the
-   platform does not reply.  When it returns true, the request counts as sent
-   and the next one is due later.  */
+/* Returns whether a peer should be asked for its snapshot at NOW, because the
+   platform does not reply or to compare the first list with it.  When it
+   returns true, the request counts as sent and the next one is due later.  */
 bool galena_catalog_needs_peer_snapshot (struct galena_catalog *catalog,
                                          struct galena_clock now);
 
 /* Merges SNAPSHOT of a peer: a newer configuration, and the upstreams when
-   their revision is newer, replace those of CATALOG.  */
+   their position is newer, replace those of CATALOG; otherwise only states
+   that are newer by the upstream's own count do.  */
 void
 galena_catalog_merge_snapshot (struct galena_catalog *catalog,
                                struct galena_clock now,
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -32,6 +32,10 @@
      this time, many times its usual 4 ms, and again each time that it has
      passed.  */
   PEER_SNAPSHOT_AFTER_MS = 200,
+  /* After the first list, up to this many peers are asked for their snapshots
+     until one replies: the store may have come back from an older copy just
+     before.  */
+  COMPARISONS_MAX = 3,
   /* An upstream that is no longer published may be published again within two
      seconds, so its removal is delayed.  */
   REMOVAL_DELAY_MS = 2000,
@@ -129,6 +133,9 @@
   struct galena_clock unanswered_since;
   /* When a peer was last asked for its snapshot; ms 0 when none was.  */
   struct galena_clock peer_asked_at;
+  /* Number of peers asked after the first list; COMPARISONS_MAX once one has
+     replied.  */
+  uint32_t comparisons;
 };
 
 enum galena_result
@@ -574,20 +581,64 @@
     }
 }
 
+/* Returns whether the first list is to be compared with a peer's snapshot.  */
+static bool
+needs_comparison (const struct galena_catalog *catalog)
+{
+  return catalog->calls.list_read && catalog->comparisons < COMPARISONS_MAX;
+}
+
+/* Returns when a peer is to be asked next; INT64_MAX when none is.  */
+static struct galena_clock
+peer_due (const struct galena_catalog *catalog)
+{
+  bool unanswered = catalog->unanswered_since.ms != 0;
+  struct galena_clock since = catalog->peer_asked_at;
+
+  if (!unanswered && !needs_comparison (catalog))
+    return (struct galena_clock){ INT64_MAX };
+  if (since.ms == 0 && needs_comparison (catalog))
+    return since;
+  if (unanswered && catalog->unanswered_since.ms > since.ms)
+    since = catalog->unanswered_since;
+  return galena_clock_add_ms (since, PEER_SNAPSHOT_AFTER_MS);
+}
+
 bool
 galena_catalog_needs_peer_snapshot (struct galena_catalog *catalog,
                                     struct galena_clock now)
 {
-  if (catalog->unanswered_since.ms == 0
-      || galena_clock_elapsed_ms (catalog->unanswered_since, now)
-             < PEER_SNAPSHOT_AFTER_MS
-      || galena_clock_elapsed_ms (catalog->peer_asked_at, now)
-             < PEER_SNAPSHOT_AFTER_MS)
+  if (!galena_clock_reached (now, peer_due (catalog)))
     return false;
+  if (needs_comparison (catalog))
+    catalog->comparisons++;
   catalog->peer_asked_at = now;
   return true;
 }
 
+/* Adopts the states in SNAPSHOT, which is not newer as a whole, that are newer
+   by the count of their upstream than what an older copy of the store has
+   listed.  */
+static void
+adopt_newer_states (struct galena_catalog *catalog,
+                    const struct galena_catalog_snapshot *snapshot)
+{
+  for (uint32_t i = 0; i < snapshot->upstream_count; i++)
+    {
+      const struct galena_published_upstream *upstream
+          = &snapshot->upstreams[i];
+      struct catalog_upstream *item = find_item (
+          catalog, XXH64 (upstream->id, strlen (upstream->id), 0));
+
+      if (item == NULL || upstream->started_unix_ms == 0
+          || upstream->started_unix_ms != item->upstream.started_unix_ms
+          || upstream->sequence <= item->upstream.sequence)
+        continue;
+      item->upstream = *upstream;
+      catalog->changed = true;
+    }
+}
+
 void
 galena_catalog_merge_snapshot (struct galena_catalog *catalog,
                                struct galena_clock now,
@@ -598,9 +649,14 @@
       = { snapshot->version, snapshot->route_count, snapshot->routes };
 
   apply_config (catalog, snapshot->position, &config);
-  if (snapshot->version == 0
-      || !is_before (calls->position, snapshot->position))
+  if (snapshot->version == 0)
     return;
+  catalog->comparisons = COMPARISONS_MAX;
+  if (!is_before (calls->position, snapshot->position))
+    {
+      adopt_newer_states (catalog, snapshot);
+      return;
+    }
   /* The list or watch in progress continues; changes in its reply that are
      older than the snapshot are skipped.  */
   calls->position = snapshot->position;
@@ -640,17 +696,11 @@
 struct galena_clock
 galena_catalog_due (const struct galena_catalog *catalog)
 {
-  struct galena_clock first = { INT64_MAX };
+  struct galena_clock first = peer_due (catalog);
   const struct catalog_upstream *item;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
-  if (catalog->unanswered_since.ms != 0)
-    first = galena_clock_add_ms (catalog->unanswered_since.ms
-                                         > catalog->peer_asked_at.ms
-                                     ? catalog->unanswered_since
-                                     : catalog->peer_asked_at,
-                                 PEER_SNAPSHOT_AFTER_MS);
   if (!catalog->calls.busy && catalog->calls.due.ms < first.ms)
     first = catalog->calls.due;
   while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -52,7 +52,8 @@
   REFRESH,
   /* As WATCH_READY, with a watch that does not wait for a change.  */
   WATCH_NO_WAIT,
-  /* A peer's snapshot has version 1 of the configuration and the upstreams of
+  /* A peer's snapshot has version 1 of the configuration, or that of a CONFIG
+     before it, and the upstreams of
      ARGUMENT at REVISION, of which those of DRAINING drain.  */
   PEER_SNAPSHOT,
   /* The directory has the upstreams of ARGUMENT, of which those of DRAINING
@@ -218,6 +219,14 @@
       { 30, PEER_SNAPSHOT, 2, 30, 0 },
       { 40, LIST, 2, 41, 0 },
       { 2400, EXPECT, 3, 0, 0 } } },
+  { "/catalog/no-peer-to-compare-with",
+    { { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 10, 0 },
+      { 20, EXPECT_PEER, 1, 0, 0 },
+      { 100, EXPECT_PEER, 0, 0, 0 },
+      { 220, EXPECT_PEER, 1, 0, 0 },
+      { 420, EXPECT_PEER, 1, 0, 0 },
+      { 620, EXPECT_PEER, 0, 0, 0 } } },
   /* The store comes back from an older copy: revisions go back and are given
      out again.  */
   { "/restored/drain-below-old-revision",
@@ -401,6 +410,29 @@
       { 240, EXPECT, 7, 0, 2 },
       { 250, WATCH_READY, 2, 11, 0 },
       { 250, EXPECT, 7, 0, 0 } } },
+  /* A process that starts between the return of the store and the next writes
+     has the copy alone; its peers know more.  */
+  { "/restored/started-meanwhile-has-old-version",
+    { { 10, ERA, 2, 0, 0 },
+      { 10, EXPECT_PEER, 0, 0, 0 },
+      { 10, CONFIG, 4, 5, 0 },
+      { 20, LIST, 7, 10, 0 },
+      { 20, EXPECT_PEER, 1, 0, 0 },
+      { 20, ERA, 1, 0, 0 },
+      { 20, CONFIG, 6, 0, 0 },
+      { 30, PEER_SNAPSHOT, 7, 40, 0 },
+      { 30, EXPECT_VERSION, 6, 0, 0 },
+      { 500, EXPECT_PEER, 0, 0, 0 } } },
+  { "/restored/started-meanwhile-misses-drain",
+    { { 10, ERA, 2, 0, 0 },
+      { 10, INCARNATION, 500, 2, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 10, 0 },
+      { 20, EXPECT_PEER, 1, 0, 0 },
+      { 20, ERA, 1, 0, 0 },
+      { 20, INCARNATION, 500, 3, 0 },
+      { 30, PEER_SNAPSHOT, 7, 40, 2 },
+      { 30, EXPECT, 7, 0, 2 } } },
   { "/restored/version-never-back",
     { { 10, ERA, 1, 0, 0 },
       { 10, CONFIG, 6, 5, 0 },
@@ -590,9 +622,10 @@
 run_peer (struct run *run, const struct step *step)
 {
   struct galena_published_upstream rows[UPSTREAMS_MAX] = { 0 };
-  struct galena_catalog_snapshot snapshot = {
-    .version = 1, .position = { run->era, step->revision }, .upstreams = rows
-  };
+  struct galena_catalog_snapshot snapshot
+      = { .version = run->version != 0 ? run->version : 1,
+          .position = { run->era, step->revision },
+          .upstreams = rows };
 
   for (uint32_t i = 0; i < UPSTREAMS_MAX; i++)
     if ((step->argument & (1U << i)) != 0)
@@ -601,6 +634,7 @@
                          ? GALENA_PUBLISHED_DRAINING
                          : GALENA_PUBLISHED_READY,
                      &rows[snapshot.upstream_count++]);
+  run->version = 0;
   galena_catalog_merge_snapshot (run->catalog, run->now, &snapshot);
 }
 
