Take a version of the configuration again at a later position

A version that the store had acknowledged and lost may be given out again for another configuration. Entries that had taken the lost one kept it: its routes stayed and those of the new one were not served, until the next version.

A version equal to the one in force was always held for the same. It now replaces that if it was read at a later position, era first. Versions still never go back.

version-given-out-again failed before.

--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -119,7 +119,7 @@
   struct galena_map *items_by_key;
   uint32_t rounds[SOURCE_COUNT];
   uint64_t version;
-  /* Position of the store at which that version was first seen.  */
+  /* Position of the store at which that version was last seen.  */
   struct galena_store_position version_position;
   uint32_t route_count;
   struct galena_route *routes;
@@ -283,10 +283,14 @@
 {
   struct galena_route *routes;
 
-  /* An older version never replaces a newer one, whatever the reply
-     contains.  */
-  if (config->version <= catalog->version)
-    return config->version == catalog->version;
+  /* An older version never replaces a newer one, whatever the reply contains.
+     The same one does at a later position: a version that the store has lost
+     may be given out again.  */
+  if (config->version < catalog->version)
+    return false;
+  if (config->version == catalog->version
+      && !is_before (catalog->version_position, position))
+    return true;
   routes = calloc ((size_t)config->route_count + 1, sizeof *routes);
   if (routes == NULL)
     return true;
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -9,7 +9,8 @@
 {
   STEPS_MAX = 24,
   /* Upstreams of a case; bit I of a mask stands for upstream I.  */
-  UPSTREAMS_MAX = 8
+  UPSTREAMS_MAX = 8,
+  ROUTES_MAX = 4
 };
 
 enum step_kind
@@ -43,6 +44,8 @@
   LIST_NOT_APPLIED,
   /* The next reply also contains version ARGUMENT of the configuration.  */
   CONFIG,
+  /* Configurations that follow have ARGUMENT routes.  */
+  ROUTES,
   /* The call that is due is a watch that gets no reply; it must time out
      within ARGUMENT milliseconds.  */
   WATCH_TIMEOUT,
@@ -59,8 +62,10 @@
   /* The directory has the upstreams of ARGUMENT, of which those of DRAINING
      drain.  */
   EXPECT,
-  /* The directory has version ARGUMENT of the configuration.  */
+  /* The directory has version ARGUMENT of the configuration, or ARGUMENT
+     routes.  */
   EXPECT_VERSION,
+  EXPECT_ROUTES,
   /* No call is due.  */
   EXPECT_NO_CALL,
   /* A peer should be asked for its snapshot if ARGUMENT is 1, but not if it is
@@ -433,6 +438,26 @@
       { 20, INCARNATION, 500, 3, 0 },
       { 30, PEER_SNAPSHOT, 7, 40, 2 },
       { 30, EXPECT, 7, 0, 2 } } },
+  /* A version that was lost is given out again for another configuration; one
+     of the lost history must not replace it.  */
+  { "/restored/version-given-out-again",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, ROUTES, 1, 0, 0 },
+      { 10, CONFIG, 6, 0, 0 },
+      { 20, LIST, 1, 40, 0 },
+      { 30, ERA, 2, 0, 0 },
+      { 30, HISTORY_GONE, 0, 0, 0 },
+      { 40, CONFIG, 4, 5, 0 },
+      { 40, LIST, 1, 10, 0 },
+      { 40, EXPECT_ROUTES, 1, 0, 0 },
+      { 50, ROUTES, 2, 0, 0 },
+      { 50, CONFIG, 6, 0, 0 },
+      { 50, WATCH_READY, 2, 11, 0 },
+      { 50, EXPECT_ROUTES, 2, 0, 0 },
+      { 60, ERA, 1, 0, 0 },
+      { 60, CONFIG, 6, 0, 0 },
+      { 60, PEER_SNAPSHOT, 1, 41, 0 },
+      { 60, EXPECT_ROUTES, 2, 0, 0 } } },
   { "/restored/version-never-back",
     { { 10, ERA, 1, 0, 0 },
       { 10, CONFIG, 6, 5, 0 },
@@ -449,6 +474,7 @@
 
 struct run
 {
+  uint32_t route_count;
   /* Era of the store and of the snapshots of peers.  */
   uint64_t era;
   /* Start and sequence number of the upstreams.  */
@@ -502,12 +528,15 @@
   return call;
 }
 
+static const struct galena_route ROUTE_ROWS[ROUTES_MAX];
+
 static void
 change_version (struct run *run)
 {
-  struct galena_change change = { .kind = GALENA_CHANGE_CONFIG,
-                                  .key = "config",
-                                  .config = { .version = run->version } };
+  struct galena_change change
+      = { .kind = GALENA_CHANGE_CONFIG,
+          .key = "config",
+          .config = { run->version, run->route_count, ROUTE_ROWS } };
   struct galena_store_position known;
 
   if (run->version != 0)
@@ -667,6 +696,21 @@
                     step->argument);
 }
 
+static void
+run_routes (struct run *run, const struct step *step)
+{
+  run->route_count = step->argument;
+}
+
+static void
+expect_routes (struct run *run, const struct step *step)
+{
+  uint32_t count;
+
+  galena_directory_routes (run->directory, &count);
+  g_assert_cmpuint (count, ==, step->argument);
+}
+
 static void
 expect_no_call (struct run *run, const struct step *step)
 {
@@ -706,6 +750,7 @@
   [WATCH_NOT_APPLIED] = run_unapplied,
   [LIST_NOT_APPLIED] = run_unapplied,
   [CONFIG] = run_config,
+  [ROUTES] = run_routes,
   [WATCH_TIMEOUT] = run_timeout,
   [WATCH_NO_WAIT] = run_reply,
   [WATCH_BEGUN] = run_begun_watch,
@@ -713,6 +758,7 @@
   [PEER_SNAPSHOT] = run_peer,
   [EXPECT] = expect_upstreams,
   [EXPECT_VERSION] = expect_version,
+  [EXPECT_ROUTES] = expect_routes,
   [EXPECT_NO_CALL] = expect_no_call,
   [EXPECT_PEER] = expect_peer,
   [EXPECT_UNKNOWN] = expect_unknown,
