Keep the sequence number of a state that is equal otherwise

An upstream that had left could be taken for published again from an older copy of the store: the number of its last state was not kept when nothing else had changed, so that a lower one in the copy counted as newer.

--- a/packages/flows/src/catalog_upstreams.c
+++ b/packages/flows/src/catalog_upstreams.c
@@ -104,6 +104,7 @@
   return true;
 }
 
+/* Returns whether A and B differ at most in their sequence numbers.  */
 static bool
 upstream_equal (const struct galena_published_upstream *a,
                 const struct galena_published_upstream *b)
@@ -195,10 +196,10 @@
   item->position = position;
   item->state_era = position.era;
   publish_again (catalog, item);
-  if (*item->upstream.id != '\0' && upstream_equal (&item->upstream, upstream))
-    return true;
+  if (*item->upstream.id == '\0'
+      || !upstream_equal (&item->upstream, upstream))
+    catalog->changed = true;
   item->upstream = *upstream;
-  catalog->changed = true;
   return true;
 }
 
