Tell peers which upstreams were removed lately

They are kept like those that the process has seen removed itself; one that the store lists is hidden if the peer knows a later state of the same start, or the same one in an earlier era, until its entry has outlived the lease.

--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -287,7 +287,8 @@
                              &directory))
     return;
   atomic_store (&frontend->version, galena_directory_version (directory));
-  galena_catalog_snapshot (reader->catalog, directory, &snapshot);
+  galena_catalog_snapshot (reader->catalog, galena_monotonic_now (), directory,
+                           &snapshot);
   if (galena_snapshot_encode (&snapshot, &bytes, &size) != GALENA_OK)
     galena_log (LOG_ERR, "snapshot-failed", "result=memory");
   pthread_mutex_lock (&frontend->snapshot_lock);
--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -182,9 +182,12 @@
                                struct galena_clock now,
                                const struct galena_catalog_snapshot *snapshot);
 
-/* Stores the contents of CATALOG in *SNAPSHOT.  DIRECTORY is the last one that
-   galena_catalog_build made; *SNAPSHOT borrows from it.  */
-void galena_catalog_snapshot (const struct galena_catalog *catalog,
+/* Stores the contents of CATALOG at NOW in *SNAPSHOT.  DIRECTORY is the last
+   one that galena_catalog_build made.  *SNAPSHOT borrows from both, until the
+   next call of a function on CATALOG.  Upstreams that were removed lately have
+   the state GALENA_PUBLISHED_ABSENT.  */
+void galena_catalog_snapshot (struct galena_catalog *catalog,
+                              struct galena_clock now,
                               const struct galena_directory *directory,
                               struct galena_catalog_snapshot *snapshot);
 
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -67,6 +67,7 @@
   galena_table_destroy (catalog->items);
   galena_map_destroy (catalog->items_by_key);
   free (catalog->routes);
+  free (catalog->snapshot_rows);
   free (catalog);
 }
 
@@ -331,7 +332,7 @@
   catalog->comparisons = COMPARISONS_MAX;
   if (!catalog_is_before (calls->position, snapshot->position))
     {
-      catalog_adopt_newer_states (catalog, snapshot);
+      catalog_adopt_newer_states (catalog, snapshot, now);
       return;
     }
   /* The list or watch in progress continues; changes in its reply that are
@@ -346,16 +347,28 @@
 }
 
 void
-galena_catalog_snapshot (const struct galena_catalog *catalog,
+galena_catalog_snapshot (struct galena_catalog *catalog,
+                         struct galena_clock now,
                          const struct galena_directory *directory,
                          struct galena_catalog_snapshot *snapshot)
 {
+  size_t count = galena_table_count (catalog->items);
+  struct galena_published_upstream *rows
+      = realloc (catalog->snapshot_rows, (count + 1) * sizeof *rows);
+
   snapshot->version = galena_directory_version (directory);
   snapshot->position = catalog->calls.position;
   snapshot->routes
       = galena_directory_routes (directory, &snapshot->route_count);
   snapshot->upstreams
       = galena_directory_upstreams (directory, &snapshot->upstream_count);
+  if (rows == NULL)
+    return;
+  catalog->snapshot_rows = rows;
+  snapshot->upstream_count = catalog_copy_published (catalog, rows);
+  snapshot->upstream_count
+      += catalog_copy_removed (catalog, now, rows + snapshot->upstream_count);
+  snapshot->upstreams = rows;
 }
 
 struct galena_clock
@@ -384,9 +397,6 @@
           .route_count = catalog->route_count };
   uint32_t count = galena_table_count (catalog->items);
   struct galena_published_upstream *upstreams;
-  const struct catalog_upstream *item;
-  struct galena_handle handle;
-  uint32_t cursor = 0;
 
   catalog_update_due (catalog, now);
   if (!catalog->changed || !galena_catalog_has_contents (catalog))
@@ -394,9 +404,7 @@
   upstreams = calloc ((size_t)count + 1, sizeof *upstreams);
   if (upstreams == NULL)
     return false;
-  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
-    if (!item->removed)
-      upstreams[options.upstream_count++] = item->upstream;
+  options.upstream_count = catalog_copy_published (catalog, upstreams);
   options.upstreams = upstreams;
   catalog->changed = galena_directory_create (&options, out) != GALENA_OK;
   free (upstreams);
--- a/packages/flows/src/catalog_private.h
+++ b/packages/flows/src/catalog_private.h
@@ -83,6 +83,8 @@
   struct galena_store_position version_position;
   uint32_t route_count;
   struct galena_route *routes;
+  /* Upstreams of the last snapshot for peers.  */
+  struct galena_published_upstream *snapshot_rows;
   /* Whether something has changed since the last directory was built.  */
   bool changed;
   /* Position of the last merged snapshot of a peer; revision 0 when there is
@@ -140,12 +142,21 @@
                               struct galena_store_position position,
                               struct galena_clock now);
 
+/* Copy the published upstreams, or those that were removed lately, which get
+   the state GALENA_PUBLISHED_ABSENT, to ROWS.  Return their number.  */
+uint32_t catalog_copy_published (const struct galena_catalog *catalog,
+                                 struct galena_published_upstream *rows);
+uint32_t catalog_copy_removed (const struct galena_catalog *catalog,
+                               struct galena_clock now,
+                               struct galena_published_upstream *rows);
+
 /* Adopts the states in SNAPSHOT, which is not newer as a whole, that are newer
    by the count of their upstream than what an older copy of the store has
    listed.  */
 void
 catalog_adopt_newer_states (struct galena_catalog *catalog,
-                            const struct galena_catalog_snapshot *snapshot);
+                            const struct galena_catalog_snapshot *snapshot,
+                            struct galena_clock now);
 
 /* Returns when the removal of ITEM, or its return, is due; INT64_MAX when
    neither is.  */
--- a/packages/flows/src/catalog_upstreams.c
+++ b/packages/flows/src/catalog_upstreams.c
@@ -18,7 +18,10 @@
   RESTORED_EXPIRY_MS = 6000,
   /* The row of a removed upstream is kept for this time, since the store may
      come back from a copy that lists it.  */
-  KEEP_REMOVED_MS = 600000
+  KEEP_REMOVED_MS = 600000,
+  /* Peers are told of a removed upstream for this time: longer than it takes
+     until a store has expired what an older copy lists.  */
+  REPORT_REMOVED_MS = 60000
 };
 
 static uint64_t
@@ -133,6 +136,20 @@
   item->confirmed_due = (struct galena_clock){ 0 };
 }
 
+/* Removes ITEM, of which a peer reports that UPSTREAM was removed.  */
+static void
+remove_at_once (struct galena_catalog *catalog, struct catalog_upstream *item,
+                const struct galena_published_upstream *upstream,
+                struct galena_clock now)
+{
+  if (*item->upstream.id == '\0')
+    item->upstream = *upstream;
+  if (item->removal_due.ms == 0)
+    item->removal_due = now;
+  catalog->changed |= !item->removed;
+  item->removed = true;
+}
+
 /* Returns whether UPSTREAM, seen at POSITION, is an older state of ITEM, which
    an older copy of the store has brought back.  An upstream counts its own
    states, so that those of one start can be compared in any reply.  LISTED is
@@ -161,10 +178,14 @@
 note_restored_state (struct galena_catalog *catalog,
                      struct catalog_upstream *item, enum catalog_source source,
                      struct galena_store_position position,
-                     struct galena_clock now)
+                     struct galena_clock now,
+                     const struct galena_published_upstream *upstream)
 {
   item->rounds[source] = catalog->rounds[source];
   item->position = position;
+  /* A peer that told of the removal did not know the last state.  */
+  if (item->upstream.state == GALENA_PUBLISHED_ABSENT)
+    item->upstream.state = upstream->state;
   if (item->removal_due.ms != 0 && item->confirmed_due.ms == 0)
     item->confirmed_due = galena_clock_add_ms (now, RESTORED_EXPIRY_MS);
 }
@@ -185,7 +206,7 @@
     return false;
   if (item != NULL && is_restored_state (item, position, listed, upstream))
     {
-      note_restored_state (catalog, item, source, position, now);
+      note_restored_state (catalog, item, source, position, now, upstream);
       return false;
     }
   if (item == NULL)
@@ -195,6 +216,11 @@
   item->rounds[source] = catalog->rounds[source];
   item->position = position;
   item->state_era = position.era;
+  if (upstream->state == GALENA_PUBLISHED_ABSENT)
+    {
+      remove_at_once (catalog, item, upstream, now);
+      return true;
+    }
   publish_again (catalog, item);
   if (*item->upstream.id == '\0'
       || !upstream_equal (&item->upstream, upstream))
@@ -218,9 +244,29 @@
       catalog_schedule_removal (catalog, item, position, now);
 }
 
+/* Replaces the state of ITEM, which the store lists, by the newer UPSTREAM of
+   a peer.  */
+static void
+adopt_state (struct galena_catalog *catalog, struct catalog_upstream *item,
+             const struct galena_published_upstream *upstream,
+             struct galena_clock now)
+{
+  if (upstream->state != GALENA_PUBLISHED_ABSENT)
+    {
+      item->upstream = *upstream;
+      catalog->changed = true;
+    }
+  else if (item->removal_due.ms == 0)
+    {
+      remove_at_once (catalog, item, upstream, now);
+      item->confirmed_due = galena_clock_add_ms (now, RESTORED_EXPIRY_MS);
+    }
+}
+
 void
 catalog_adopt_newer_states (struct galena_catalog *catalog,
-                            const struct galena_catalog_snapshot *snapshot)
+                            const struct galena_catalog_snapshot *snapshot,
+                            struct galena_clock now)
 {
   for (uint32_t i = 0; i < snapshot->upstream_count; i++)
     {
@@ -231,13 +277,53 @@
 
       if (item == NULL || upstream->started_unix_ms == 0
           || upstream->started_unix_ms != item->upstream.started_unix_ms
-          || upstream->sequence <= item->upstream.sequence)
+          || upstream->sequence < item->upstream.sequence)
         continue;
-      item->upstream = *upstream;
-      catalog->changed = true;
+      /* In one era, the later position knows more of the same state.  */
+      if (upstream->sequence == item->upstream.sequence
+          && (upstream->state != GALENA_PUBLISHED_ABSENT
+              || snapshot->position.era >= item->state_era))
+        continue;
+      adopt_state (catalog, item, upstream, now);
     }
 }
 
+uint32_t
+catalog_copy_published (const struct galena_catalog *catalog,
+                        struct galena_published_upstream *rows)
+{
+  const struct catalog_upstream *item;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+
+  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
+    if (!item->removed)
+      rows[count++] = item->upstream;
+  return count;
+}
+
+uint32_t
+catalog_copy_removed (const struct galena_catalog *catalog,
+                      struct galena_clock now,
+                      struct galena_published_upstream *rows)
+{
+  const struct catalog_upstream *item;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+
+  while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
+    if (item->removed
+        && galena_clock_elapsed_ms (item->removal_due, now)
+               < REPORT_REMOVED_MS)
+      {
+        rows[count] = item->upstream;
+        rows[count++].state = GALENA_PUBLISHED_ABSENT;
+      }
+  return count;
+}
+
 struct galena_clock
 catalog_upstream_due (const struct catalog_upstream *item)
 {
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -59,6 +59,11 @@
      before it, and the upstreams of
      ARGUMENT at REVISION, of which those of DRAINING drain.  */
   PEER_SNAPSHOT,
+  /* As PEER_SNAPSHOT, but the upstreams of DRAINING have been removed.  */
+  PEER_SNAPSHOT_GONE,
+  /* The snapshot for peers has the upstreams of ARGUMENT, and those of
+     DRAINING as removed.  */
+  EXPECT_SNAPSHOT,
   /* The directory has the upstreams of ARGUMENT, of which those of DRAINING
      drain.  */
   EXPECT,
@@ -453,6 +458,45 @@
       { 20, INCARNATION, 500, 3, 0 },
       { 30, PEER_SNAPSHOT, 7, 40, 2 },
       { 30, EXPECT, 7, 0, 2 } } },
+  { "/restored/started-meanwhile-has-gone-one",
+    { { 10, ERA, 2, 0, 0 },
+      { 10, INCARNATION, 500, 2, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 10, 0 },
+      { 20, EXPECT_PEER, 1, 0, 0 },
+      { 20, ERA, 1, 0, 0 },
+      { 20, INCARNATION, 500, 3, 0 },
+      { 30, PEER_SNAPSHOT_GONE, 5, 40, 2 },
+      { 30, EXPECT, 5, 0, 0 },
+      { 30, ERA, 2, 0, 0 },
+      { 4000, WATCH_REMOVED, 2, 11, 0 },
+      { 9000, EXPECT, 5, 0, 0 } } },
+  { "/restored/peer-knows-gone-one",
+    { { 10, FAILURE, 0, 0, 0 },
+      { 10, ERA, 1, 0, 0 },
+      { 10, INCARNATION, 500, 3, 0 },
+      { 320, PEER_SNAPSHOT_GONE, 5, 40, 2 },
+      { 320, EXPECT, 5, 0, 0 },
+      { 330, ERA, 2, 0, 0 },
+      { 330, INCARNATION, 500, 2, 0 },
+      { 330, LIST, 7, 10, 0 },
+      { 330, EXPECT, 5, 0, 0 },
+      { 6320, EXPECT, 5, 0, 0 },
+      { 6330, EXPECT, 7, 0, 0 } } },
+  { "/restored/back-since-peer-saw-it-go",
+    { { 10, ERA, 2, 0, 0 },
+      { 10, INCARNATION, 500, 3, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 10, 0 },
+      { 30, PEER_SNAPSHOT_GONE, 5, 9, 2 },
+      { 30, EXPECT, 7, 0, 0 } } },
+  { "/restored/snapshot-has-gone-ones",
+    { { 10, ERA, 1, 0, 0 },
+      { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 40, 0 },
+      { 30, WATCH_REMOVED, 2, 41, 0 },
+      { 2100, EXPECT_SNAPSHOT, 5, 0, 2 },
+      { 70000, EXPECT_SNAPSHOT, 5, 0, 0 } } },
   /* A version that was lost is given out again for another configuration; one
      of the lost history must not replace it.  */
   { "/restored/version-given-out-again",
@@ -665,6 +709,7 @@
 static void
 run_peer (struct run *run, const struct step *step)
 {
+  bool gone = step->kind == PEER_SNAPSHOT_GONE;
   struct galena_published_upstream rows[UPSTREAMS_MAX] = { 0 };
   struct galena_catalog_snapshot snapshot
       = { .version = run->version != 0 ? run->version : 1,
@@ -674,10 +719,13 @@
   for (uint32_t i = 0; i < UPSTREAMS_MAX; i++)
     if ((step->argument & (1U << i)) != 0)
       fill_upstream (run, i,
-                     (step->draining & (1U << i)) != 0
+                     (step->draining & (1U << i)) != 0 && !gone
                          ? GALENA_PUBLISHED_DRAINING
                          : GALENA_PUBLISHED_READY,
                      &rows[snapshot.upstream_count++]);
+    else if (gone && (step->draining & (1U << i)) != 0)
+      fill_upstream (run, i, GALENA_PUBLISHED_ABSENT,
+                     &rows[snapshot.upstream_count++]);
   run->version = 0;
   galena_catalog_merge_snapshot (run->catalog, run->now, &snapshot);
 }
@@ -704,6 +752,28 @@
   g_assert_cmpuint (draining, ==, step->draining);
 }
 
+static void
+expect_snapshot (struct run *run, const struct step *step)
+{
+  struct galena_catalog_snapshot snapshot;
+  uint32_t mask = 0;
+  uint32_t gone = 0;
+
+  galena_catalog_snapshot (run->catalog, run->now, run->directory, &snapshot);
+  for (uint32_t i = 0; i < snapshot.upstream_count; i++)
+    {
+      const struct galena_published_upstream *row = &snapshot.upstreams[i];
+      uint32_t bit = 1U << (row->address.ip - 0x0a000001);
+
+      if (row->state == GALENA_PUBLISHED_ABSENT)
+        gone |= bit;
+      else
+        mask |= bit;
+    }
+  g_assert_cmpuint (mask, ==, step->argument);
+  g_assert_cmpuint (gone, ==, step->draining);
+}
+
 static void
 expect_version (struct run *run, const struct step *step)
 {
@@ -771,6 +841,8 @@
   [WATCH_BEGUN] = run_begun_watch,
   [REFRESH] = run_refresh,
   [PEER_SNAPSHOT] = run_peer,
+  [PEER_SNAPSHOT_GONE] = run_peer,
+  [EXPECT_SNAPSHOT] = expect_snapshot,
   [EXPECT] = expect_upstreams,
   [EXPECT_VERSION] = expect_version,
   [EXPECT_ROUTES] = expect_routes,
