--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -343,8 +343,9 @@
       request_peer_snapshot (reader);
       galena_reads_wait (
           reader->reads, &wake, 1,
-          galena_clock_remaining_ms (galena_monotonic_now (),
-                                     galena_catalog_due (reader->catalog)));
+          galena_clock_remaining_ms (
+              galena_monotonic_now (),
+              galena_catalog_due (reader->catalog, reader->peer_read_active)));
       while (galena_reads_next (reader->reads, &completed))
         {
           if (completed.user_data == PEER_READ)
--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -191,8 +191,10 @@
                               const struct galena_directory *directory,
                               struct galena_catalog_snapshot *snapshot);
 
-/* Returns when the catalog next has something to do if no reply arrives.  */
-struct galena_clock galena_catalog_due (const struct galena_catalog *catalog);
+/* Returns when the catalog next has something to do if no reply arrives. While
+   PEER_BUSY, a peer has been asked for its snapshot and no other one is.  */
+struct galena_clock galena_catalog_due (const struct galena_catalog *catalog,
+                                        bool peer_busy);
 
 /* Removes the upstreams whose removal is due at NOW.  Then creates a directory
    in *OUT, which the caller owns, if something has changed since the last
--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -372,9 +372,10 @@
 }
 
 struct galena_clock
-galena_catalog_due (const struct galena_catalog *catalog)
+galena_catalog_due (const struct galena_catalog *catalog, bool peer_busy)
 {
-  struct galena_clock first = peer_due (catalog);
+  struct galena_clock first
+      = peer_busy ? (struct galena_clock){ INT64_MAX } : peer_due (catalog);
   const struct catalog_upstream *item;
   struct galena_handle handle;
   uint32_t cursor = 0;
--- a/test/unit/test_catalog.c
+++ b/test/unit/test_catalog.c
@@ -76,6 +76,8 @@
   /* A peer should be asked for its snapshot if ARGUMENT is 1, but not if it is
      0.  */
   EXPECT_PEER,
+  /* Nothing is due while a peer is busy with a request for its snapshot.  */
+  EXPECT_IDLE,
   /* There is no directory yet.  */
   EXPECT_UNKNOWN
 };
@@ -237,6 +239,12 @@
       { 220, EXPECT_PEER, 1, 0, 0 },
       { 420, EXPECT_PEER, 1, 0, 0 },
       { 620, EXPECT_PEER, 0, 0, 0 } } },
+  { "/catalog/spins-while-peer-is-silent",
+    { { 10, CONFIG, 1, 5, 0 },
+      { 20, LIST, 7, 10, 0 },
+      { 20, EXPECT_PEER, 1, 0, 0 },
+      { 30, WATCH_BEGUN, 0, 0, 0 },
+      { 300, EXPECT_IDLE, 0, 0, 0 } } },
   /* The store comes back from an older copy: revisions go back and are given
      out again.  */
   { "/restored/drain-below-old-revision",
@@ -813,6 +821,13 @@
       step->argument);
 }
 
+static void
+expect_idle (struct run *run, const struct step *step)
+{
+  (void)step;
+  g_assert_cmpint (galena_catalog_due (run->catalog, true).ms, >, run->now.ms);
+}
+
 static void
 expect_unknown (struct run *run, const struct step *step)
 {
@@ -848,6 +863,7 @@
   [EXPECT_ROUTES] = expect_routes,
   [EXPECT_NO_CALL] = expect_no_call,
   [EXPECT_PEER] = expect_peer,
+  [EXPECT_IDLE] = expect_idle,
   [EXPECT_UNKNOWN] = expect_unknown,
 };
 
