Soak: expire what a restored store has brought back

The copy brought records of earlier incarnations of an upstream back, which then stayed, since the soak's store has no leases. They are removed when the lost records are written again.

--- a/soak/publish.c
+++ b/soak/publish.c
@@ -90,6 +90,20 @@
                        (json_int_t)host->started_unix_ms));
 }
 
+/* Removes the records of earlier incarnations of host INDEX, which the copy
+   may have brought back: they expire.  */
+static void
+remove_expired (struct soak *soak, uint32_t index)
+{
+  for (uint32_t i = 1; i < soak->hosts[index].incarnation; i++)
+    {
+      char key[KEY_BYTES];
+
+      snprintf (key, sizeof key, "servers/h-%u-%u", index, i);
+      store_remove (soak->store, key);
+    }
+}
+
 void
 publish_run (struct soak *soak)
 {
@@ -99,6 +113,10 @@
   soak->publish_again_at.ms = 0;
   put_config (soak);
   for (uint32_t i = 0; i < soak->options.hosts; i++)
-    if (galena_clock_reached (soak->hosts[i].written_at, soak->copied_at))
+    {
+      if (!galena_clock_reached (soak->hosts[i].written_at, soak->copied_at))
+        continue;
+      remove_expired (soak, i);
       publish_host (soak, i);
+    }
 }
