--- a/packages/flows/src/catalog.c
+++ b/packages/flows/src/catalog.c
@@ -374,12 +374,13 @@
 struct galena_clock
 galena_catalog_due (const struct galena_catalog *catalog, bool peer_busy)
 {
-  struct galena_clock first
-      = peer_busy ? (struct galena_clock){ INT64_MAX } : peer_due (catalog);
+  struct galena_clock first = { INT64_MAX };
   const struct catalog_upstream *item;
   struct galena_handle handle;
   uint32_t cursor = 0;
 
+  if (!peer_busy)
+    first = peer_due (catalog);
   if (!catalog->calls.busy && catalog->calls.due.ms < first.ms)
     first = catalog->calls.due;
   while ((item = galena_table_next (catalog->items, &cursor, &handle)) != NULL)
