--- a/review/lab/main.c
+++ b/review/lab/main.c
@@ -15,6 +15,7 @@
 } SCENARIOS[] = {
   { "foreign-entry", scenario_foreign_entry },
   { "clock-step", scenario_clock_step },
+  { "search", scenario_search },
 };
 
 enum
--- a/review/lab/scenarios.c
+++ b/review/lab/scenarios.c
@@ -185,3 +185,170 @@
     return OUTCOME_NOT_RUN;
   return resets > 0 ? OUTCOME_BROKEN : OUTCOME_HELD;
 }
+
+enum
+{
+  WATCHED_MAX = 64,
+  FOREIGN_MAX = 256
+};
+
+/* Packets of one caller's flow that hosts have seen.  */
+struct watched
+{
+  uint16_t port;
+  uint32_t foreign_count;
+  int64_t foreign[FOREIGN_MAX];
+  uint32_t own_count;
+  int64_t own[FOREIGN_MAX];
+};
+
+static struct watched watched[WATCHED_MAX];
+static uint32_t watched_count;
+
+/* Only the host that has a flow takes its packets; the others return them.  */
+static void
+watch_packet (struct lab *lab, int host, const struct packet *packet,
+              bool taken)
+{
+  for (uint32_t i = 0; i < watched_count; i++)
+    {
+      struct watched *row = &watched[i];
+
+      if (row->port != packet->source.port)
+        continue;
+      lab_log (lab, "packet flow=%u host=%d %s", row->port, host + 1,
+               taken ? "own" : "foreign");
+      if (taken && row->own_count < FOREIGN_MAX)
+        row->own[row->own_count++] = lab_now (lab);
+      else if (!taken && row->foreign_count < FOREIGN_MAX)
+        row->foreign[row->foreign_count++] = lab_now (lab);
+    }
+}
+
+/* Returns whether three packets of the flow reached other hosts, and none its
+   own, for REORDER_MS after FROM.  */
+static bool
+is_misled (const struct watched *row, int64_t from)
+{
+  uint32_t foreign = 0;
+
+  for (uint32_t i = 0; i < row->own_count; i++)
+    if (row->own[i] >= from && row->own[i] <= from + REORDER_MS)
+      return false;
+  for (uint32_t i = 0; i < row->foreign_count; i++)
+    foreign += row->foreign[i] >= from && row->foreign[i] <= from + REORDER_MS;
+  return foreign >= 3;
+}
+
+/* Returns the host with the most open flows.  */
+static uint32_t
+busiest_host (const struct lab *lab)
+{
+  uint32_t best = 0;
+  uint32_t most = 0;
+
+  for (uint32_t i = 0; i < HOSTS_MAX; i++)
+    {
+      uint32_t count = 0;
+
+      for (uint32_t k = 0; k < HOST_FLOWS_MAX; k++)
+        count += lab->hosts[i].flows[k].used && lab->hosts[i].flows[k].open;
+      if (count > most)
+        {
+          best = i;
+          most = count;
+        }
+    }
+  return best;
+}
+
+static bool
+add_host (struct lab *lab, uint32_t index)
+{
+  if (!process_start (lab, &lab->agents[index], "desk")
+      || !host_start (lab, index, "desk"))
+    return false;
+  host_publish (lab, index, "ready");
+  return true;
+}
+
+/* The agents are restarted in turn, and then one agent and an entry again,
+   while hosts are replaced.  The agent is away for half a second just when
+   the other entry looks for the owner of flows.  */
+enum outcome
+scenario_search (struct lab *lab)
+{
+  enum
+  {
+    HOSTS = 6,
+    FLOWS = 30,
+    NEW_HOSTS = 3,
+    FIRST_MS = 250,
+    GAP_MS = 500,
+    ANSWER_MS = 6000
+  };
+  struct call *calls[FLOWS];
+  struct process *agent;
+  uint32_t misled = 0;
+  uint32_t answered = 0;
+  uint32_t owner;
+
+  if (!start (lab, 2, HOSTS))
+    return OUTCOME_NOT_RUN;
+  lab->pinned_entry = 0;
+  for (uint32_t i = 0; i < FLOWS; i++)
+    {
+      calls[i] = call_begin (lab, false);
+      lab_run (lab, POLL_MS);
+    }
+  for (uint32_t i = 0; i < HOSTS; i++)
+    if (!restart (lab, &lab->agents[i], "desk"))
+      return OUTCOME_NOT_RUN;
+  lab->pinned_entry = -1;
+  process_signal (lab, &lab->entries[0], SIGTERM);
+  if (!process_wait (lab, &lab->entries[0], STOP_MS))
+    return OUTCOME_NOT_RUN;
+  lab_run (lab, STABLE_MS);
+  owner = busiest_host (lab);
+  agent = &lab->agents[owner];
+  process_signal (lab, agent, SIGTERM);
+  if (!process_wait (lab, agent, STOP_MS))
+    return OUTCOME_NOT_RUN;
+  lab->on_host_packet = watch_packet;
+  for (uint32_t i = 0; i < FLOWS; i++)
+    {
+      watched[watched_count++].port = calls[i]->caller.port;
+      call_request (lab, calls[i]);
+    }
+  lab_run (lab, FIRST_MS);
+  for (uint32_t i = 0; i < NEW_HOSTS; i++)
+    {
+      /* A new host starts first; then an old one drains.  */
+      if (lab->trouble)
+        {
+          if (!add_host (lab, HOSTS + i))
+            return OUTCOME_NOT_RUN;
+          host_publish (lab, (owner + 1 + i) % HOSTS, "draining");
+        }
+      lab_run (lab, GAP_MS / 2);
+      if (i == 0 && !process_start (lab, agent, "desk"))
+        return OUTCOME_NOT_RUN;
+      lab_run (lab, GAP_MS / 2);
+    }
+  lab_run (lab, ANSWER_MS);
+  for (uint32_t i = 0; i < FLOWS; i++)
+    {
+      const struct watched *row = &watched[i];
+      bool broken = false;
+
+      for (uint32_t k = 0; k < row->foreign_count; k++)
+        broken |= is_misled (row, row->foreign[k]);
+      misled += broken;
+      answered += calls[i]->answered == 2;
+      if (broken)
+        lab_log (lab, "flow=%u reached other hosts only", row->port);
+    }
+  lab_log (lab, "second requests answered: %u of %u; flows misled: %u",
+           answered, (unsigned)FLOWS, misled);
+  return misled > 0 ? OUTCOME_BROKEN : OUTCOME_HELD;
+}
--- a/review/lab/scenarios.h
+++ b/review/lab/scenarios.h
@@ -14,5 +14,6 @@
 
 enum outcome scenario_foreign_entry (struct lab *lab);
 enum outcome scenario_clock_step (struct lab *lab);
+enum outcome scenario_search (struct lab *lab);
 
 #endif
