--- a/review/lab/callers.c
+++ b/review/lab/callers.c
@@ -82,16 +82,15 @@
   call->state = CALL_ENDED;
 }
 
-struct call *
-call_begin (struct lab *lab, bool single)
+/* Opens a flow from PORT.  */
+static void
+open_flow (struct lab *lab, struct call *call, uint16_t port, bool single)
 {
-  struct call *call = &lab->calls[lab->call_count % CALL_FLOWS_MAX];
   int64_t now = lab_now (lab);
 
-  lab->call_count++;
   memset (call, 0, sizeof *call);
   call->state = CALL_OPENING;
-  call->caller = (struct endpoint){ lab_ip (3, 0), lab->next_port++ };
+  call->caller = (struct endpoint){ lab_ip (3, 0), port };
   call->seq = (uint32_t)random ();
   call->single = single;
   call->host = -1;
@@ -102,9 +101,24 @@
   lab_log (lab, "flow=%u opens through edge-%u", call->caller.port,
            entry_of (lab, call) + 1);
   send_packet (lab, call, FLAG_SYN, 0, "");
+}
+
+struct call *
+call_begin (struct lab *lab, bool single)
+{
+  struct call *call = &lab->calls[lab->call_count++ % CALL_FLOWS_MAX];
+
+  open_flow (lab, call, lab->next_port++, single);
   return call;
 }
 
+void
+call_again (struct lab *lab, struct call *call)
+{
+  if (call->state == CALL_ENDED)
+    open_flow (lab, call, call->caller.port, true);
+}
+
 static void
 send_request (struct lab *lab, struct call *call)
 {
@@ -172,11 +186,11 @@
     }
   write_request (call, text);
   call->seq += (uint32_t)strlen (text);
-  call->ack += packet->data_size;
+  call->ack += packet->data_size + ((packet->flags & FLAG_FIN) != 0 ? 1U : 0U);
   call->answered++;
   lab->answered++;
   lab_log (lab, "answer id=r%u-%u", call->caller.port, call->request);
-  if (call->single)
+  if (call->single || (packet->flags & FLAG_FIN) != 0)
     {
       send_packet (lab, call, FLAG_ACK | FLAG_FIN, call->ack, "");
       end (lab, call, "answered");
--- a/review/lab/hosts.c
+++ b/review/lab/hosts.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "lab.h"
 
@@ -160,7 +161,9 @@
             "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\n"
             "Content-Length: 0\r\n\r\n",
             flow->request, host->id);
-  send_packet (lab, host, flow, FLAG_ACK, text);
+  flow->finished = lab->hosts_end_flows;
+  send_packet (lab, host, flow,
+               flow->finished ? FLAG_ACK | FLAG_FIN : FLAG_ACK, text);
 }
 
 static void
@@ -196,7 +199,8 @@
   if ((packet->flags & FLAG_FIN) != 0)
     {
       flow->next = packet->seq + packet->data_size + 1;
-      send_packet (lab, host, flow, FLAG_ACK | FLAG_FIN, "");
+      send_packet (lab, host, flow,
+                   flow->finished ? FLAG_ACK : FLAG_ACK | FLAG_FIN, "");
       flow->used = false;
     }
 }
@@ -233,6 +237,7 @@
         send_out (lab, host, flow->unacked, flow->unacked_size);
       return;
     }
+  host->opens++;
   flow->first_seq = (uint32_t)random () | 1;
   flow->seq = flow->first_seq;
   flow->next = packet.seq + 1;
@@ -278,3 +283,16 @@
       flow->resend_at = now + flow->interval_ms;
     }
 }
+
+void
+host_crash (struct lab *lab, uint32_t index)
+{
+  struct host *host = &lab->hosts[index];
+  uint32_t ip = host->ip;
+
+  lab_log (lab, "crash host=%u", index + 1);
+  close (host->fd);
+  memset (host, 0, sizeof *host);
+  host->fd = -1;
+  host->ip = ip;
+}
--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -239,12 +239,14 @@
       = lab_udp_socket (lab_endpoint (lab, lab_ip (3, 0), PORT_PACKETS));
   if (lab->caller_fd < 0)
     return false;
-  /* Two routes with a service each; the second one is not used.  */
   snprintf (text, sizeof text,
-            "{\"version\":3,\"routes\":[{\"host\":\"198.18.0.1\","
-            "\"prefix\":\"/443/\",\"service\":\"desk\",\"type\":\"safe\"}],"
-            "\"services\":[{\"name\":\"desk\",\"healthCheckPath\":"
-            "\"/healthz\"}],\"limits\":{\"idleTimeoutMs\":60000}}");
+            "{\"version\":3,\"routes\":["
+            "{\"host\":\"198.18.0.1\",\"prefix\":\"/443/\","
+            "\"service\":\"desk\",\"type\":\"safe\"},"
+            "{\"host\":\"198.18.0.2\",\"prefix\":\"/443/\","
+            "\"service\":\"photo\",\"type\":\"safe\"}],"
+            "\"services\":[{\"name\":\"desk\"},{\"name\":\"photo\"}],"
+            "\"limits\":{\"idleTimeoutMs\":60000}}");
   store_put (lab, "op/config", text);
   for (uint32_t i = 0; i < entries; i++)
     {
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -115,6 +115,8 @@
   struct endpoint address;
   bool used;
   bool open;
+  /* Whether the host has sent its FIN.  */
+  bool finished;
   uint32_t seq;
   uint32_t next;
   uint32_t first_seq;
@@ -142,6 +144,8 @@
   uint32_t ip;
   /* When the store accepted that it drains; 0 before.  */
   int64_t drains_since;
+  /* Opening packets that it took.  */
+  uint32_t opens;
   /* When each slot is free again.  */
   int64_t slots[HOST_SLOTS];
   struct host_flow flows[HOST_FLOWS_MAX];
@@ -205,6 +209,8 @@
   uint16_t next_port;
   struct call calls[CALL_FLOWS_MAX];
   uint32_t call_count;
+  /* Whether hosts end a flow with their answer.  */
+  bool hosts_end_flows;
   /* New single requests a second; 0 for none.  */
   uint32_t rate;
   int64_t next_call_ms;
@@ -253,10 +259,14 @@
 void host_publish (struct lab *lab, uint32_t index, const char *state);
 void host_receive (struct lab *lab, uint32_t index);
 void host_tick (struct lab *lab, uint32_t index);
+/* Ends the host without a word.  */
+void host_crash (struct lab *lab, uint32_t index);
 
 /* callers.c */
 
 struct call *call_begin (struct lab *lab, bool single);
+/* Opens a new flow for one request from the port of CALL, which has ended.  */
+void call_again (struct lab *lab, struct call *call);
 /* Sends another request on the open flow CALL.  */
 void call_request (struct lab *lab, struct call *call);
 void call_receive (struct lab *lab);
--- a/review/lab/main.c
+++ b/review/lab/main.c
@@ -16,6 +16,8 @@
   { "foreign-entry", scenario_foreign_entry },
   { "clock-step", scenario_clock_step },
   { "search", scenario_search },
+  { "same-port", scenario_same_port },
+  { "address-again", scenario_address_again },
 };
 
 enum
--- a/review/lab/scenarios.c
+++ b/review/lab/scenarios.c
@@ -352,3 +352,153 @@
            answered, (unsigned)FLOWS, misled);
   return misled > 0 ? OUTCOME_BROKEN : OUTCOME_HELD;
 }
+
+/* Returns the host that took the most opening packets.  */
+static uint32_t
+most_opened_host (const struct lab *lab)
+{
+  uint32_t best = 0;
+
+  for (uint32_t i = 1; i < HOSTS_MAX; i++)
+    if (lab->hosts[i].opens > lab->hosts[best].opens)
+      best = i;
+  return best;
+}
+
+/* Opening packets of the first route that a host of the second service
+   took.  */
+static uint32_t wrong_opens;
+
+static void
+count_wrong_open (struct lab *lab, int host, const struct packet *packet,
+                  bool taken)
+{
+  const char *service = lab->hosts[host].service;
+
+  if (!taken || (packet->flags & (FLAG_SYN | FLAG_ACK)) != FLAG_SYN
+      || strcmp (service, "desk") == 0)
+    return;
+  wrong_opens++;
+  lab_log (lab, "open of the route of desk taken by a host of %s flow=%u",
+           service, packet->source.port);
+}
+
+enum
+{
+  CALLERS = 30,
+  CALL_PERIOD_MS = 1000
+};
+
+/* Lets each caller open a flow for its next request, from the port that it
+   always uses; a request whose flow did not open is tried once more from a new
+   port.  */
+static void
+run_round (struct lab *lab, struct call **calls)
+{
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      if (calls[i]->state == CALL_ENDED
+          && strcmp (calls[i]->outcome, "not opened") == 0)
+        call_begin (lab, true);
+      call_again (lab, calls[i]);
+      lab_run (lab, CALL_PERIOD_MS / CALLERS);
+    }
+}
+
+static void
+begin_calls (struct lab *lab, struct call **calls)
+{
+  lab->hosts_end_flows = true;
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      calls[i] = call_begin (lab, true);
+      lab_run (lab, CALL_PERIOD_MS / CALLERS);
+    }
+}
+
+/* Callers open a flow for each request, always from the same port, and hosts
+   end it.  A host crashes for good with its machine, whose address then goes
+   to a host of another service.  */
+enum outcome
+scenario_address_again (struct lab *lab)
+{
+  enum
+  {
+    HOSTS = 3,
+    ROUNDS_BEFORE = 4,
+    ROUNDS = 12,
+    REUSE_MS = 2000,
+    EXPIRY_MS = 3 * HEARTBEAT_MS
+  };
+  struct call *calls[CALLERS];
+  char key[KEY_BYTES + TEXT_BYTES] = "";
+  int64_t crashed_at = 0;
+  uint32_t owner = 0;
+
+  if (!start (lab, 2, HOSTS))
+    return OUTCOME_NOT_RUN;
+  lab->on_host_packet = count_wrong_open;
+  begin_calls (lab, calls);
+  for (uint32_t round = 0; round < ROUNDS; round++)
+    {
+      if (round == ROUNDS_BEFORE && lab->trouble)
+        {
+          owner = most_opened_host (lab);
+          snprintf (key, sizeof key, "servers/%s", lab->hosts[owner].id);
+          process_signal (lab, &lab->agents[owner], SIGKILL);
+          host_crash (lab, owner);
+          crashed_at = lab_now (lab);
+          if (!process_wait (lab, &lab->agents[owner], STOP_MS))
+            return OUTCOME_NOT_RUN;
+        }
+      if (crashed_at != 0 && !lab->hosts[owner].up
+          && lab_now (lab) - crashed_at >= REUSE_MS)
+        {
+          if (!process_start (lab, &lab->agents[owner], "photo")
+              || !host_start (lab, owner, "photo"))
+            return OUTCOME_NOT_RUN;
+          host_publish (lab, owner, "ready");
+        }
+      if (key[0] != '\0' && lab_now (lab) - crashed_at >= EXPIRY_MS)
+        {
+          store_remove (lab, key);
+          key[0] = '\0';
+        }
+      run_round (lab, calls);
+    }
+  lab_run (lab, RESTART_MS);
+  lab_log (lab, "opens at the wrong service: %u; begun %u, answered %u",
+           wrong_opens, lab->begun, lab->answered);
+  if (lab->answered < lab->begun / 2)
+    return OUTCOME_NOT_RUN;
+  return wrong_opens > 0 ? OUTCOME_BROKEN : OUTCOME_HELD;
+}
+
+/* The same callers; a host drains.  */
+enum outcome
+scenario_same_port (struct lab *lab)
+{
+  enum
+  {
+    ROUNDS_BEFORE = 4,
+    ROUNDS = 16
+  };
+  struct call *calls[CALLERS];
+
+  if (!start (lab, 2, 3))
+    return OUTCOME_NOT_RUN;
+  lab->on_host_packet = count_late_open;
+  begin_calls (lab, calls);
+  for (uint32_t round = 0; round < ROUNDS; round++)
+    {
+      if (round == ROUNDS_BEFORE && lab->trouble)
+        host_publish (lab, most_opened_host (lab), "draining");
+      run_round (lab, calls);
+    }
+  lab_run (lab, RESTART_MS);
+  lab_log (lab, "late opens: %u; begun %u, answered %u", late_opens,
+           lab->begun, lab->answered);
+  if (lab->answered < lab->begun / 2)
+    return OUTCOME_NOT_RUN;
+  return late_opens > 0 ? OUTCOME_BROKEN : OUTCOME_HELD;
+}
