Review case 3: large values of another writer blind all entries

Shows that three unreadable values of 1 MiB in the store make every watch reply larger than an entry reads; it asks from the same position again, and sees neither drains nor configurations until the history has gone.

--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -29,10 +29,16 @@
   return (int64_t)time.tv_sec * MS_PER_S + time.tv_nsec / NS_PER_MS;
 }
 
+int64_t
+lab_steady_ms (void)
+{
+  return clock_ms (CLOCK_MONOTONIC);
+}
+
 int64_t
 lab_now (const struct lab *lab)
 {
-  return clock_ms (CLOCK_MONOTONIC) - lab->start_ms;
+  return lab_steady_ms () - lab->start_ms;
 }
 
 uint64_t
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -83,8 +83,11 @@
   bool used;
   bool removed;
   char key[KEY_BYTES];
-  char value[VALUE_BYTES];
+  uint8_t *value;
+  size_t size;
   uint64_t revision;
+  /* When it was written, by the steady clock.  */
+  int64_t written_ms;
 };
 
 struct store
@@ -222,6 +225,7 @@
 /* lab.c */
 
 int64_t lab_now (const struct lab *lab);
+int64_t lab_steady_ms (void);
 uint64_t lab_unix_ms (void);
 void lab_log (struct lab *lab, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
@@ -250,6 +254,8 @@
 bool store_open (struct lab *lab);
 void store_close (struct lab *lab);
 void store_put (struct lab *lab, const char *key, const char *value);
+void store_put_bytes (struct lab *lab, const char *key, const uint8_t *bytes,
+                      size_t size);
 void store_remove (struct lab *lab, const char *key);
 
 /* hosts.c */
--- a/review/lab/main.c
+++ b/review/lab/main.c
@@ -17,6 +17,7 @@
   { "clock-step", scenario_clock_step },
   { "search", scenario_search },
   { "same-port", scenario_same_port },
+  { "large-values", scenario_large_values },
   { "address-again", scenario_address_again },
 };
 
--- a/review/lab/scenarios.c
+++ b/review/lab/scenarios.c
@@ -1,6 +1,7 @@
 /* The scenarios.  */
 
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "scenarios.h"
@@ -502,3 +503,45 @@
     return OUTCOME_NOT_RUN;
   return late_opens > 0 ? OUTCOME_BROKEN : OUTCOME_HELD;
 }
+
+/* Another writer writes a few large values that can't be read, and then a host
+   drains.  */
+enum outcome
+scenario_large_values (struct lab *lab)
+{
+  enum
+  {
+    RATE = 80,
+    BEFORE_MS = 3000,
+    AFTER_WRITES_MS = 1000,
+    AFTER_MS = 12000,
+    VALUES = 3,
+    VALUE_SIZE = 1048576
+  };
+  static uint8_t bytes[VALUE_SIZE];
+
+  if (!start (lab, 2, 3))
+    return OUTCOME_NOT_RUN;
+  lab->on_host_packet = count_late_open;
+  lab->rate = RATE;
+  lab_run (lab, BEFORE_MS);
+  for (size_t i = 0; i < sizeof bytes; i++)
+    bytes[i] = (uint8_t)random ();
+  for (uint32_t i = 0; i < VALUES && lab->trouble; i++)
+    {
+      char key[TEXT_BYTES];
+
+      snprintf (key, sizeof key, "servers/blob-%u", i + 1);
+      store_put_bytes (lab, key, bytes, sizeof bytes);
+    }
+  lab_run (lab, AFTER_WRITES_MS);
+  host_publish (lab, most_opened_host (lab), "draining");
+  lab_run (lab, AFTER_MS);
+  lab->rate = 0;
+  lab_run (lab, RESTART_MS);
+  lab_log (lab, "late opens: %u; begun %u, answered %u", late_opens,
+           lab->begun, lab->answered);
+  if (lab->answered < lab->begun / 2)
+    return OUTCOME_NOT_RUN;
+  return late_opens > 0 ? OUTCOME_BROKEN : OUTCOME_HELD;
+}
--- a/review/lab/scenarios.h
+++ b/review/lab/scenarios.h
@@ -16,6 +16,7 @@
 enum outcome scenario_clock_step (struct lab *lab);
 enum outcome scenario_search (struct lab *lab);
 enum outcome scenario_same_port (struct lab *lab);
+enum outcome scenario_large_values (struct lab *lab);
 enum outcome scenario_address_again (struct lab *lab);
 
 #endif
--- a/review/lab/store.c
+++ b/review/lab/store.c
@@ -15,14 +15,18 @@
 enum
 {
   MS_PER_S = 1000,
-  NS_PER_MS = 1000000
+  NS_PER_MS = 1000000,
+  /* Bytes of values after which a page of a range ends.  */
+  PAGE_BYTES = 1024 * 1024,
+  /* How long the history goes back.  */
+  HISTORY_MS = 20000
 };
 
 static json_t *
 describe (const struct item *item)
 {
-  char text[BASE64_ENCODE_RAW_LENGTH (VALUE_BYTES) + 1];
-  size_t size = strlen (item->value);
+  size_t length = BASE64_ENCODE_RAW_LENGTH (item->size);
+  char *text;
   json_t *row = json_pack ("{s:s, s:I}", "key", item->key, "revision",
                            (json_int_t)item->revision);
 
@@ -31,9 +35,12 @@
       json_object_set_new (row, "removed", json_true ());
       return row;
     }
-  base64_encode_raw (text, size, (const uint8_t *)item->value);
-  text[BASE64_ENCODE_RAW_LENGTH (size)] = '\0';
-  json_object_set_new (row, "value", json_string (text));
+  text = malloc (length + 1);
+  if (text == NULL)
+    abort ();
+  base64_encode_raw (text, item->size, item->value);
+  json_object_set_new (row, "value", json_stringn (text, length));
+  free (text);
   json_object_set_new (row, "created", json_integer (1));
   json_object_set_new (row, "lease", json_integer (0));
   return row;
@@ -69,28 +76,37 @@
 }
 
 /* Replies with the items that changed after REVISION: EVENTS, which include
-   removals, in the order of their revisions, others in that of their keys.  */
+   removals, in the order of their revisions; others in that of their keys, a
+   page of those after the key AFTER.  */
 static enum MHD_Result
 reply_items (struct MHD_Connection *connection, const struct store *store,
-             uint64_t revision, bool events)
+             uint64_t revision, bool events, const char *after)
 {
   const struct item *sorted[ITEMS_MAX] = { NULL };
   json_t *rows = json_array ();
   enum MHD_Result result;
+  bool truncated = false;
   size_t count = 0;
+  size_t bytes = 0;
   json_t *body;
   char *text;
 
   for (uint32_t i = 0; i < ITEMS_MAX; i++)
     if (store->items[i].used && store->items[i].revision > revision
-        && (events || !store->items[i].removed))
+        && (events
+            || (!store->items[i].removed
+                && strcmp (store->items[i].key, after) > 0)))
       sorted[count++] = &store->items[i];
   qsort (sorted, count, sizeof (const struct item *),
          events ? compare_revisions : compare_keys);
-  for (size_t i = 0; i < count; i++)
-    json_array_append_new (rows, describe (sorted[i]));
+  for (size_t i = 0; i < count && !truncated; i++)
+    {
+      json_array_append_new (rows, describe (sorted[i]));
+      bytes += sorted[i]->size;
+      truncated = !events && bytes >= PAGE_BYTES && i + 1 < count;
+    }
   body = json_pack ("{s:o, s:b, s:I}", events ? "events" : "items", rows,
-                    "truncated", 0, "storeRevision",
+                    "truncated", truncated ? 1 : 0, "storeRevision",
                     (json_int_t)store->revision);
   text = json_dumps (body, JSON_COMPACT);
   result = reply (connection, MHD_HTTP_OK, text);
@@ -99,6 +115,19 @@
   return result;
 }
 
+/* Returns whether the history after REVISION is no longer available.  */
+static bool
+is_compacted (const struct store *store, uint64_t revision)
+{
+  int64_t now = lab_steady_ms ();
+
+  for (uint32_t i = 0; i < ITEMS_MAX; i++)
+    if (store->items[i].used && store->items[i].revision > revision
+        && now - store->items[i].written_ms > HISTORY_MS)
+      return true;
+  return false;
+}
+
 static uint64_t
 number_of (struct MHD_Connection *connection, const char *name)
 {
@@ -147,10 +176,18 @@
       uint64_t after = number_of (connection, "after");
 
       wait_for_change (store, after, number_of (connection, "waitMs"));
-      result = reply_items (connection, store, after, true);
+      result = is_compacted (store, after)
+                   ? reply (connection, MHD_HTTP_GONE, "")
+                   : reply_items (connection, store, after, true, "");
     }
   else if (strcmp (url, "/kv-range") == 0)
-    result = reply_items (connection, store, 0, false);
+    {
+      const char *after = MHD_lookup_connection_value (
+          connection, MHD_GET_ARGUMENT_KIND, "after");
+
+      result = reply_items (connection, store, 0, false,
+                            after != NULL ? after : "");
+    }
   else
     result = reply (connection, MHD_HTTP_NOT_FOUND, "");
   pthread_mutex_unlock (&store->lock);
@@ -187,6 +224,8 @@
   pthread_mutex_unlock (&store->lock);
   if (store->daemon != NULL)
     MHD_stop_daemon (store->daemon);
+  for (uint32_t i = 0; i < ITEMS_MAX; i++)
+    free (store->items[i].value);
 }
 
 static struct item *
@@ -203,19 +242,30 @@
 }
 
 static void
-write_item (struct lab *lab, const char *key, const char *value)
+write_item (struct lab *lab, const char *key, const uint8_t *bytes,
+            size_t size, const char *text)
 {
   struct store *store = &lab->store;
   struct item *item;
 
   pthread_mutex_lock (&store->lock);
   item = find_or_add (store, key);
-  item->removed = value == NULL;
-  snprintf (item->value, sizeof item->value, "%s", value == NULL ? "" : value);
+  item->removed = bytes == NULL;
+  free (item->value);
+  item->value = NULL;
+  item->size = 0;
+  if (bytes != NULL)
+    {
+      item->value = malloc (size + 1);
+      if (item->value == NULL)
+        abort ();
+      memcpy (item->value, bytes, size);
+      item->size = size;
+    }
   item->revision = ++store->revision;
+  item->written_ms = lab_steady_ms ();
   lab_log (lab, "store revision=%llu %s %s",
-           (unsigned long long)item->revision, key,
-           value == NULL ? "removed" : value);
+           (unsigned long long)item->revision, key, text);
   pthread_cond_broadcast (&store->changed);
   pthread_mutex_unlock (&store->lock);
 }
@@ -223,11 +273,21 @@
 void
 store_put (struct lab *lab, const char *key, const char *value)
 {
-  write_item (lab, key, value);
+  write_item (lab, key, (const uint8_t *)value, strlen (value), value);
+}
+
+void
+store_put_bytes (struct lab *lab, const char *key, const uint8_t *bytes,
+                 size_t size)
+{
+  char text[TEXT_BYTES];
+
+  snprintf (text, sizeof text, "%zu bytes", size);
+  write_item (lab, key, bytes, size, text);
 }
 
 void
 store_remove (struct lab *lab, const char *key)
 {
-  write_item (lab, key, NULL);
+  write_item (lab, key, NULL, 0, "removed");
 }
