--- a/review/lab/main.c
+++ b/review/lab/main.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "scenarios.h"
 
@@ -36,6 +37,7 @@
   if (count != 3)
     return OUTCOME_NOT_RUN;
   signal (SIGPIPE, SIG_IGN);
+  alarm (RUN_LIMIT_S);
   srandom ((unsigned)lab_unix_ms ());
   lab.trouble = trouble == NULL || strcmp (trouble, "0") != 0;
   lab.record = fopen (arguments[2], "w");
--- a/review/lab/processes.c
+++ b/review/lab/processes.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -142,6 +143,8 @@
           dup2 (fd, STDOUT_FILENO);
           dup2 (fd, STDERR_FILENO);
         }
+      /* It ends with the run, however that ends.  */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       setenv ("GALENAFORD_BOOT", settings, 1);
       execl ("target/galenaford", "target/galenaford", (char *)NULL);
       _exit (127);
