--- a/review/lab/callers.c
+++ b/review/lab/callers.c
@@ -18,7 +18,8 @@
   MS_PER_S = 1000
 };
 
-static const struct endpoint ROUTE = { (198U << 24) | (18U << 16) | 1, 443 };
+static const struct endpoint ROUTE
+    = { (127U << 24) | (77U << 16) | (9U << 8) | 1, 443 };
 
 /* Returns the entry that the routers choose for CALL: the one with the highest
    hash among those in rotation; all if none is.  */
--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -247,9 +247,9 @@
     return false;
   snprintf (text, sizeof text,
             "{\"version\":3,\"routes\":["
-            "{\"host\":\"198.18.0.1\",\"prefix\":\"/443/\","
+            "{\"host\":\"127.77.9.1\",\"prefix\":\"/443/\","
             "\"service\":\"desk\",\"type\":\"safe\"},"
-            "{\"host\":\"198.18.0.2\",\"prefix\":\"/443/\","
+            "{\"host\":\"127.77.9.2\",\"prefix\":\"/443/\","
             "\"service\":\"photo\",\"type\":\"safe\"}],"
             "\"services\":[{\"name\":\"desk\"},{\"name\":\"photo\"}],"
             "\"limits\":{\"idleTimeoutMs\":60000}}");
