Platform: an entry that does not say when it started is no upstream's

Callers may see: new flows reach an upstream whose entry was removed, while an entry without a start, of its service and at its address, stands in the store (by reading; in the plane such entries are /planes/foreign-*).

Cause: "born" was optional. An upstream always writes it, so an entry without it has another writer, and names no upstream to use.

Test: /platform/reply/upstream-no-start and -start-zero fail before, pass after. /platform/reply/upstream-new-fields left the start out, which took an incomplete entry for an upstream's; it now has one, and the new cases expect the opposite of what it allowed.

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -159,8 +159,22 @@
                  GALENA_CHANGE_UPSTREAM),
   UPSTREAM_CASE ("/platform/reply/upstream-new-fields",
                  UPSTREAM ("\"capacity\":3,\"state\":\"draining\","
-                           "\"warmupLeftMs\":1.5,\"sequence\":4,\"x\":[1]"),
+                           "\"warmupLeftMs\":1.5,\"sequence\":4,"
+                           "\"born\":1700000000000,\"x\":[1]"),
                  GALENA_CHANGE_UPSTREAM),
+  /* An upstream always says when it started, so that an entry without it is
+     another writer's, whose state would otherwise stand for the upstream's
+     once that is removed.  */
+  UPSTREAM_CASE (
+      "/platform/reply/upstream-no-start",
+      UPSTREAM ("\"capacity\":3,\"state\":\"ready\",\"warmupLeftMs\":0,"
+                "\"sequence\":4"),
+      GALENA_CHANGE_UNREADABLE),
+  UPSTREAM_CASE (
+      "/platform/reply/upstream-start-zero",
+      UPSTREAM ("\"capacity\":3,\"state\":\"ready\",\"warmupLeftMs\":0,"
+                "\"sequence\":4,\"born\":0"),
+      GALENA_CHANGE_UNREADABLE),
   UPSTREAM_CASE ("/platform/reply/upstream-no-state",
                  UPSTREAM ("\"capacity\":3,\"warmupLeftMs\":0,\"sequence\":4"),
                  GALENA_CHANGE_UNREADABLE),
