Agent: forget a reported start that no entry reports any more

Callers may see: an agent takes new flows while its upstream drains, from an entry that does not know of the drain (by test, not seen in a run).

Cause: the agent kept the latest start that any entry ever reported, and ignored states of earlier ones for good. One published entry with a start far ahead, at the upstream's address while its own was missing, was enough.

Change: a reported start is valid for 10 s after the last hello with it, so that hellos about an earlier incarnation, from entries that lag, are still ignored.

--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -12,6 +12,9 @@
   /* An upstream counts as draining for this long after an entry reported it:
      six periods of an entry's hello.  */
   DRAINING_MS = 3000,
+  /* The newest start that entries have reported is forgotten after this time
+     without such a report: several rounds of hellos to all agents.  */
+  START_VALID_MS = 10000,
   /* An upstream that started at most this long before its agent has had no
      other agent: an instance starts its processes within a few milliseconds
      of each other, while it restarts one that has ended only after half a
@@ -21,17 +24,19 @@
 
 /* Applies STARTED_UNIX_MS, the start of the upstream as an entry reports it.
    The upstream may have started again at the same address.  Returns false when
-   a newer incarnation has been reported.  */
+   a newer incarnation has been reported lately.  */
 static bool
 apply_start (struct galena_plane *plane, uint64_t started_unix_ms)
 {
   struct agent_tables *agent = plane->agent;
 
-  if (started_unix_ms < agent->upstream_started_unix_ms)
+  if (started_unix_ms < agent->upstream_started_unix_ms
+      && !galena_clock_reached (plane->now, agent->start_valid_until))
     return false;
   if (started_unix_ms > agent->upstream_started_unix_ms)
     agent->draining_until = plane->now;
   agent->upstream_started_unix_ms = started_unix_ms;
+  agent->start_valid_until = galena_clock_add_ms (plane->now, START_VALID_MS);
   /* Packets reach the upstream only through its agent, so an agent that
      started with it has seen all of its flows.  */
   if (plane->options.started_unix_ms != 0
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -61,8 +61,10 @@
   /* Requests that the upstream runs concurrently; 0 while unknown.  */
   uint32_t slots;
   /* Start in Unix milliseconds of the newest incarnation of the upstream that
-     entries have reported, and until when it counts as draining.  */
+     entries have reported, until when that report is valid, and until when the
+     upstream counts as draining.  */
   uint64_t upstream_started_unix_ms;
+  struct galena_clock start_valid_until;
   struct galena_clock draining_until;
   /* Moving average of the service time in microseconds; 0 while unknown.  */
   double service_us;
