--- a/soak/main.c
+++ b/soak/main.c
@@ -104,7 +104,8 @@
     soak->routes[i] = (struct route){ .used = true,
                                       .service = i % SERVICES,
                                       .changed = soak->now };
-  if (!store_create (net_entry (soak, 0, PORT_STORE).ip, &soak->store)
+  if (!store_create (net_entry (soak, 0, PORT_STORE).ip, PORT_STORE,
+                     &soak->store)
       || galena_reads_create (&reads, &soak->probes) != GALENA_OK)
     return false;
   publish_config (soak);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -17,6 +17,8 @@
 #include <galenaford/random.h>
 #include <galenaford/reads.h>
 
+#include "store.h"
+
 enum
 {
   ENTRIES_MAX = 64,
@@ -278,7 +280,6 @@
 };
 
 struct soak;
-struct store;
 
 /* A kind of fault; lasts min_ms to max_ms.  */
 struct fault_kind
@@ -406,26 +407,6 @@
 /* Resets the connections of ENTRY.  */
 void relay_reset (struct soak *soak, uint32_t entry);
 
-/* store.c: a simulated key-value store of the platform, on threads of its
-   own */
-struct store_faults
-{
-  /* Replies with status 503.  */
-  bool down;
-  /* Delay of each reply; 0 for none.  */
-  uint32_t slow_ms;
-};
-bool store_create (uint32_t ip, struct store **out);
-void store_destroy (struct store *store);
-void store_put (struct store *store, const char *key, const char *value);
-void store_remove (struct store *store, const char *key);
-/* Discards the history, so that watches from older revisions fail.  */
-void store_compact (struct store *store);
-/* Copies all items; goes back to that copy, in a new era.  */
-void store_copy (struct store *store);
-void store_restore (struct store *store);
-void store_set_faults (struct store *store, struct store_faults faults);
-
 /* publish.c: writes to the store by the operator and the upstreams */
 void publish_config (struct soak *soak);
 void publish_host (struct soak *soak, uint32_t index);
