Log: a key of the store can't break or forge a line

On-call engineers saw: a key with a line break, by any writer of the store, ends the line item-unreadable and begins another one, which may look like an event of the process. Spaces and "=" in a key look like further pairs.

Cause: log lines repeated keys and the header of the era as they came.

Change: they are percent-encoded, by the function that encodes keys in queries; and the log replaces control characters in any line.

--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -9,6 +9,7 @@
 
 #include <galenaford/log.h>
 #include <galenaford/monotonic.h>
+#include <galenaford/percent.h>
 #include <galenaford/platform/store.h>
 #include <galenaford/reads.h>
 #include <galenaford/snapshot_wire.h>
@@ -30,6 +31,8 @@
   PLATFORM_READ = 0,
   PEER_READ = 1,
   READS_MAX = 2,
+  /* Size of a key or header of the store in a log line.  */
+  LOG_TEXT_BYTES = GALENA_PERCENT_BYTES * GALENA_CATALOG_KEY_BYTES,
   URL_BYTES = GALENA_PLATFORM_PATH_BYTES + GALENA_SETTING_BYTES
 };
 
@@ -92,8 +95,12 @@
   uint64_t era;
 
   if (galena_platform_decode_era (completed->header, &era) != GALENA_OK)
-    galena_log (LOG_WARNING, "era-unreadable", "result=type value=%s",
-                completed->header);
+    {
+      char text[LOG_TEXT_BYTES];
+
+      galena_percent_encode (completed->header, text, sizeof text);
+      galena_log (LOG_WARNING, "era-unreadable", "result=type value=%s", text);
+    }
   if (era == 0 || era == reader->era)
     return era;
   galena_log (LOG_NOTICE, "store-era",
@@ -106,6 +113,34 @@
   return era;
 }
 
+static void
+log_unreadable (const struct galena_change *change)
+{
+  char key[LOG_TEXT_BYTES];
+
+  galena_percent_encode (change->key, key, sizeof key);
+  galena_log (LOG_WARNING, "item-unreadable", "key=%s revision=%llu", key,
+              (unsigned long long)change->revision);
+}
+
+static void
+log_skipped (const struct platform_reader *reader,
+             const struct galena_change *change,
+             struct galena_store_position known)
+{
+  char key[LOG_TEXT_BYTES];
+
+  galena_percent_encode (change->key, key, sizeof key);
+  galena_log (
+      LOG_INFO, "change-skipped",
+      "result=older key=%s call=%s era=%llu revision=%llu "
+      "version=%llu known_era=%llu known_revision=%llu",
+      key, reader->call.kind == GALENA_CALL_LIST ? "list" : "watch",
+      (unsigned long long)reader->era, (unsigned long long)change->revision,
+      (unsigned long long)change->config.version,
+      (unsigned long long)known.era, (unsigned long long)known.revision);
+}
+
 static void
 apply_change (void *user, const struct galena_change *change)
 {
@@ -114,20 +149,12 @@
   struct galena_store_position known = { 0 };
 
   if (change->kind == GALENA_CHANGE_UNREADABLE)
-    galena_log (LOG_WARNING, "item-unreadable", "key=%s revision=%llu",
-                change->key, (unsigned long long)change->revision);
+    log_unreadable (change);
   if (galena_catalog_apply_change (reader->catalog, context->now, change,
                                    &known))
     return;
   atomic_fetch_add (&reader->frontend->changes_skipped, 1);
-  galena_log (
-      LOG_INFO, "change-skipped",
-      "result=older key=%s call=%s era=%llu revision=%llu "
-      "version=%llu known_era=%llu known_revision=%llu",
-      change->key, reader->call.kind == GALENA_CALL_LIST ? "list" : "watch",
-      (unsigned long long)reader->era, (unsigned long long)change->revision,
-      (unsigned long long)change->config.version,
-      (unsigned long long)known.era, (unsigned long long)known.revision);
+  log_skipped (reader, change, known);
 }
 
 /* Returns the IPv4 address of the next peer to ask, out of the seeds and the
--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -16,7 +16,9 @@
 enum
 {
   LINE_BYTES = 1024,
-  NAME_BYTES = 64
+  NAME_BYTES = 64,
+  /* The control character above the printable ones.  */
+  DELETE = 127
 };
 
 static char process_name[NAME_BYTES] = "-";
@@ -75,6 +77,16 @@
     dropped++;
 }
 
+/* Replaces control characters, which would break the line or the terminal that
+   shows it.  */
+static void
+clean_line (char *line)
+{
+  for (; *line != '\0'; line++)
+    if ((unsigned char)*line < ' ' || *line == DELETE)
+      *line = '?';
+}
+
 static void
 write_line (int severity, const char *event, const char *format,
             va_list arguments)
@@ -87,6 +99,7 @@
   if (used < 0)
     return;
   vsnprintf (line + used, sizeof line - (size_t)used - 1, format, arguments);
+  clean_line (line);
   used = (int)strlen (line);
   line[used] = '\n';
   emit (line, (size_t)used + 1);
--- a/test/unit/test_log.c
+++ b/test/unit/test_log.c
@@ -1,5 +1,5 @@
 /* Logging to a pipe that is full: writing does not block, and the dropped
-   lines are counted.  */
+   lines are counted.  A line stays one line, whatever its values hold.  */
 
 #include <fcntl.h>
 #include <stdint.h>
@@ -76,11 +76,35 @@
   g_free (second);
 }
 
+/* A value with a line break would forge a second event.  */
+static void
+test_control_characters (void)
+{
+  char *text = g_malloc0 (TEXT_BYTES);
+  int saved_stdout = dup (STDOUT_FILENO);
+  int ends[2];
+
+  g_assert_cmpint (pipe (ends), ==, 0);
+  fcntl (ends[0], F_SETFL, O_NONBLOCK);
+  fflush (stdout);
+  dup2 (ends[1], STDOUT_FILENO);
+  galena_log (LOG_INFO, "control", "key=%s", "a\n<1>event=b\r\x1b[2J\x7f");
+  drain (ends[0], text);
+  dup2 (saved_stdout, STDOUT_FILENO);
+  close (saved_stdout);
+  close (ends[0]);
+  close (ends[1]);
+  g_assert_true (g_str_has_suffix (text, " key=a?<1>event=b??[2J?\n"));
+  g_assert_cmpuint (strcspn (text, "\n") + 1, ==, strlen (text));
+  g_free (text);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   for (size_t i = 0; i < G_N_ELEMENTS (CASES); i++)
     g_test_add_data_func (CASES[i].name, &CASES[i], run_log_case);
+  g_test_add_func ("/log/control-characters", test_control_characters);
   return g_test_run ();
 }
