Reader: list anew when the reply to a watch is too large

Cause: a watch returns all changes at once. Above 4 MB the reply was dropped as a failure, and the next watch, from the same revision, got the same reply.

Test: /odd-entries/large, with 1 MB values of no use among the entries and beside them, fails before (no flow on a route 3 s after its configuration), passes after.

--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -252,6 +252,16 @@
     return result;
   if (completed->status == GALENA_PLATFORM_HISTORY_GONE)
     return GALENA_CALL_HISTORY_GONE;
+  /* A watch returns all changes at once, however large their values are; the
+     pages of a list are bounded.  */
+  if (completed->result == GALENA_ERR_TOO_LARGE
+      && reader->call.kind == GALENA_CALL_WATCH)
+    {
+      galena_log (LOG_WARNING, "reply-skipped",
+                  "result=too-large era=%llu status=%u",
+                  (unsigned long long)era, completed->status);
+      return GALENA_CALL_HISTORY_GONE;
+    }
   if (completed->result != GALENA_OK
       || galena_platform_decode_reply (&reader->call, completed->text,
                                        completed->size, apply_change, &context,
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -55,6 +55,7 @@
   TEXT_BYTES = 512,
   KEY_BYTES = 256,
   LINE_BYTES_MAX = 1024,
+  LARGE_BYTES = 1024 * 1024,
   /* Lines about unreadable items that a process may write: those of one window
      of the log's limit, for each that a case may last.  */
   UNREADABLE_LINES_MAX = 300
@@ -594,6 +595,39 @@
     }
 }
 
+/* Values of the largest size that a store takes: no JSON, a list of as many
+   lists as fit, and an entry with such a list.  */
+static void
+write_large (struct site *site, const char *prefix)
+{
+  char head[TEXT_BYTES];
+  GString *value = g_string_new (NULL);
+
+  write_entry (head, "desk", agent_ip (site, 1), PORT_UPSTREAM,
+               STATE ("ready"));
+  head[strlen (head) - 1] = '\0';
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      g_string_truncate (value, 0);
+      while (value->len < LARGE_BYTES)
+        g_string_append_c (value, '[');
+      put_odd (site, prefix, value->str, value->len);
+      g_string_assign (value, "[[]");
+      while (value->len + 4 < LARGE_BYTES)
+        g_string_append (value, ",[]");
+      g_string_append_c (value, ']');
+      put_odd (site, "blob/", value->str, value->len);
+      put_odd (site, prefix, value->str, value->len);
+      g_string_assign (value, head);
+      g_string_append (value, ",\"x\":[[]");
+      while (value->len + 5 < LARGE_BYTES)
+        g_string_append (value, ",[]");
+      g_string_append (value, "]}");
+      put_odd (site, prefix, value->str, value->len);
+    }
+  g_string_free (value, TRUE);
+}
+
 static void
 write_none (struct site *site, const char *prefix)
 {
@@ -612,6 +646,7 @@
   { "/odd-entries/keys", write_keys },
   { "/odd-entries/pages", write_pages },
   { "/odd-entries/flood", write_flood },
+  { "/odd-entries/large", write_large },
 };
 
 static char *
