--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -56,6 +56,8 @@
   KEY_BYTES = 256,
   LINE_BYTES_MAX = 1024,
   LARGE_BYTES = 1024 * 1024,
+  /* Smallest limit of the memory of an entry on the users' deployments.  */
+  MEMORY_BOUND_KB = 60 * 1024,
   /* Lines about unreadable items that a process may write: those of one window
      of the log's limit, for each that a case may last.  */
   UNREADABLE_LINES_MAX = 300
@@ -707,6 +709,34 @@
   g_free (log);
 }
 
+/* Under sanitizers a process needs a multiple of the memory, so the limit is
+   not checked.  */
+#ifdef __SANITIZE_ADDRESS__
+#define MEMORY_CHECKED false
+#else
+#define MEMORY_CHECKED true
+#endif
+
+/* Asserts that the memory of process PID has stayed within its limit.  */
+static void
+check_memory (pid_t pid)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", (int)pid);
+  char *text;
+  const char *peak;
+  guint64 kb;
+
+  g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  peak = strstr (text, "VmHWM:");
+  g_assert_nonnull (peak);
+  kb = g_ascii_strtoull (peak + strlen ("VmHWM:"), NULL, 10);
+  g_test_message ("peak memory: %" G_GUINT64_FORMAT " KB", kb);
+  if (MEMORY_CHECKED)
+    g_assert_cmpuint (kb, <=, MEMORY_BOUND_KB);
+  g_free (text);
+  g_free (path);
+}
+
 /* Asserts that ENTRY has not ended, and ends it.  */
 static void
 end_entry (struct site *site, uint32_t entry)
@@ -714,6 +744,7 @@
   int status;
 
   g_assert_cmpint (waitpid (site->entries[entry], &status, WNOHANG), ==, 0);
+  check_memory (site->entries[entry]);
   g_assert_cmpint (kill (site->entries[entry], SIGTERM), ==, 0);
   g_assert_cmpint (waitpid (site->entries[entry], &status, 0), ==,
                    site->entries[entry]);
