Catalog: keep the whole id of an upstream

Callers may see: no flow reaches an upstream whose id shares its first 63 bytes with that of another one, and one that was removed stays known.

Cause: ids were cut to 63 bytes, so two entries shared a row, while a removal was looked up by the whole id and not found.

Change: an id has up to 199 bytes, as many as a key of the store leaves it; an entry with an empty id is unreadable.

--- a/packages/flows/include/galenaford/directory.h
+++ b/packages/flows/include/galenaford/directory.h
@@ -17,6 +17,10 @@
 {
   /* Size of a published name in bytes, with its terminating zero.  */
   GALENA_PUBLISHED_NAME_BYTES = 64,
+  /* Size of the published id of an upstream in bytes, with its terminating
+     zero; it is part of a key of the platform's store, which has at most 200
+     bytes.  */
+  GALENA_PUBLISHED_ID_BYTES = 200,
   /* Maximum number of services that share one route.  */
   GALENA_ROUTE_SHARES_MAX = 8
 };
@@ -56,8 +60,8 @@
 
 struct galena_published_upstream
 {
-  /* Published name; a new one for each incarnation of the upstream.  */
-  char id[GALENA_PUBLISHED_NAME_BYTES];
+  /* Mostly a new one for each incarnation of the upstream.  */
+  char id[GALENA_PUBLISHED_ID_BYTES];
   galena_service_key service;
   /* Address at which the upstream itself listens.  */
   struct galena_endpoint address;
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -56,6 +56,7 @@
   KEY_BYTES = 256,
   LINE_BYTES_MAX = 1024,
   LARGE_BYTES = 1024 * 1024,
+  FLOOD = 5000,
   /* Smallest limit of the memory of an entry on the users' deployments.  */
   MEMORY_BOUND_KB = 60 * 1024,
   /* Lines about unreadable items that a process may write: those of one window
@@ -90,6 +91,7 @@
   struct galena_clock report_due;
   uint32_t version;
   uint32_t odd_items;
+  const char *id;
 };
 
 typedef void odd_writer (struct site *site, const char *prefix);
@@ -99,6 +101,8 @@
   const char *name;
   /* Writes odd items whose keys begin with PREFIX.  */
   odd_writer *write;
+  /* What the ids of upstreams begin with; NULL for a short text.  */
+  const char *id;
 };
 
 static uint32_t
@@ -367,7 +371,7 @@
   char key[KEY_BYTES];
   char text[TEXT_BYTES];
 
-  g_snprintf (key, sizeof key, "servers/host-%u", index);
+  g_snprintf (key, sizeof key, "servers/%s-%u", site->id, index);
   write_entry (text, "desk", agent_ip (site, index), PORT_UPSTREAM, fields);
   store_put (site->store, key, text);
 }
@@ -583,13 +587,32 @@
     }
 }
 
+/* Entries whose ids are alike to those of the upstreams in all but the last
+   bytes.  */
+static void
+write_alike (struct site *site, const char *prefix)
+{
+  char text[TEXT_BYTES];
+  char key[KEY_BYTES];
+
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      /* The prefix tells the two times apart at which they are written.  */
+      g_snprintf (key, sizeof key, "servers/%s-%c%u", site->id,
+                  prefix[strlen (prefix) - 1], i);
+      write_entry (text, i < 2 ? "exporter" : "desk", agent_ip (site, i % 2),
+                   9100, STATE ("ready"));
+      store_put (site->store, key, text);
+    }
+}
+
 /* More entries of another service than an entry has rows for.  */
 static void
 write_flood (struct site *site, const char *prefix)
 {
   char text[TEXT_BYTES];
 
-  for (uint32_t i = 0; i < 5000; i++)
+  for (uint32_t i = 0; i < FLOOD; i++)
     {
       write_entry (text, "exporter", ip_of (site, 9 + i / 250, i % 250), 9100,
                    STATE ("ready"));
@@ -637,18 +660,24 @@
   (void)prefix;
 }
 
+/* An id of 180 bytes.  */
+#define TEN "0123456789"
+#define LONG_ID                                                               \
+  TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN
+
 static const struct odd_case CASES[] = {
   /* Shows that the test itself holds.  */
-  { "/odd-entries/none", write_none },
-  { "/odd-entries/nested", write_nested },
-  { "/odd-entries/numbers", write_numbers },
-  { "/odd-entries/addresses", write_addresses },
-  { "/odd-entries/bytes", write_bytes },
-  { "/odd-entries/words", write_words },
-  { "/odd-entries/keys", write_keys },
-  { "/odd-entries/pages", write_pages },
-  { "/odd-entries/flood", write_flood },
-  { "/odd-entries/large", write_large },
+  { "/odd-entries/none", write_none, NULL },
+  { "/odd-entries/nested", write_nested, NULL },
+  { "/odd-entries/numbers", write_numbers, NULL },
+  { "/odd-entries/addresses", write_addresses, NULL },
+  { "/odd-entries/bytes", write_bytes, NULL },
+  { "/odd-entries/words", write_words, NULL },
+  { "/odd-entries/keys", write_keys, NULL },
+  { "/odd-entries/long-ids", write_alike, LONG_ID },
+  { "/odd-entries/pages", write_pages, NULL },
+  { "/odd-entries/flood", write_flood, NULL },
+  { "/odd-entries/large", write_large, NULL },
 };
 
 static char *
@@ -829,6 +858,7 @@
   const struct odd_case *test = data;
   struct site site = { 0 };
 
+  site.id = test->id != NULL ? test->id : "host";
   open_site (&site);
   put_config (&site, 1);
   for (uint32_t i = 0; i < AGENTS; i++)
--- a/test/unit/test_peer_wire.c
+++ b/test/unit/test_peer_wire.c
@@ -110,8 +110,13 @@
   { { 0xc6120001, 8080 }, 2, { { 7, 90 }, { UINT64_MAX, UINT32_MAX } } },
 };
 
+#define TEN "0123456789"
+#define LONGEST_ID                                                            \
+  TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN \
+      "012345678"
+
 static const struct galena_published_upstream UPSTREAMS[] = {
-  { "i-1",
+  { LONGEST_ID,
     7,
     { 0x0a000001, 80 },
     GALENA_PUBLISHED_READY,
@@ -156,7 +161,8 @@
   g_assert_cmpuint (decoded.routes[1].shares[1].weight, ==, UINT32_MAX);
   g_assert_cmpuint (decoded.routes[1].address.port, ==, 8080);
   g_assert_cmpuint (decoded.upstream_count, ==, G_N_ELEMENTS (UPSTREAMS));
-  g_assert_cmpstr (decoded.upstreams[0].id, ==, "i-1");
+  g_assert_cmpstr (decoded.upstreams[0].id, ==, LONGEST_ID);
+  g_assert_cmpuint (strlen (LONGEST_ID) + 1, ==, GALENA_PUBLISHED_ID_BYTES);
   g_assert_cmpuint (decoded.upstreams[0].started_unix_ms, ==, 1700000000);
   g_assert_cmpuint (decoded.upstreams[0].zone, ==, 77);
   g_assert_cmpuint (decoded.upstreams[0].sequence, ==, 41);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -196,6 +196,15 @@
                  GALENA_CHANGE_UNREADABLE),
   UPSTREAM_CASE ("/platform/reply/upstream-list", "[1]",
                  GALENA_CHANGE_UNREADABLE),
+  { "/platform/reply/upstream-empty-id",
+    GALENA_CALL_LIST,
+    "{\"items\":[{\"key\":\"servers/\",\"value\":\"@\",\"revision\":4}],"
+    "\"truncated\":false,\"storeRevision\":9}",
+    VALID_UPSTREAM,
+    GALENA_OK,
+    1,
+    { { GALENA_CHANGE_UNREADABLE, "", 0 } },
+    0 },
   { "/platform/reply/not-base64",
     GALENA_CALL_LIST,
     "{\"items\":[{\"key\":\"servers/i-1\",\"value\":\"***\",\"revision\":4}],"
