Platform: a key that can't be used hides no other item

Callers may see: entries follow the store no longer while a key with a zero byte stands in it, or drop upstreams that stand on the pages after one that ends with a key that is too long or no text (both by test of the decoder).

Cause: the whole reply was refused for a zero byte in a string; and a page whose last key could not be repeated in a query was taken for the last one, so that what follows it counted as removed.

--- a/packages/daemon/src/platform_reader.c
+++ b/packages/daemon/src/platform_reader.c
@@ -103,6 +103,12 @@
   struct galena_clock now;
 };
 
+static const char *
+call_name (const struct platform_reader *reader)
+{
+  return reader->call.kind == GALENA_CALL_LIST ? "list" : "watch";
+}
+
 /* Returns the era of the store in COMPLETED, 0 if it has none, and logs when
    the era changes, with the call whose reply showed it.  */
 static uint64_t
@@ -123,8 +129,8 @@
   galena_log (LOG_NOTICE, "store-era",
               "era=%llu before=%llu call=%s after=%llu status=%u",
               (unsigned long long)era, (unsigned long long)reader->era,
-              reader->call.kind == GALENA_CALL_LIST ? "list" : "watch",
-              (unsigned long long)reader->call.revision, completed->status);
+              call_name (reader), (unsigned long long)reader->call.revision,
+              completed->status);
   reader->era = era;
   atomic_store (&reader->frontend->store_era, era);
   return era;
@@ -148,14 +154,14 @@
   char key[LOG_TEXT_BYTES];
 
   galena_percent_encode (change->key, key, sizeof key);
-  galena_log (
-      LOG_INFO, "change-skipped",
-      "result=older key=%s call=%s era=%llu revision=%llu "
-      "version=%llu known_era=%llu known_revision=%llu",
-      key, reader->call.kind == GALENA_CALL_LIST ? "list" : "watch",
-      (unsigned long long)reader->era, (unsigned long long)change->revision,
-      (unsigned long long)change->config.version,
-      (unsigned long long)known.era, (unsigned long long)known.revision);
+  galena_log (LOG_INFO, "change-skipped",
+              "result=older key=%s call=%s era=%llu revision=%llu "
+              "version=%llu known_era=%llu known_revision=%llu",
+              key, call_name (reader), (unsigned long long)reader->era,
+              (unsigned long long)change->revision,
+              (unsigned long long)change->config.version,
+              (unsigned long long)known.era,
+              (unsigned long long)known.revision);
 }
 
 static void
@@ -260,6 +266,7 @@
   uint64_t era = update_era (reader, completed);
   enum galena_call_result result
       = galena_catalog_begin_reply (reader->catalog, era);
+  enum galena_result decoded;
 
   if (result != GALENA_CALL_OK && era != 0)
     galena_log (LOG_NOTICE, "reply-skipped", "result=%s era=%llu status=%u",
@@ -279,13 +286,17 @@
                   (unsigned long long)era, completed->status);
       return GALENA_CALL_HISTORY_GONE;
     }
-  if (completed->result != GALENA_OK
-      || galena_platform_decode_reply (&reader->call, completed->text,
-                                       completed->size, apply_change, &context,
-                                       reply)
-             != GALENA_OK)
+  if (completed->result != GALENA_OK)
     return GALENA_CALL_FAILED;
-  return GALENA_CALL_OK;
+  decoded = galena_platform_decode_reply (&reader->call, completed->text,
+                                          completed->size, apply_change,
+                                          &context, reply);
+  if (decoded == GALENA_OK)
+    return GALENA_CALL_OK;
+  galena_log (LOG_WARNING, "reply-unreadable", "result=%s call=%s bytes=%zu",
+              galena_result_name (decoded), call_name (reader),
+              completed->size);
+  return GALENA_CALL_FAILED;
 }
 
 static void
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -129,11 +129,15 @@
   const char *value;
   enum galena_result result;
   uint32_t count;
-  struct expected_change changes[2];
+  struct expected_change changes[4];
   /* Routes in the decoded configuration.  */
   uint32_t routes;
 };
 
+#define TEN "0123456789"
+#define KEY_OF_220                                                            \
+  TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN \
+      TEN TEN TEN
 #define UPSTREAM(fields)                                                      \
   "{\"service\":\"a\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","          \
   "\"version\":\"v1\"," fields "}"
@@ -205,6 +209,41 @@
     1,
     { { GALENA_CHANGE_UNREADABLE, "", 0 } },
     0 },
+  /* Keys that can't be used are those of no upstream; the others hold.  */
+  { "/platform/reply/key-with-zero-byte",
+    GALENA_CALL_LIST,
+    "{\"items\":[{\"key\":\"servers/i-1\\u0000x\",\"value\":\"@\"},"
+    "{\"key\":\"servers/i-1\",\"value\":\"@\",\"revision\":4}],"
+    "\"truncated\":false,\"storeRevision\":9}",
+    VALID_UPSTREAM,
+    GALENA_OK,
+    2,
+    { { GALENA_CHANGE_UNREADABLE, "", 0 },
+      { GALENA_CHANGE_UPSTREAM, "i-1", 0 } },
+    0 },
+  { "/platform/reply/removed-key-with-zero-byte",
+    GALENA_CALL_WATCH,
+    "{\"events\":[{\"key\":\"servers/i-1\\u0000\",\"removed\":true},"
+    "{\"key\":\"op/config\\u0000\",\"removed\":true}],"
+    "\"storeRevision\":9}",
+    "",
+    GALENA_OK,
+    2,
+    { { GALENA_CHANGE_UNREADABLE, "", 0 },
+      { GALENA_CHANGE_UNREADABLE, "", 0 } },
+    0 },
+  { "/platform/reply/key-not-text",
+    GALENA_CALL_LIST,
+    "{\"items\":[{\"key\":7,\"value\":\"@\"},3,null,{\"value\":\"@\"}],"
+    "\"truncated\":false,\"storeRevision\":9}",
+    VALID_UPSTREAM,
+    GALENA_OK,
+    4,
+    { { GALENA_CHANGE_UNREADABLE, "", 0 },
+      { GALENA_CHANGE_UNREADABLE, "", 0 },
+      { GALENA_CHANGE_UNREADABLE, "", 0 },
+      { GALENA_CHANGE_UNREADABLE, "", 0 } },
+    0 },
   { "/platform/reply/not-base64",
     GALENA_CALL_LIST,
     "{\"items\":[{\"key\":\"servers/i-1\",\"value\":\"***\",\"revision\":4}],"
@@ -347,6 +386,61 @@
   g_free (value);
 }
 
+static void
+ignore_change (void *user, const struct galena_change *change)
+{
+  (void)user;
+  (void)change;
+}
+
+struct page_case
+{
+  const char *name;
+  /* Keys of the page, as JSON.  */
+  const char *keys[3];
+  enum galena_result result;
+  /* The key after which the next page begins.  */
+  const char *next;
+};
+
+static const struct page_case PAGES[] = {
+  { "/platform/page/last-key", { "\"a\"", "\"b\"" }, GALENA_OK, "b" },
+  /* The next page begins after the last key that a query can name; a page
+     without one is not taken for the last.  */
+  { "/platform/page/last-key-with-zero-byte",
+    { "\"a\"", "\"b\\u0000c\"" },
+    GALENA_OK,
+    "a" },
+  { "/platform/page/last-key-not-text", { "\"a\"", "7" }, GALENA_OK, "a" },
+  { "/platform/page/last-key-too-long",
+    { "\"a\"", "\"" KEY_OF_220 "\"" },
+    GALENA_OK,
+    "a" },
+  { "/platform/page/no-key", { "7" }, GALENA_ERR_RANGE, "" },
+  { "/platform/page/empty", { NULL }, GALENA_ERR_RANGE, "" },
+};
+
+static void
+run_page_case (gconstpointer data)
+{
+  const struct page_case *test = data;
+  struct galena_catalog_call call = { .kind = GALENA_CALL_LIST };
+  struct galena_catalog_reply reply;
+  GString *text = g_string_new ("{\"items\":[");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (test->keys) && test->keys[i] != NULL;
+       i++)
+    g_string_append_printf (text, "%s{\"key\":%s}", i > 0 ? "," : "",
+                            test->keys[i]);
+  g_string_append (text, "],\"truncated\":true,\"storeRevision\":9}");
+  g_assert_cmpint (galena_platform_decode_reply (&call, text->str, text->len,
+                                                 ignore_change, NULL, &reply),
+                   ==, test->result);
+  g_assert_cmpint (reply.more, ==, test->result == GALENA_OK);
+  g_assert_cmpstr (reply.next, ==, test->next);
+  g_string_free (text, TRUE);
+}
+
 struct path_case
 {
   const char *name;
@@ -404,13 +498,6 @@
   g_assert_cmpuint (era, ==, test->era);
 }
 
-static void
-ignore_change (void *user, const struct galena_change *change)
-{
-  (void)user;
-  (void)change;
-}
-
 static void
 test_random_bytes (void)
 {
@@ -440,6 +527,8 @@
     g_test_add_data_func (PACKETS[i].name, &PACKETS[i], run_packet_case);
   for (size_t i = 0; i < G_N_ELEMENTS (REPLIES); i++)
     g_test_add_data_func (REPLIES[i].name, &REPLIES[i], run_reply_case);
+  for (size_t i = 0; i < G_N_ELEMENTS (PAGES); i++)
+    g_test_add_data_func (PAGES[i].name, &PAGES[i], run_page_case);
   for (size_t i = 0; i < G_N_ELEMENTS (PATHS); i++)
     g_test_add_data_func (PATHS[i].name, &PATHS[i], run_path_case);
   for (size_t i = 0; i < G_N_ELEMENTS (ERAS); i++)
