--- a/packages/flows/include/galenaford/catalog.h
+++ b/packages/flows/include/galenaford/catalog.h
@@ -81,7 +81,7 @@
 struct galena_change
 {
   enum galena_change_kind kind;
-  /* Name of the item, such as the published id of an upstream; borrowed.  Empty
+  /* Name of the item, such as the published id of an upstream; borrowed. Empty
      if it names none.  */
   const char *key;
   /* Revision of the store: in a watch that of the change, in a list that of
--- a/packages/flows/src/catalog_upstreams.c
+++ b/packages/flows/src/catalog_upstreams.c
@@ -182,23 +182,24 @@
 
 /* Returns whether UPSTREAM, seen at POSITION, is an older state of ITEM, which
    an older copy of the store has brought back.  An upstream counts its own
-   states, so that those of one start can be compared in any reply.  LISTED is
-   false for a change, which is written after the copy came back: its start may
-   be earlier only by the clock of the instance.  */
+   states, so that those of one start can be compared over eras.  Within an era
+   the later position is right, whatever another writer may have put under the
+   upstream's id before.  LISTED is false for a change, which is written after
+   the copy came back.  */
 static bool
 is_restored_state (const struct catalog_upstream *item,
                    struct galena_store_position position, bool listed,
                    const struct galena_published_upstream *upstream)
 {
   const struct galena_published_upstream *known = &item->upstream;
-  bool after_copy = listed && position.era > item->state_era;
 
-  if (upstream->started_unix_ms == 0 || known->started_unix_ms == 0)
+  if (!listed || position.era <= item->state_era
+      || upstream->started_unix_ms == 0 || known->started_unix_ms == 0)
     return false;
   if (upstream->started_unix_ms != known->started_unix_ms)
-    return after_copy && upstream->started_unix_ms < known->started_unix_ms;
+    return upstream->started_unix_ms < known->started_unix_ms;
   if (upstream->sequence == known->sequence)
-    return after_copy && item->removal_due.ms != 0;
+    return item->removal_due.ms != 0;
   return upstream->sequence < known->sequence;
 }
 
@@ -275,12 +276,14 @@
 }
 
 /* Replaces the state of ITEM, which the store lists, by the newer UPSTREAM of
-   a peer.  */
+   a peer, known since ERA at the latest.  */
 static void
 adopt_state (struct galena_catalog *catalog, struct catalog_upstream *item,
-             const struct galena_published_upstream *upstream,
+             const struct galena_published_upstream *upstream, uint64_t era,
              struct galena_clock now)
 {
+  if (era < item->state_era)
+    item->state_era = era;
   if (upstream->state != GALENA_PUBLISHED_ABSENT)
     {
       item->upstream = *upstream;
@@ -293,6 +296,24 @@
     }
 }
 
+/* Returns whether UPSTREAM of a peer, whose snapshot has an earlier position
+   in ERA, is a newer state of ITEM.  Only what an older copy of the store has
+   lost can be: within an era the later position knows more.  */
+static bool
+is_newer_state (const struct galena_catalog *catalog,
+                const struct catalog_upstream *item,
+                const struct galena_published_upstream *upstream, uint64_t era)
+{
+  if (upstream->started_unix_ms == 0
+      || upstream->started_unix_ms != item->upstream.started_unix_ms
+      || (era >= item->state_era
+          && item->state_era == catalog->calls.position.era))
+    return false;
+  if (upstream->sequence == item->upstream.sequence)
+    return upstream->state == GALENA_PUBLISHED_ABSENT && era < item->state_era;
+  return upstream->sequence > item->upstream.sequence;
+}
+
 /* Adds the upstreams of SNAPSHOT that a full table lacks, if it has the same
    position.  The peer may have left them out itself before.  */
 static void
@@ -315,6 +336,8 @@
                             const struct galena_catalog_snapshot *snapshot,
                             struct galena_clock now)
 {
+  uint64_t era = snapshot->position.era;
+
   adopt_left_out (catalog, snapshot, now);
   for (uint32_t i = 0; i < snapshot->upstream_count; i++)
     {
@@ -323,16 +346,8 @@
       struct catalog_upstream *item
           = catalog_find_upstream (catalog, upstream->id);
 
-      if (item == NULL || upstream->started_unix_ms == 0
-          || upstream->started_unix_ms != item->upstream.started_unix_ms
-          || upstream->sequence < item->upstream.sequence)
-        continue;
-      /* In one era, the later position knows more of the same state.  */
-      if (upstream->sequence == item->upstream.sequence
-          && (upstream->state != GALENA_PUBLISHED_ABSENT
-              || snapshot->position.era >= item->state_era))
-        continue;
-      adopt_state (catalog, item, upstream, now);
+      if (item != NULL && is_newer_state (catalog, item, upstream, era))
+        adopt_state (catalog, item, upstream, era, now);
     }
 }
 
