--- a/soak/faults.c
+++ b/soak/faults.c
@@ -269,6 +269,22 @@
   soak->delay_one_in = 0;
 }
 
+static void
+write_others (struct soak *soak, uint32_t target)
+{
+  (void)target;
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    publish_others (soak, i);
+}
+
+static void
+remove_written (struct soak *soak, uint32_t target)
+{
+  (void)target;
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    remove_others (soak, i);
+}
+
 static const struct fault_kind KINDS[] = {
   { "kill-entry", false, 0, 0, kill_entry, NULL },
   { "kill-agent", false, 0, 0, kill_agent, NULL },
@@ -298,6 +314,11 @@
 static const struct fault_kind RESTORED_STORE
     = { "store-restored", false, 500, 5000, copy_store, lose_writes };
 
+/* Another writer puts entries into the store, which must not affect callers.
+   It is not drawn with the other kinds either.  */
+static const struct fault_kind OTHER_WRITER
+    = { "other-writer", true, 4000, 9000, write_others, remove_written };
+
 enum
 {
   KIND_COUNT = sizeof KINDS / sizeof KINDS[0],
@@ -305,7 +326,8 @@
   FIRST_PLANNED = 14,
   /* Sets the random numbers of RESTORED_STORE apart from those of the other
      faults.  */
-  RESTORE_SEED = 0x5702e
+  RESTORE_SEED = 0x5702e,
+  OTHER_WRITER_SEED = 0x07e6
 };
 
 static void
@@ -332,6 +354,7 @@
 {
   const struct soak_options *options = &soak->options;
   struct galena_random restores = { options->seed ^ RESTORE_SEED, 0 };
+  struct galena_random others = { options->seed ^ OTHER_WRITER_SEED, 0 };
   struct galena_random *random = &soak->random;
 
   for (uint32_t i = 0; i < options->faults && i < FAULTS_MAX - CALM_FAULTS;
@@ -353,6 +376,10 @@
        i--)
     schedule_fault (soak, &restores, &RESTORED_STORE, FIRST_FAULT_MS,
                     options->faults_ms - FIRST_FAULT_MS);
+  for (uint32_t i = 0; i < OTHER_WRITES; i++)
+    schedule_fault (soak, &others, &OTHER_WRITER, FIRST_FAULT_MS,
+                    options->faults_ms + options->calm_ms / 2
+                        - FIRST_FAULT_MS);
 }
 
 void
--- a/soak/publish.c
+++ b/soak/publish.c
@@ -12,7 +12,9 @@
   /* Size of an address, a prefix or the name of a service.  */
   TEXT_BYTES = 32,
   KEY_BYTES = 64,
-  SLOTS = 4
+  SLOTS = 4,
+  PORT_EXPORTER = 9100,
+  FAR_AHEAD_MS = 1000000000
 };
 
 static void
@@ -104,6 +106,81 @@
     }
 }
 
+/* An entry of another writer: of the service of the host or another one, at
+   its port or another one.  */
+struct other_entry
+{
+  const char *service;
+  uint16_t port;
+  const char *state;
+  /* Milliseconds from the start of the host to its own.  */
+  json_int_t started_after_ms;
+};
+
+static const struct other_entry OTHERS[] = {
+  { "exporter", PORT_EXPORTER, "ready", 1 },
+  { "exporter", PORT_HOST, "ready", FAR_AHEAD_MS },
+  { "exporter", PORT_HOST, "draining", 60000 },
+  { NULL, PORT_EXPORTER, "ready", FAR_AHEAD_MS },
+  { NULL, PORT_EXPORTER, "draining", 1000 },
+  { NULL, PORT_HOST, "draining", FAR_AHEAD_MS },
+  { NULL, PORT_HOST, "gone", 1000 },
+};
+
+enum
+{
+  OTHER_COUNT = sizeof OTHERS / sizeof OTHERS[0]
+};
+
+static void
+write_other_key (uint32_t index, uint32_t other, char *key)
+{
+  /* Half of them stand before the entries of hosts.  */
+  snprintf (key, KEY_BYTES, "servers/%c-other-%u-%u",
+            other % 2 == 0 ? 'a' : 'z', index, other);
+}
+
+void
+publish_others (struct soak *soak, uint32_t index)
+{
+  const struct host *host = &soak->hosts[index];
+  char address[TEXT_BYTES];
+  char service[TEXT_BYTES];
+  char key[KEY_BYTES];
+
+  snprintf (service, sizeof service, "service-%u", host->service);
+  for (uint32_t i = 0; i < OTHER_COUNT; i++)
+    {
+      const struct other_entry *other = &OTHERS[i];
+
+      write_other_key (index, i, key);
+      net_format (net_host (soak, index, other->port), address,
+                  sizeof address);
+      put_json (
+          soak, key,
+          json_pack (
+              "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}", "service",
+              other->service != NULL ? other->service : service, "address",
+              address, "zone", "z", "version", "1", "capacity", 100, "state",
+              other->state, "warmupLeftMs", 0, "sequence", 1, "born",
+              (json_int_t)host->started_unix_ms + other->started_after_ms));
+    }
+  write_other_key (index, OTHER_COUNT, key);
+  store_put (soak->store, key, "{\"service\":[[[");
+}
+
+void
+remove_others (struct soak *soak, uint32_t index)
+{
+  char key[KEY_BYTES];
+
+  for (uint32_t i = 0; i <= OTHER_COUNT; i++)
+    {
+      write_other_key (index, i, key);
+      store_remove (soak->store, key);
+    }
+}
+
 void
 publish_run (struct soak *soak)
 {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -35,6 +35,9 @@
   /* Maximum number of times that the store is restored from its copy, beside
      the other faults.  */
   RESTORES_MAX = 2,
+  /* Number of times that another writer puts entries into the store, beside
+     the other faults.  */
+  OTHER_WRITES = 3,
   DELAYED_PACKETS_MAX = 1024,
   RELAY_CONNECTIONS_MAX = 512,
   PATH_BYTES = 256,
@@ -333,7 +336,7 @@
   struct relay relays[ENTRIES_MAX];
   struct relay_connection connections[RELAY_CONNECTIONS_MAX];
   uint32_t fault_count;
-  struct fault faults[FAULTS_MAX + RESTORES_MAX];
+  struct fault faults[FAULTS_MAX + RESTORES_MAX + OTHER_WRITES];
   /* When the next health checks of entries are sent.  */
   struct galena_clock probe_at;
   /* Health checks in progress.  */
@@ -410,6 +413,10 @@
 /* publish.c: writes to the store by the operator and the upstreams */
 void publish_config (struct soak *soak);
 void publish_host (struct soak *soak, uint32_t index);
+/* Writes entries of another writer that share the instance of host INDEX, or
+   removes them.  */
+void publish_others (struct soak *soak, uint32_t index);
+void remove_others (struct soak *soak, uint32_t index);
 /* System: writes what a restored store has lost again, after some time.  */
 void publish_run (struct soak *soak);
 
--- a/test/standins/store.c
+++ b/test/standins/store.c
@@ -233,14 +233,14 @@
 collect_events (const struct items *items, uint64_t revision)
 {
   const struct item **sorted
-      = check_memory (calloc (items->count + 1, sizeof *sorted));
+      = check_memory (calloc (items->count + 1, sizeof (const struct item *)));
   json_t *rows = json_array ();
   size_t count = 0;
 
   for (size_t i = 0; i < items->count; i++)
     if (items->rows[i].revision > revision)
       sorted[count++] = &items->rows[i];
-  qsort (sorted, count, sizeof *sorted, compare_revisions);
+  qsort (sorted, count, sizeof (const struct item *), compare_revisions);
   for (size_t i = 0; i < count; i++)
     json_array_append_new (rows, describe (sorted[i]));
   free (sorted);
--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -215,7 +215,7 @@
 receive (struct site *site, uint32_t agent)
 {
   uint8_t bytes[DATAGRAM_BYTES];
-  struct sockaddr_in from;
+  struct sockaddr_in from = { 0 };
   socklen_t from_size = sizeof from;
   ssize_t size;
 
