Platform: a port of an entry is digits only

Cause: sscanf's %u takes a sign and spaces, so that another writer's entry with "10.0.0.9:+8080" or "10.0.0.9: 8080" counted as one at 10.0.0.9:8080.

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -158,6 +158,13 @@
         { { kind, "i-1", 0 } }, 0                                             \
   }
 
+#define ADDRESS_CASE(name, address)                                           \
+  UPSTREAM_CASE (name,                                                        \
+                 "{\"service\":\"a\",\"zone\":\"z\",\"address\":\"" address   \
+                 "\",\"capacity\":3,\"state\":\"ready\",\"warmupLeftMs\":0,"  \
+                 "\"sequence\":4,\"born\":1700000000000}",                    \
+                 GALENA_CHANGE_UNREADABLE)
+
 static const struct reply_case REPLIES[] = {
   UPSTREAM_CASE ("/platform/reply/upstream", VALID_UPSTREAM,
                  GALENA_CHANGE_UPSTREAM),
@@ -200,6 +207,12 @@
                  GALENA_CHANGE_UNREADABLE),
   UPSTREAM_CASE ("/platform/reply/upstream-list", "[1]",
                  GALENA_CHANGE_UNREADABLE),
+  ADDRESS_CASE ("/platform/reply/upstream-port-zero", "10.0.0.9:0"),
+  ADDRESS_CASE ("/platform/reply/upstream-port-too-large", "10.0.0.9:65536"),
+  ADDRESS_CASE ("/platform/reply/upstream-port-long", "10.0.0.9:808080"),
+  ADDRESS_CASE ("/platform/reply/upstream-port-sign", "10.0.0.9:+8080"),
+  ADDRESS_CASE ("/platform/reply/upstream-port-space", "10.0.0.9: 8080"),
+  ADDRESS_CASE ("/platform/reply/upstream-port-absent", "10.0.0.9:"),
   { "/platform/reply/upstream-empty-id",
     GALENA_CALL_LIST,
     "{\"items\":[{\"key\":\"servers/\",\"value\":\"@\",\"revision\":4}],"
