Catalog: don't search a full table for removed rows again and again

Cause: with a full table, each upstream that does not fit had the whole table searched for rows of removed ones, also when there were none since the last search. Under sanitizers, /odd-entries/flood missed the bound of a new configuration (3 s).

Change: the table is searched only after a removal. Also: the page of settings says that [packets] upstream has the published port.

--- a/packages/flows/src/catalog_private.h
+++ b/packages/flows/src/catalog_private.h
@@ -93,6 +93,10 @@
   bool left_out;
   uint32_t left_out_round;
   bool list_again;
+  /* Number of removals, and its value when the rows of all removed upstreams
+     were last deleted.  */
+  uint64_t removals;
+  uint64_t deleted_removals;
   /* Position of the last merged snapshot of a peer; revision 0 when there is
      none.  */
   struct galena_store_position peer_position;
--- a/packages/flows/src/catalog_upstreams.c
+++ b/packages/flows/src/catalog_upstreams.c
@@ -96,9 +96,12 @@
   struct catalog_upstream *item
       = galena_table_insert (catalog->items, &handle);
 
-  if (item == NULL)
+  /* A search of the whole table for each upstream that does not fit would take
+     long.  */
+  if (item == NULL && catalog->deleted_removals != catalog->removals)
     {
       delete_removed (catalog, now, true);
+      catalog->deleted_removals = catalog->removals;
       item = galena_table_insert (catalog->items, &handle);
     }
   if (item == NULL)
@@ -166,6 +169,13 @@
   item->confirmed_due = (struct galena_clock){ 0 };
 }
 
+static void
+set_removed (struct galena_catalog *catalog, struct catalog_upstream *item)
+{
+  catalog->removals += !item->removed;
+  item->removed = true;
+}
+
 /* Removes ITEM, of which a peer reports that UPSTREAM was removed.  */
 static void
 remove_at_once (struct galena_catalog *catalog, struct catalog_upstream *item,
@@ -177,7 +187,7 @@
   if (item->removal_due.ms == 0)
     item->removal_due = now;
   catalog->changed |= !item->removed;
-  item->removed = true;
+  set_removed (catalog, item);
 }
 
 /* Returns whether UPSTREAM, seen at POSITION, is an older state of ITEM, which
@@ -411,7 +421,7 @@
       if (item->removed)
         publish_again (catalog, item);
       else
-        item->removed = true;
+        set_removed (catalog, item);
       catalog->changed = true;
     }
   delete_removed (catalog, now, false);
--- a/packages/runtime/src/settings.c
+++ b/packages/runtime/src/settings.c
@@ -381,7 +381,9 @@
     0,
     BY_PACKET_AGENT },
   { { "packets", "upstream", NULL, "A.B.C.D:PORT",
-      "Where the upstream receives packets.", NULL },
+      "Where the upstream receives packets; the platform publishes the same "
+      "port.",
+      NULL },
     parse_address,
     MEMBER (packets_upstream),
     0,
