Wording: what the store holds of an instance is a registration

"Entry" is the name of a process here. The log event is registrations-ignored, before entries-passed-over; otherwise names of fields and comments only.

--- a/packages/flows/include/galenaford/plane.h
+++ b/packages/flows/include/galenaford/plane.h
@@ -119,8 +119,8 @@
   X (GALENA_EVENT_LOST, "flow-lost", "An upstream lost a flow it held.")      \
   X (GALENA_EVENT_UPSTREAM, "upstream-state",                                 \
      "The published state of an upstream changed.")                           \
-  X (GALENA_EVENT_PASSED_OVER, "entries-passed-over",                         \
-     "Entries at the instance of an upstream were not taken for its own.")    \
+  X (GALENA_EVENT_IGNORED, "registrations-ignored",                           \
+     "Registrations at the instance of an upstream are not its own.")         \
   X (GALENA_EVENT_SUSPECT, "agent-suspect",                                   \
      "An agent is avoided since it left a packet unanswered.")                \
   X (GALENA_EVENT_REACHABLE, "agent-heard",                                   \
@@ -153,7 +153,7 @@
   /* Agent concerned; its address is 0 when there is none.  */
   struct galena_endpoint agent;
   /* Version of the current configuration; with GALENA_EVENT_UPSTREAM and
-     GALENA_EVENT_PASSED_OVER, the start of the upstream in Unix milliseconds,
+     GALENA_EVENT_IGNORED, the start of the upstream in Unix milliseconds,
      0 when unknown.  */
   uint64_t version;
   enum galena_result result;
@@ -166,9 +166,9 @@
   /* GALENA_EVENT_OPENED, _REFUSED, _UNANSWERED: pending requests at the
      upstream as last reported.  GALENA_EVENT_RESET: attempts to open the flow.
      GALENA_EVENT_SEARCHING, _FOUND: number of known upstreams.
-     GALENA_EVENT_UPSTREAM: its published state.  GALENA_EVENT_PASSED_OVER:
-     number of these entries.  GALENA_EVENT_OUT_OF_ROTATION, _IN_ROTATION:
-     utilisation of the link in percent.  */
+     GALENA_EVENT_UPSTREAM: its published state.  GALENA_EVENT_IGNORED:
+     number of these registrations.  GALENA_EVENT_OUT_OF_ROTATION,
+     _IN_ROTATION: utilisation of the link in percent.  */
   uint32_t detail;
 };
 
--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -69,8 +69,8 @@
   agent->draining_until = galena_clock_add_ms (plane->now, DRAINING_MS);
 }
 
-/* An entry that has no report of this agent yet may take the published entry
-   of something else for that of the upstream.  */
+/* An entry that has no report of this agent yet may take the registration of
+   something else for that of the upstream.  */
 static bool
 is_about_upstream (const struct galena_plane *plane,
                    const struct galena_peer_message *message)
--- a/packages/flows/src/entry_published.c
+++ b/packages/flows/src/entry_published.c
@@ -1,18 +1,18 @@
-/* The published state of upstreams.  The platform's store has entries of
-   upstreams and may have some of other writers.  Of all entries at the address
-   of an instance, this decides which is that of its upstream.  */
+/* The published state of upstreams.  The platform's store has registrations of
+   upstreams and may have some of other writers.  Of all registrations at the
+   address of an instance, this decides which is that of its upstream.  */
 
 #include "entry_tables.h"
 
 enum
 {
-  /* An entry whose start lies further ahead of the wall clock than this is
-     less credible than others: clocks of instances differ by seconds.  */
+  /* A registration whose start lies further ahead of the wall clock than this
+     is less credible than others: clocks of instances differ by seconds.  */
   START_AHEAD_MAX_MS = 60000
 };
 
-/* A rule by which one of two entries that may both be that of the upstream is
-   preferred.  */
+/* A rule by which one of two registrations that may both be that of the
+   upstream is preferred.  */
 struct preference
 {
   const char *name;
@@ -21,7 +21,7 @@
   int (*compare) (const struct galena_directory *directory,
                   const struct galena_published_upstream *a,
                   const struct galena_published_upstream *b);
-  /* Whether the other entry is then known not to be the upstream's.  */
+  /* Whether the other one is then known not to be the upstream's.  */
   bool excludes;
 };
 
@@ -72,9 +72,9 @@
   { "later-start", compare_start, false },
 };
 
-/* Returns whether PUBLISHED may be the entry of the upstream at its address;
+/* Returns whether PUBLISHED may be that of the upstream at its address;
    UPSTREAM is the row there, or NULL.  The agent beside the upstream knows its
-   service and port.  Before an agent has reported, an entry counts if the
+   service and port.  Before an agent has reported, it counts if the
    configuration names its service.  */
 static bool
 may_be_upstream (const struct galena_directory *directory,
@@ -88,8 +88,8 @@
              || upstream->reported_port == published->address.port);
 }
 
-/* Compares entry INDEX of UPSTREAMS, at the address of UPSTREAM, with the
-   entry that is preferred so far.  */
+/* Compares registration INDEX of UPSTREAMS, at the address of UPSTREAM, with
+   the one that is preferred so far.  */
 static void
 consider_rival (const struct galena_directory *directory,
                 struct upstream_row *upstream,
@@ -115,7 +115,8 @@
     upstream->rivals = 0;
 }
 
-/* Considers entry INDEX of UPSTREAMS in this pass over the directory.  */
+/* Considers registration INDEX of UPSTREAMS in this pass over the directory.
+ */
 static void
 consider_published (struct galena_plane *plane,
                     const struct galena_published_upstream *upstreams,
@@ -129,7 +130,7 @@
   if (!may_be_upstream (plane->directory, upstream, published))
     {
       if (upstream != NULL)
-        upstream->passed_over++;
+        upstream->ignored++;
       return;
     }
   if (upstream == NULL)
@@ -138,7 +139,7 @@
     return;
   if (upstream->directory_pass == plane->entry->directory_pass)
     {
-      upstream->passed_over++;
+      upstream->ignored++;
       consider_rival (plane->directory, upstream, upstreams, index);
       return;
     }
@@ -175,16 +176,15 @@
   log_upstream (plane, upstream, GALENA_EVENT_UPSTREAM, state);
 }
 
-/* Logs the number of entries of UPSTREAM's instance that this pass has passed
-   over, if it is another one than in the last pass.  */
+/* Logs the number of registrations at UPSTREAM's instance that this pass has
+   ignored, if it is another one than in the last pass.  */
 static void
-log_passed_over (struct galena_plane *plane, struct upstream_row *upstream)
+log_ignored (struct galena_plane *plane, struct upstream_row *upstream)
 {
-  if (upstream->passed_over != upstream->passed_over_before)
-    log_upstream (plane, upstream, GALENA_EVENT_PASSED_OVER,
-                  upstream->passed_over);
-  upstream->passed_over_before = upstream->passed_over;
-  upstream->passed_over = 0;
+  if (upstream->ignored != upstream->ignored_before)
+    log_upstream (plane, upstream, GALENA_EVENT_IGNORED, upstream->ignored);
+  upstream->ignored_before = upstream->ignored;
+  upstream->ignored = 0;
 }
 
 /* Applies PUBLISHED to UPSTREAM.  A newer incarnation keeps the row of the
@@ -210,7 +210,7 @@
   set_published_state (plane, upstream, published->state);
 }
 
-/* Applies the entries of the directory to the rows of upstreams.  A row
+/* Applies the registrations of the directory to the rows of upstreams.  A row
    without one becomes absent.  */
 static void
 apply_directory (struct galena_plane *plane)
@@ -234,7 +234,7 @@
                          &upstreams[upstream->published_index]);
       else
         set_published_state (plane, upstream, GALENA_PUBLISHED_ABSENT);
-      log_passed_over (plane, upstream);
+      log_ignored (plane, upstream);
     }
 }
 
@@ -272,7 +272,7 @@
       && upstream->published_service == service
       && upstream->published_port == port)
     return;
-  /* Another entry of the directory may be that of the upstream.  */
+  /* Another registration of the directory may be that of the upstream.  */
   plane->entry->directory_number = 0;
   plane->tick_again = true;
 }
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -32,16 +32,16 @@
   uint16_t published_port;
   uint16_t reported_port;
   enum galena_published_state published_state;
-  /* Pass over a directory that last found an entry of it, the index of that
-     entry in the directory, and the number of further entries that may be its
-     own as well.  */
+  /* Pass over a directory that last found a registration of it, the index of
+     that in the directory, and the number of further ones that may be its own
+     as well.  */
   uint64_t directory_pass;
   uint32_t published_index;
   uint32_t rivals;
-  /* Number of entries at its instance that were not taken for its own, in this
-     pass and in the one before.  */
-  uint32_t passed_over;
-  uint32_t passed_over_before;
+  /* Number of registrations at its instance that were not taken for its own,
+     in this pass and in the one before.  */
+  uint32_t ignored;
+  uint32_t ignored_before;
   /* Number of the last directory that listed it, and since when none
      does.  */
   uint64_t directory_number;
--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -624,7 +624,7 @@
       }
 }
 
-/* Adds the published entries of other writers that are LISTED_FIRST or not to
+/* Adds the registrations of other writers that are LISTED_FIRST or not to
    ROWS, which has COUNT rows.  Returns the new number of rows.  */
 static uint32_t
 add_foreign_rows (const struct fleet *fleet, bool listed_first,
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -39,7 +39,7 @@
      at VALUE is ready or draining.  */
   HELLO_READY,
   HELLO_DRAINING,
-  /* The same of a published entry that is not the upstream's: it has another
+  /* The same of a registration that is not the upstream's: it has another
      service, or another port.  */
   HELLO_OTHER_SERVICE,
   HELLO_OTHER_PORT,
@@ -226,7 +226,7 @@
       { 40, HELLO_DRAINING, 100 },
       { 50, OPEN, 0 },
       { 50, EXPECT_TO_UPSTREAM, 1 } } },
-  /* An entry that has not heard of the agent yet may report a published entry
+  /* An entry that has not heard of the agent yet may report the registration
      of something else on the instance.  */
   { "/agent/draining-of-other-service",
     false,
