Soak: a flow whose route was dropped and is back may be reset

Trace: version 4 drops the route 198.18.0.3 at 17,466 ms, version 5 brings it back at 17,559 ms. entry-2 logs config-taken version=4 at .105, flow-reset with result=no-service at .174 and .257, and config-taken version=5 at .300. The check asked for the state of the route when the reset came.

Change: a flow is left out only if its route was dropped after the flow began, and within the bound of a configuration; others count as before.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -242,6 +242,21 @@
     }
 }
 
+/* Returns whether a configuration has dropped the route of CALLER's flow.  It
+   may have brought the route back within the time that the entries have to
+   apply each of the two.  */
+static bool
+is_route_dropped (const struct soak *soak, const struct caller *caller)
+{
+  const struct route *route = &soak->routes[caller->route];
+
+  return route->dropped
+         || (galena_clock_elapsed_ms (caller->open_started, route->dropped_at)
+                 > 0
+             && galena_clock_elapsed_ms (route->dropped_at, soak->now)
+                    <= CONFIG_BOUND_MS);
+}
+
 /* Counts a reset of an open flow as a violation if its upstream is up and, for
    STABLE_MS, no fault affected it and no unplanned fault was active
    anywhere.  */
@@ -251,7 +266,7 @@
   const struct caller *caller = &soak->callers[index];
   uint32_t host;
 
-  if (!caller->open || soak->routes[caller->route].dropped
+  if (!caller->open || is_route_dropped (soak, caller)
       || !hosts_find_flow (soak, key_of (soak, index), &host))
     return;
   soak->report.cut
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -152,6 +152,8 @@
   (void)target;
   route->dropped = !route->dropped;
   route->changed = soak->now;
+  if (route->dropped)
+    route->dropped_at = soak->now;
   publish_config (soak);
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -198,8 +198,9 @@
   uint32_t service;
   /* Left out of the published configuration.  */
   bool dropped;
-  /* When dropped last changed.  */
+  /* When dropped last changed, and last became true.  */
   struct galena_clock changed;
+  struct galena_clock dropped_at;
 };
 
 /* A relayed TCP connection from an entry to the store: the accepted socket and
