Agent: an upstream that answers nothing holds no flow

Cause: an agent that started after its upstream replies "unsure", and its upstream takes or returns the probe. An upstream that is gone while its agent runs does neither, so that no search for a flow that is lost can end: seen where everything loses power and a draining upstream does not come back, until the agent itself ends seconds later.

Ruled out: an agent that is away; the store listing the upstream for longer (the search goes on after its registration is removed too).

Change: the agent counts the packets that call for a reply since its upstream's last packet, and for how long this process has run since. After 8 packets and 500 ms, or one packet and 3 s, it disowns what it has no packet of.

--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -6,6 +6,7 @@
 
 enum
 {
+  SILENCE_PERIOD_MS = 25,
   LOAD_PERIOD_MS = 25,
   HEARTBEAT_PERIOD_MS = 500,
   EXPIRE_PERIOD_MS = 1000,
@@ -89,6 +90,7 @@
 }
 
 static const struct plane_system SYSTEMS[] = {
+  { "silence", SILENCE_PERIOD_MS, agent_run_silence },
   { "load", LOAD_PERIOD_MS, agent_run_load },
   { "announce", HEARTBEAT_PERIOD_MS, agent_run_periodic_load },
   { "expire", EXPIRE_PERIOD_MS, agent_run_expire },
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -13,9 +13,22 @@
   /* An upstream keeps an accepted flow until it has retransmitted its
      acceptance eight times without a reply of the caller, at intervals that
      double from 200 ms up to 1.6 s.  */
-  HALF_OPEN_LINGER_MS = 12000
+  HALF_OPEN_LINGER_MS = 12000,
+  /* Most milliseconds of silence that one run of the system counts: twice its
+     period.  */
+  SILENCE_STEP_MAX_MS = 50
 };
 
+/* An upstream is silent when it has left at least PACKETS packets unanswered,
+   the first of them for AFTER_MS milliseconds.  One that runs sends something
+   within the time of a few requests when several flows wait for it; a single
+   flow may be one that it holds and works for.  */
+static const struct silence_rule
+{
+  uint32_t packets;
+  int64_t after_ms;
+} SILENCE_RULES[] = { { 8, 500 }, { 1, 3000 } };
+
 static struct agent_flow *
 find_flow (const struct galena_plane *plane, struct galena_flow_key key,
            struct galena_handle *handle)
@@ -67,6 +80,48 @@
     plane->agent->open_count++;
 }
 
+bool
+agent_upstream_is_silent (const struct galena_plane *plane)
+{
+  const struct agent_tables *agent = plane->agent;
+
+  for (size_t i = 0; i < sizeof SILENCE_RULES / sizeof SILENCE_RULES[0]; i++)
+    if (agent->unanswered_packets >= SILENCE_RULES[i].packets
+        && agent->unanswered_ms >= SILENCE_RULES[i].after_ms)
+      return true;
+  return false;
+}
+
+/* Counts PACKET, which the upstream is given, if it calls for a reply: an
+   upstream takes packets without data silently.  */
+static void
+note_unanswered (struct galena_plane *plane,
+                 const struct galena_packet *packet)
+{
+  struct agent_tables *agent = plane->agent;
+
+  if (packet->data_size == 0 && !galena_packet_is_opening (packet))
+    return;
+  if (agent->unanswered_packets == 0)
+    agent->unanswered_ms = 0;
+  agent->unanswered_packets++;
+}
+
+void
+agent_run_silence (struct galena_plane *plane)
+{
+  struct agent_tables *agent = plane->agent;
+  int64_t ms
+      = galena_clock_elapsed_ms (agent->silence_counted_until, plane->now);
+
+  agent->silence_counted_until = plane->now;
+  /* The replies to packets sent before a pause of this process may not have
+     been read yet.  */
+  if (agent->unanswered_packets > 0)
+    agent->unanswered_ms
+        += ms < SILENCE_STEP_MAX_MS ? ms : SILENCE_STEP_MAX_MS;
+}
+
 static void
 send_to_upstream (struct galena_plane *plane,
                   const struct galena_peer_message *message)
@@ -75,6 +130,7 @@
 
   if (output == NULL)
     return;
+  note_unanswered (plane, &message->packet);
   output->kind = GALENA_OUTPUT_PACKET;
   output->side = GALENA_SIDE_APPLICATION;
   output->bytes = message->bytes;
@@ -224,6 +280,16 @@
          || confirm_open (plane, flow, packet->acknowledged);
 }
 
+/* Returns whether the upstream certainly does not hold FLOW, of which this
+   agent knows nothing or only that it was probed for.  */
+static bool
+is_not_held (const struct galena_plane *plane, const struct agent_flow *flow)
+{
+  return (flow == NULL || flow->probe_pending)
+         && (plane->agent->knows_all_flows
+             || agent_upstream_is_silent (plane));
+}
+
 void
 agent_on_query (struct galena_plane *plane, struct galena_endpoint peer,
                 const struct galena_peer_message *message)
@@ -233,8 +299,8 @@
   enum galena_peer_type reply = GALENA_PEER_UNSURE;
 
   note_entry (plane, peer, message);
-  if (flow == NULL ? plane->agent->knows_all_flows
-                   : !confirm_open (plane, flow, message->sequence))
+  if (is_not_held (plane, flow)
+      || (flow != NULL && !confirm_open (plane, flow, message->sequence)))
     reply = GALENA_PEER_DISOWNED;
   else if (flow != NULL && flow->state == AGENT_FLOW_OPEN)
     {
@@ -271,8 +337,9 @@
   struct agent_flow *flow = find_flow (plane, message->flow, &handle);
 
   note_entry (plane, peer, message);
-  if (flow == NULL ? plane->agent->knows_all_flows
-                   : !confirm_open_packet (plane, flow, &message->packet))
+  if (is_not_held (plane, flow)
+      || (flow != NULL
+          && !confirm_open_packet (plane, flow, &message->packet)))
     {
       reply_about_flow (plane, peer, message->flow, GALENA_PEER_DISOWNED,
                         NULL);
@@ -402,6 +469,7 @@
   struct agent_flow *flow;
 
   plane_count (plane, GALENA_PLANE_FROM_UPSTREAM);
+  plane->agent->unanswered_packets = 0;
   if ((packet->flags & GALENA_PACKET_RETURNED) != 0)
     {
       on_returned (plane, packet);
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -72,6 +72,12 @@
      the last answer, counted until BUSY_COUNTED_UNTIL.  */
   double busy_us;
   struct galena_clock busy_counted_until;
+  /* Packets that a running upstream replies to or returns, given to it since
+     its last packet, and the milliseconds in which this process has run since
+     the first of them, counted until SILENCE_COUNTED_UNTIL.  */
+  uint32_t unanswered_packets;
+  int64_t unanswered_ms;
+  struct galena_clock silence_counted_until;
   /* Whether the agent has seen all flows that the upstream can hold.  */
   bool knows_all_flows;
   struct galena_clock started;
@@ -92,6 +98,13 @@
 void agent_on_probe (struct galena_plane *plane, struct galena_endpoint peer,
                      const struct galena_peer_message *message);
 
+/* Returns whether the upstream has left so many packets unanswered that it
+   holds no flow any more, although its agent runs.  */
+bool agent_upstream_is_silent (const struct galena_plane *plane);
+
+/* System: counts for how long the upstream has left packets unanswered.  */
+void agent_run_silence (struct galena_plane *plane);
+
 /* Handler of packets from the upstream.  */
 void agent_on_packet (struct galena_plane *plane,
                       const struct galena_packet *packet);
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -15,7 +15,9 @@
   SERVICE_IP = 0xC6120001,
   PORT = 443,
   UPSTREAM_PORT = 8080,
-  PEER_PORT = 7000
+  PEER_PORT = 7000,
+  /* Interval of the ticks of RUN.  */
+  RUN_STEP_MS = 5
 };
 
 enum step_kind
@@ -27,6 +29,10 @@
   OPEN,
   FORWARD,
   PROBE,
+  /* VALUE probes with data, of the same flow.  */
+  PROBES,
+  /* The process runs until then.  */
+  RUN,
   /* The entry asks whether the upstream has the flow.  */
   QUERY,
   /* The upstream accepts the flow with first sequence number VALUE, sends data
@@ -187,6 +193,48 @@
       { 12, RETURN, 0 },
       { 12, EXPECT_REPLY, GALENA_PEER_DISOWNED },
       { 12, EXPECT_BYTES, 0 } } },
+  /* An upstream that answers nothing at all holds no flow, though the agent
+     started after it and can't know them.  */
+  { "/agent/silent-upstream",
+    false,
+    { { 10, PROBES, 8 },
+      { 400, RUN, 0 },
+      { 400, QUERY, 5 },
+      { 400, EXPECT_REPLY, GALENA_PEER_UNSURE },
+      { 560, RUN, 0 },
+      { 560, QUERY, 5 },
+      { 560, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 570, PROBE, 5 },
+      { 570, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 600, ANSWER, 0 },
+      { 600, EXPECT_REPLY, GALENA_PEER_OWNED },
+      { 610, QUERY, 5 },
+      { 610, EXPECT_REPLY, GALENA_PEER_OWNED } } },
+  /* It may work for a single flow.  */
+  { "/agent/silent-upstream-one-packet",
+    false,
+    { { 10, PROBES, 1 },
+      { 2900, RUN, 0 },
+      { 2900, QUERY, 5 },
+      { 2900, EXPECT_REPLY, GALENA_PEER_UNSURE },
+      { 3060, RUN, 0 },
+      { 3060, QUERY, 5 },
+      { 3060, EXPECT_REPLY, GALENA_PEER_DISOWNED } } },
+  /* Packets without data need no reply.  */
+  { "/agent/silent-upstream-without-data",
+    false,
+    { { 10, PROBE, 5 },
+      { 20, FORWARD, 5 },
+      { 4000, RUN, 0 },
+      { 4000, QUERY, 5 },
+      { 4000, EXPECT_REPLY, GALENA_PEER_UNSURE } } },
+  /* The replies may wait to be read while the agent does not run.  */
+  { "/agent/silent-while-paused",
+    false,
+    { { 10, PROBES, 8 },
+      { 100, RUN, 0 },
+      { 1400, QUERY, 5 },
+      { 1400, EXPECT_REPLY, GALENA_PEER_UNSURE } } },
   /* An upstream may reset an unknown flow instead of returning the packet.  */
   { "/agent/reset-of-searched-flow",
     false,
@@ -289,6 +337,7 @@
 {
   struct galena_plane *plane;
   struct galena_clock now;
+  int64_t last_step_ms;
   uint8_t bytes[PACKET_BYTES];
   struct galena_packet last_packet;
   uint32_t to_upstream;
@@ -322,39 +371,79 @@
     }
 }
 
+/* Adds a message of TYPE from the entry with a packet of the flow.  */
 static void
-run_message (struct run *run, const struct step *step)
+push_message (struct run *run, enum galena_peer_type type,
+              struct galena_packet packet)
 {
-  static const enum galena_peer_type TYPES[] = {
-    [OPEN] = GALENA_PEER_OPEN,
-    [FORWARD] = GALENA_PEER_FORWARD,
-    [PROBE] = GALENA_PEER_PROBE,
-    [QUERY] = GALENA_PEER_QUERY,
-  };
   struct galena_input *input = galena_plane_next_input (run->plane);
 
-  run->last_packet = (struct galena_packet){
-    .source = FLOW.caller,
-    .destination = FLOW.service_address,
-    .acknowledged = step->value,
-    .flags
-    = step->kind == OPEN ? GALENA_PACKET_OPENS : GALENA_PACKET_ACKNOWLEDGES,
-    .bytes = run->bytes,
-    .size = PACKET_BYTES,
-  };
+  run->last_packet = packet;
   input->side = GALENA_SIDE_PEER;
   input->peer = (struct galena_endpoint){ ENTRY_IP, PEER_PORT };
   input->message = (struct galena_peer_message){
-    .type = TYPES[step->kind],
+    .type = type,
     .role = GALENA_ROLE_ENTRY,
     .flow = FLOW,
     .service = galena_service_key_of ("first"),
-    .sequence = step->value,
+    .sequence = packet.acknowledged,
     .bytes = run->bytes,
     .size = PACKET_BYTES,
-    .packet = run->last_packet,
+    .packet = packet,
   };
   galena_plane_push (run->plane);
+}
+
+static void
+run_message (struct run *run, const struct step *step)
+{
+  static const enum galena_peer_type TYPES[] = {
+    [OPEN] = GALENA_PEER_OPEN,
+    [FORWARD] = GALENA_PEER_FORWARD,
+    [PROBE] = GALENA_PEER_PROBE,
+    [QUERY] = GALENA_PEER_QUERY,
+  };
+
+  push_message (run, TYPES[step->kind],
+                (struct galena_packet){
+                    .source = FLOW.caller,
+                    .destination = FLOW.service_address,
+                    .acknowledged = step->value,
+                    .flags = step->kind == OPEN ? GALENA_PACKET_OPENS
+                                                : GALENA_PACKET_ACKNOWLEDGES,
+                    .bytes = run->bytes,
+                    .size = PACKET_BYTES,
+                });
+  tick (run);
+}
+
+static void
+run_probes (struct run *run, const struct step *step)
+{
+  for (uint32_t i = 0; i < step->value; i++)
+    push_message (run, GALENA_PEER_PROBE,
+                  (struct galena_packet){
+                      .source = FLOW.caller,
+                      .destination = FLOW.service_address,
+                      .acknowledged = 5,
+                      .data_size = 1,
+                      .flags = GALENA_PACKET_ACKNOWLEDGES,
+                      .bytes = run->bytes,
+                      .size = PACKET_BYTES,
+                  });
+  tick (run);
+}
+
+static void
+run_until (struct run *run, const struct step *step)
+{
+  while (run->last_step_ms + RUN_STEP_MS < step->at_ms)
+    {
+      run->last_step_ms += RUN_STEP_MS;
+      run->now.ms = run->last_step_ms;
+      tick (run);
+    }
+  run->now.ms = step->at_ms;
   tick (run);
 }
 
@@ -450,6 +539,8 @@
   [OPEN] = run_message,
   [FORWARD] = run_message,
   [PROBE] = run_message,
+  [PROBES] = run_probes,
+  [RUN] = run_until,
   [QUERY] = run_message,
   [ACCEPT] = run_packet,
   [ANSWER] = run_packet,
@@ -488,6 +579,7 @@
     {
       run.now.ms = step->at_ms;
       RUNNERS[step->kind](&run, step);
+      run.last_step_ms = step->at_ms;
     }
   galena_plane_destroy (run.plane);
 }
--- a/test/unit/test_planes.c
+++ b/test/unit/test_planes.c
@@ -124,6 +124,21 @@
     30,
     60,
     0 },
+  /* An upstream that was draining does not come back, while its agent does.
+     The flows are gone everywhere, and their callers open new ones once it is
+     known to be silent: half a second, an interval between two queries, and
+     the rest as above.  */
+  { "/planes/everything-restarts-but-one-upstream",
+    { FLEET, .actions = { { 5000, PLANES_PUBLISH_DRAINING, 0, 0 },
+                          { 8000, PLANES_RESTART_ENTRIES, 0, 2 },
+                          { 8000, PLANES_RESTART_AGENTS, 0, 6 },
+                          { 8000, PLANES_RESTART_UPSTREAMS, 0, 6 },
+                          { 8000, PLANES_FREEZE_UPSTREAMS, 0, 0 } } },
+    60,
+    2000,
+    30,
+    60,
+    0 },
   { "/planes/new-life-listed-late",
     { FLEET, .actions = { { 8000, PLANES_RESTART_UPSTREAMS, 0, 6 },
                           { 9000, PLANES_PUBLISH_RESTARTED, 0, 6 } } },
