Entry: packets of a flow that was just reset start no search

Cause: a reset removed the row of its flow, so that each packet that was parked or still under way started a search of its own.

Change: the row stays for a second, as long as denials are valid; its packets are answered with a reset, and an opening packet opens the flow anew.

Test: /entry/packets-after-reset fails before (it queries again), /entry/packet-long-after-reset.

--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -15,6 +15,9 @@
   /* A search without a result ends once the caller sends no packets any more:
      twice the longest interval of retransmissions.  */
   SEARCH_LINGER_MS = 3200,
+  /* A flow that no upstream holds is kept for this time, so that packets of it
+     that are still under way start no further search.  */
+  RESET_LINGER_MS = 1000,
   /* A packet with at least this many bytes of data is part of a bulk transfer;
      a single request has fewer.  */
   BULK_BYTES = 1000,
@@ -66,11 +69,22 @@
                      flow->key, handle);
 }
 
+static void
+mark_reset (struct galena_plane *plane, struct entry_flow *flow)
+{
+  entry_opening_remove (plane, flow);
+  entry_search_remove (plane, flow);
+  flow->state = FLOW_RESET;
+  flow->owner = NO_UPSTREAM;
+  flow->attempt_count = 0;
+  flow->last_active = plane->now;
+}
+
 void
 entry_flow_reset (struct galena_plane *plane, struct galena_handle handle,
                   enum galena_result reason)
 {
-  const struct entry_flow *flow = entry_flow (plane, handle);
+  struct entry_flow *flow = entry_flow (plane, handle);
   const struct upstream_row *owner;
 
   if (flow == NULL)
@@ -87,7 +101,10 @@
                  .result = reason,
                  .age_ms = galena_clock_elapsed_ms (flow->began, plane->now),
                  .detail = flow->attempt_count });
-  entry_flow_remove (plane, handle);
+  if (reason == GALENA_UNKNOWN_FLOW)
+    mark_reset (plane, flow);
+  else
+    entry_flow_remove (plane, handle);
 }
 
 void
@@ -205,6 +222,12 @@
 {
   struct entry_flow *flow = entry_flow (plane, handle);
 
+  if (flow->state == FLOW_RESET)
+    {
+      if ((packet->flags & GALENA_PACKET_RESETS) == 0)
+        plane_send_reset (plane, flow->key, packet->acknowledged);
+      return;
+    }
   flow->last_active = plane->now;
   if ((packet->flags & GALENA_PACKET_ACKNOWLEDGES) != 0)
     flow->acknowledged = packet->acknowledged;
@@ -394,6 +417,8 @@
     return OPENING_LINGER_MS;
   if (flow->state == FLOW_SEARCHING)
     return SEARCH_LINGER_MS;
+  if (flow->state == FLOW_RESET)
+    return RESET_LINGER_MS;
   return flow->ended ? ENDED_LINGER_MS : plane->options.flow_idle_ms;
 }
 
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -224,6 +224,12 @@
                        packet->bytes, packet->size);
       return;
     }
+  if (flow->state == FLOW_RESET)
+    {
+      flow->state = FLOW_OPENING;
+      flow->ended = false;
+      flow->began = plane->now;
+    }
   route = galena_directory_route (plane->directory, flow->key.service_address);
   flow->service = entry_service_for (route, flow->key);
   if (!buffer_open (plane, flow, handle, packet))
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -533,6 +533,7 @@
   struct reply reply;
 
   if (!apply_reply (plane, peer, message, &reply)
+      || reply.flow->state == FLOW_RESET
       || (reply.flow->state == FLOW_OPEN
           && galena_handle_pack (reply.flow->owner)
                  != galena_handle_pack (reply.upstream)))
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -69,7 +69,9 @@
   /* Packets are forwarded to the owner.  */
   FLOW_OPEN,
   /* A search for the owner is in progress.  */
-  FLOW_SEARCHING
+  FLOW_SEARCHING,
+  /* No upstream holds the flow, and its caller was sent a reset.  */
+  FLOW_RESET
 };
 
 /* An attempt to open a flow at one upstream.  */
@@ -362,8 +364,9 @@
 void entry_flow_remove (struct galena_plane *plane,
                         struct galena_handle handle);
 
-/* Sends a reset to the caller of the flow that HANDLE names, logs it with
-   REASON, and removes the flow.  */
+/* Sends a reset to the caller of the flow that HANDLE names and logs it with
+   REASON.  Removes the flow, or keeps it as reset for a while if REASON is
+   GALENA_UNKNOWN_FLOW.  */
 void entry_flow_reset (struct galena_plane *plane, struct galena_handle handle,
                        enum galena_result reason);
 
