Agent: remember which flows the upstream has returned

Cause: an agent forgot a flow as soon as its upstream had returned a packet of it. Each further query, of the same search after its denials had expired or of another entry, cost another probe, and of two probes under way at once the second was left unanswered. An upstream that is not published any more and answers nothing was waited for like one that works.

Change: the row stays for 10 s as not held, in half of the table at most, and queries and probes are denied at once until the flow is opened there; an unpublished upstream is silent after one packet and 1 s.

Test: /agent/asked-after-return, /agent/silent-upstream-unpublished; both fail before.

--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -13,6 +13,9 @@
   /* An upstream counts as draining for this long after an entry reported it:
      six periods of an entry's hello.  */
   DRAINING_MS = 3000,
+  /* It counts as not published for this long after an entry reported it, or
+     until one reports the contrary.  */
+  UNPUBLISHED_MS = 3000,
   /* The newest start that entries have reported is forgotten after this time
      without such a report: several rounds of hellos to all agents.  */
   START_VALID_MS = 10000,
@@ -55,6 +58,10 @@
 
   if (message->slots != 0)
     agent->slots = message->slots;
+  agent->unpublished_until
+      = message->published_state == GALENA_PUBLISHED_ABSENT
+            ? galena_clock_add_ms (plane->now, UNPUBLISHED_MS)
+            : plane->now;
   if (message->published_state == GALENA_PUBLISHED_ABSENT
       || (message->started_unix_ms != 0
           && !apply_start (plane, message->started_unix_ms))
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -10,6 +10,11 @@
   ENDED_LINGER_MS = 3200,
   /* How long a flow is kept whose packet the upstream may return.  */
   UNCONFIRMED_LINGER_MS = 1500,
+  /* How long it is remembered that the upstream does not hold a flow: as long
+     as its caller may go on with it.  At most the table's rows divided by
+     NOT_HELD_DIVISOR are used for this.  */
+  NOT_HELD_LINGER_MS = 10000,
+  NOT_HELD_DIVISOR = 2,
   /* An upstream keeps an accepted flow until it has retransmitted its
      acceptance eight times without a reply of the caller, at intervals that
      double from 200 ms up to 1.6 s.  */
@@ -27,7 +32,13 @@
 {
   uint32_t packets;
   int64_t after_ms;
-} SILENCE_RULES[] = { { 8, 500 }, { 1, 3000 } };
+  /* Whether entries must report that it is not published.  */
+  bool unpublished;
+} SILENCE_RULES[] = {
+  { 8, 500, false },
+  { 1, 1000, true },
+  { 1, 3000, false },
+};
 
 static struct agent_flow *
 find_flow (const struct galena_plane *plane, struct galena_flow_key key,
@@ -84,9 +95,12 @@
 agent_upstream_is_silent (const struct galena_plane *plane)
 {
   const struct agent_tables *agent = plane->agent;
+  bool unpublished
+      = !galena_clock_reached (plane->now, agent->unpublished_until);
 
   for (size_t i = 0; i < sizeof SILENCE_RULES / sizeof SILENCE_RULES[0]; i++)
-    if (agent->unanswered_packets >= SILENCE_RULES[i].packets
+    if ((unpublished || !SILENCE_RULES[i].unpublished)
+        && agent->unanswered_packets >= SILENCE_RULES[i].packets
         && agent->unanswered_ms >= SILENCE_RULES[i].after_ms)
       return true;
   return false;
@@ -175,6 +189,11 @@
       return;
     }
   flow = find_flow (plane, message->flow, &handle);
+  if (flow != NULL && flow->state == AGENT_FLOW_NOT_HELD)
+    {
+      remove_flow (plane, flow, handle);
+      flow = NULL;
+    }
   if (agent_refuses_flows (plane) && flow == NULL)
     {
       refuse (plane, peer, message->flow, GALENA_REFUSED_LEAVING);
@@ -235,6 +254,8 @@
         return NULL;
       flow->caller_next = message->packet.sequence;
     }
+  if (flow->state == AGENT_FLOW_NOT_HELD)
+    flow->state = AGENT_FLOW_UNCONFIRMED;
   flow->entry = peer;
   return flow;
 }
@@ -280,11 +301,13 @@
          || confirm_open (plane, flow, packet->acknowledged);
 }
 
-/* Returns whether the upstream certainly does not hold FLOW, of which this
-   agent knows nothing or only that it was probed for.  */
+/* Returns whether the upstream certainly does not hold FLOW, which is NULL if
+   this agent knows nothing of it.  */
 static bool
 is_not_held (const struct galena_plane *plane, const struct agent_flow *flow)
 {
+  if (flow != NULL && flow->state == AGENT_FLOW_NOT_HELD)
+    return true;
   return (flow == NULL || flow->probe_pending)
          && (plane->agent->knows_all_flows
              || agent_upstream_is_silent (plane));
@@ -363,6 +386,23 @@
   send_to_upstream (plane, message);
 }
 
+/* Notes that the upstream does not hold FLOW.  */
+static void
+mark_not_held (struct galena_plane *plane, struct agent_flow *flow,
+               struct galena_handle handle)
+{
+  if (galena_table_count (plane->agent->flows)
+      > plane->options.flows / NOT_HELD_DIVISOR)
+    {
+      remove_flow (plane, flow, handle);
+      return;
+    }
+  agent_request_dropped (plane, flow);
+  flow->state = AGENT_FLOW_NOT_HELD;
+  flow->probe_pending = false;
+  flow->last_active = plane->now;
+}
+
 /* Handles PACKET, which the upstream returned.  */
 static void
 on_returned (struct galena_plane *plane, const struct galena_packet *packet)
@@ -389,12 +429,16 @@
       refuse (plane, entry, key, GALENA_REFUSED_BY_UPSTREAM);
       return;
     }
-  remove_flow (plane, flow, handle);
+  if (state == AGENT_FLOW_OPEN || ended)
+    remove_flow (plane, flow, handle);
+  else
+    mark_not_held (plane, flow, handle);
   if (ended)
     return;
   if (state != AGENT_FLOW_OPEN)
     reply_about_flow (plane, entry, key, GALENA_PEER_DISOWNED,
-                      probe_pending ? NULL : packet);
+                      probe_pending || state == AGENT_FLOW_NOT_HELD ? NULL
+                                                                    : packet);
   else if (packet->data_size > 0)
     reply_about_flow (plane, entry, key, GALENA_PEER_LOST, packet);
 }
@@ -407,6 +451,8 @@
                                           .flow = flow->key,
                                           .sequence = packet->sequence };
 
+  if (flow->state == AGENT_FLOW_NOT_HELD)
+    flow->state = AGENT_FLOW_HALF_OPEN;
   flow->accepted = true;
   flow->sequence = packet->sequence;
   plane_count (plane, GALENA_PLANE_OPENED);
@@ -502,6 +548,8 @@
 {
   if (flow->upstream_ended || flow->caller_ended)
     return ENDED_LINGER_MS;
+  if (flow->state == AGENT_FLOW_NOT_HELD)
+    return NOT_HELD_LINGER_MS;
   if (flow->state == AGENT_FLOW_HALF_OPEN && flow->accepted)
     return HALF_OPEN_LINGER_MS;
   return flow->state == AGENT_FLOW_OPEN ? plane->options.flow_idle_ms
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -11,6 +11,9 @@
   /* The upstream was given a packet; it is not known yet whether it holds the
      flow.  */
   AGENT_FLOW_UNCONFIRMED,
+  /* The upstream has returned a packet of the flow, so it does not hold it
+     unless it is opened there again.  */
+  AGENT_FLOW_NOT_HELD,
   /* The upstream was given an open; the caller has not acknowledged its
      acceptance yet.  */
   AGENT_FLOW_HALF_OPEN,
@@ -66,6 +69,8 @@
   uint64_t upstream_started_unix_ms;
   struct galena_clock start_valid_until;
   struct galena_clock draining_until;
+  /* Until when the upstream counts as not published.  */
+  struct galena_clock unpublished_until;
   /* Moving average of the service time in microseconds; 0 while unknown.  */
   double service_us;
   /* Sum over all slots of the time in microseconds that they were busy since
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -45,6 +45,8 @@
      at VALUE is ready or draining.  */
   HELLO_READY,
   HELLO_DRAINING,
+  /* It says that the upstream is not published.  */
+  HELLO_ABSENT,
   /* The same of a registration that is not the upstream's: it has another
      service, or another port.  */
   HELLO_OTHER_SERVICE,
@@ -193,6 +195,24 @@
       { 12, RETURN, 0 },
       { 12, EXPECT_REPLY, GALENA_PEER_DISOWNED },
       { 12, EXPECT_BYTES, 0 } } },
+  /* What the upstream has returned once it holds only if it is opened
+     there.  */
+  { "/agent/asked-after-return",
+    false,
+    { { 10, PROBE, 5 },
+      { 10, EXPECT_TO_UPSTREAM, 1 },
+      { 12, RETURN, 0 },
+      { 12, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 20, QUERY, 5 },
+      { 20, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 30, PROBE, 5 },
+      { 30, EXPECT_TO_UPSTREAM, 0 },
+      { 30, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 40, OPEN, 0 },
+      { 41, ACCEPT, 1000 },
+      { 41, EXPECT_REPLY, GALENA_PEER_OPENED },
+      { 50, QUERY, 1001 },
+      { 50, EXPECT_REPLY, GALENA_PEER_OWNED } } },
   /* An upstream that answers nothing at all holds no flow, though the agent
      started after it and can't know them.  */
   { "/agent/silent-upstream",
@@ -220,6 +240,20 @@
       { 3060, RUN, 0 },
       { 3060, QUERY, 5 },
       { 3060, EXPECT_REPLY, GALENA_PEER_DISOWNED } } },
+  /* It does so less likely if it is not published any more.  */
+  { "/agent/silent-upstream-unpublished",
+    false,
+    { { 10, PROBES, 1 },
+      { 100, HELLO_ABSENT, 0 },
+      { 900, RUN, 0 },
+      { 900, QUERY, 5 },
+      { 900, EXPECT_REPLY, GALENA_PEER_UNSURE },
+      { 1060, RUN, 0 },
+      { 1060, QUERY, 5 },
+      { 1060, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 1070, HELLO_READY, 0 },
+      { 1080, QUERY, 5 },
+      { 1080, EXPECT_REPLY, GALENA_PEER_UNSURE } } },
   /* Packets without data need no reply.  */
   { "/agent/silent-upstream-without-data",
     false,
@@ -328,6 +362,7 @@
 } HELLOS[] = {
   [HELLO_READY] = { "first", UPSTREAM_PORT, GALENA_PUBLISHED_READY },
   [HELLO_DRAINING] = { "first", UPSTREAM_PORT, GALENA_PUBLISHED_DRAINING },
+  [HELLO_ABSENT] = { "first", UPSTREAM_PORT, GALENA_PUBLISHED_ABSENT },
   [HELLO_OTHER_SERVICE]
   = { "second", UPSTREAM_PORT, GALENA_PUBLISHED_DRAINING },
   [HELLO_OTHER_PORT] = { "first", 9100, GALENA_PUBLISHED_DRAINING },
@@ -548,6 +583,7 @@
   [RETURN] = run_packet,
   [HELLO_READY] = run_hello,
   [HELLO_DRAINING] = run_hello,
+  [HELLO_ABSENT] = run_hello,
   [HELLO_OTHER_SERVICE] = run_hello,
   [HELLO_OTHER_PORT] = run_hello,
   [EXPECT_TO_UPSTREAM] = expect_to_upstream,
