Search: use the link's rest, and probe agents that are known to be unsure

Cause (trial with added log lines): after the loss of all power on the small twin of the large site, searches waited for their quarter of the link, so that most agents of a search that had been going on for a second were queried and not probed yet. Once a pass took longer than the second for which denials are valid, it began anew, and no search ended until the load fell: 7.1 s in the median until a lost flow was reset.

Ruled out: processor time of the entries (0.005 cores in the mean); agents that are away.

Change: searches may use what other packets leave of 60 % of the link, below the 70 % at which an entry leaves the rotation, and a quarter as before. An agent that replied "unsure" within 2 s gets the packet in place of a query. Probes of more than 300 bytes take only the upper half of the token bucket, so that searches with small packets go first.

Tests: /entry/search-idle-link (2 queries before, 4 after), /entry/search-known-unsure, /entry/search-once-unsure.

--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -34,12 +34,21 @@
      Each further batch is BATCH_GROWTH times as large.  */
   BATCH_MIN = 5,
   BATCH_GROWTH = 4,
-  /* Searches may use the capacity of the link divided by LINK_DIVISOR.  The
-     token bucket holds at most what this rate gives in BURST_MS.  */
-  LINK_DIVISOR = 4,
+  /* Searches may use what other packets leave of LINK_PERCENT of the link,
+     which keeps the entry in rotation, but always LINK_PERCENT_MIN.  The token
+     bucket holds at most what the latter gives in BURST_MS.  */
+  LINK_PERCENT = 60,
+  LINK_PERCENT_MIN = 25,
   BURST_MS = 250,
+  PERCENT = 100,
   /* Assumed capacity of an unknown link: 100 Mbit/s.  */
   DEFAULT_LINK_KBPS = 100000,
+  /* An agent that replied "unsure" is sent probes without a query for this
+     time.  */
+  UNSURE_VALID_MS = 2000,
+  /* Packets with more bytes use the upper half of the token bucket only, so
+     that searches with smaller ones go first.  */
+  SMALL_PROBE_BYTES = 300,
   /* Bytes of a query, including the headers of its datagram.  */
   QUERY_BYTES = 120,
   BITS_PER_BYTE = 8
@@ -138,33 +147,87 @@
 static bool
 take_tokens (struct galena_plane *plane, uint32_t bytes)
 {
-  struct entry_tables *entry = plane->entry;
+  struct search_bucket *bucket = &plane->entry->search_bucket;
 
-  if (entry->search_tokens < 0)
+  if (bucket->tokens < 0)
     return false;
-  entry->search_tokens -= bytes;
+  bucket->tokens -= bytes;
+  bucket->search_bytes += bytes;
   return true;
 }
 
+/* Returns the capacity of the link in bytes per millisecond.  */
+static double
+link_bytes_per_ms (const struct galena_plane *plane)
+{
+  uint32_t kbps = plane->options.link_kbps > 0 ? plane->options.link_kbps
+                                               : DEFAULT_LINK_KBPS;
+
+  return (double)kbps / BITS_PER_BYTE;
+}
+
+/* Returns the most tokens that the bucket of searches holds.  */
+static double
+most_tokens (const struct galena_plane *plane)
+{
+  return link_bytes_per_ms (plane) * BURST_MS * LINK_PERCENT_MIN / PERCENT;
+}
+
 /* Refills the token bucket of searches.  */
 static void
 refill_tokens (struct galena_plane *plane)
 {
-  struct entry_tables *entry = plane->entry;
-  uint32_t kbps = plane->options.link_kbps > 0 ? plane->options.link_kbps
-                                               : DEFAULT_LINK_KBPS;
-  double bytes_per_ms = (double)kbps / BITS_PER_BYTE / LINK_DIVISOR;
+  struct search_bucket *bucket = &plane->entry->search_bucket;
+  double link_bytes
+      = link_bytes_per_ms (plane)
+        * (double)galena_clock_elapsed_ms (bucket->refilled_at, plane->now);
+  double sent = (double)(plane->bytes_out - bucket->counted_bytes);
+  double others
+      = sent > bucket->search_bytes ? sent - bucket->search_bytes : 0;
+  double least = link_bytes * LINK_PERCENT_MIN / PERCENT;
+  double room = link_bytes * LINK_PERCENT / PERCENT - others;
+  double most = most_tokens (plane);
+
+  bucket->tokens += room > least ? room : least;
+  if (bucket->tokens > most)
+    bucket->tokens = most;
+  bucket->search_bytes = 0;
+  bucket->counted_bytes = plane->bytes_out;
+  bucket->refilled_at = plane->now;
+}
+
+/* Sends the agent of the upstream that HANDLE names the packet that began the
+   search; returns false when the token bucket is empty.  */
+static bool
+send_probe (struct galena_plane *plane, const struct entry_flow *flow,
+            struct search_row *search, struct galena_handle handle)
+{
+  if (search->size > SMALL_PROBE_BYTES
+      && plane->entry->search_bucket.tokens < most_tokens (plane) / 2)
+    return false;
+  if (!take_tokens (plane, QUERY_BYTES + search->size))
+    return false;
+  set_bit (search->probed, handle);
+  entry_flow_send_copy (plane, flow, handle, GALENA_PEER_PROBE, search->bytes,
+                        search->size);
+  return true;
+}
 
-  entry->search_tokens += bytes_per_ms
-                          * (double)galena_clock_elapsed_ms (
-                              entry->search_refilled_at, plane->now);
-  entry->search_refilled_at = plane->now;
-  if (entry->search_tokens > bytes_per_ms * BURST_MS)
-    entry->search_tokens = bytes_per_ms * BURST_MS;
+/* Returns whether a probe to UPSTREAM, the row that HANDLE names, saves a
+   query: its agent would probably be unsure.  Once its upstream has returned
+   the packet, the agent knows.  */
+static bool
+takes_probe_at_once (const struct galena_plane *plane,
+                     const struct search_row *search,
+                     const struct upstream_row *upstream,
+                     struct galena_handle handle)
+{
+  return search->first_pass && !has_bit (search->probed, handle)
+         && !galena_clock_reached (plane->now, upstream->unsure_until);
 }
 
-/* Queries the agent of the upstream that HANDLE names; returns false when the
-   token bucket is empty.  */
+/* Queries the agent of the upstream that HANDLE names, or sends it a probe;
+   returns false when the token bucket is empty.  */
 static bool
 send_query (struct galena_plane *plane, const struct entry_flow *flow,
             struct search_row *search, struct galena_handle handle)
@@ -174,15 +237,21 @@
                                        .flow = flow->key,
                                        .sequence = flow->acknowledged };
 
-  if (!take_tokens (plane, QUERY_BYTES))
-    return false;
   query.slots = upstream->slots;
+  if (takes_probe_at_once (plane, search, upstream, handle))
+    {
+      if (!send_probe (plane, flow, search, handle))
+        return false;
+    }
+  else if (!take_tokens (plane, QUERY_BYTES))
+    return false;
+  else
+    plane_send_message (plane, upstream->agent, &query);
   if (!has_bit (search->queried, handle))
     search->unanswered++;
   set_bit (search->queried, handle);
   set_bit (search->fresh, handle);
   plane_count (plane, GALENA_PLANE_OWNER_QUERIES);
-  plane_send_message (plane, upstream->agent, &query);
   return true;
 }
 
@@ -294,6 +363,7 @@
       <= DENIALS_VALID_MS)
     return true;
   start_queries (plane, search);
+  search->first_pass = false;
   return false;
 }
 
@@ -348,7 +418,7 @@
 
   refill_tokens (plane);
   /* Each pass begins where the last one ran out of tokens.  */
-  while (left > 0 && entry->search_tokens >= 0)
+  while (left > 0 && entry->search_bucket.tokens >= 0)
     {
       search
           = galena_table_next (entry->searches, &entry->search_cursor, &row);
@@ -397,6 +467,7 @@
     }
   search->flow = handle;
   search->began = plane->now;
+  search->first_pass = true;
   start_queries (plane, search);
   search->size = size;
   memcpy (search->bytes, bytes, size);
@@ -442,16 +513,15 @@
   struct reply reply;
   struct search_row *search;
 
-  if (!apply_reply (plane, peer, message, &reply) || reply.search == NULL)
+  if (!apply_reply (plane, peer, message, &reply))
     return;
+  entry_upstream (plane, reply.upstream)->unsure_until
+      = galena_clock_add_ms (plane->now, UNSURE_VALID_MS);
   search = reply.search;
-  if (has_bit (search->probed, reply.upstream)
-      || has_bit (search->denied, reply.upstream)
-      || !take_tokens (plane, QUERY_BYTES + search->size))
+  if (search == NULL || has_bit (search->probed, reply.upstream)
+      || has_bit (search->denied, reply.upstream))
     return;
-  set_bit (search->probed, reply.upstream);
-  entry_flow_send_copy (plane, reply.flow, reply.upstream, GALENA_PEER_PROBE,
-                        search->bytes, search->size);
+  send_probe (plane, reply.flow, search, reply.upstream);
 }
 
 void
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -58,6 +58,9 @@
      last one.  */
   uint32_t unanswered_opens;
   struct galena_clock last_open_at;
+  /* Until then its agent is assumed not to know which flows it holds, because
+     it has replied so.  */
+  struct galena_clock unsure_until;
   /* Not chosen for new flows until then, because an open timed out.  */
   struct galena_clock suspect_until;
 };
@@ -141,6 +144,8 @@
   struct galena_clock batch_due;
   /* Queried upstreams that have not denied the flow yet.  */
   uint32_t unanswered;
+  /* Whether all upstreams are queried for the first time.  */
+  bool first_pass;
   /* When queries without an answer are repeated, the interval after that, and
      how often they were.  */
   struct galena_clock repeat_due;
@@ -204,6 +209,18 @@
   struct galena_clock counted_at;
 };
 
+/* Token bucket for searches on the link.  */
+struct search_bucket
+{
+  /* Bytes that may be sent.  */
+  double tokens;
+  /* Bytes that searches have sent since the last refill.  */
+  double search_bytes;
+  /* Bytes that the plane had sent at the last refill, and when that was.  */
+  uint64_t counted_bytes;
+  struct galena_clock refilled_at;
+};
+
 struct entry_tables
 {
   struct bulk_bucket bulk_bucket;
@@ -219,10 +236,7 @@
   /* Moving average of the time in milliseconds until agents reply to an
      open.  */
   double mean_reply_ms;
-  /* Token bucket of searches: bytes that they may send, and when it was last
-     refilled.  */
-  double search_tokens;
-  struct galena_clock search_refilled_at;
+  struct search_bucket search_bucket;
   /* Where the next pass over the searches begins.  */
   uint32_t search_cursor;
   /* Number of the directory that was applied last, 0 to apply it again, and
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -29,6 +29,8 @@
   OPEN_OTHER,
   /* A packet of OPEN's flow that acknowledges sequence number VALUE.  */
   DATA,
+  /* The same of OPEN_OTHER's flow.  */
+  DATA_OTHER,
   /* VALUE packets of OPEN's flow, each full of data.  */
   BULK,
   /* The agent that was last sent the open accepts it, with the first sequence
@@ -236,6 +238,37 @@
       { 14, EXPECT_PROBES, 0 },
       { 15, OWNED, 0 },
       { 16, EXPECT_FORWARDS, 0 } } },
+  /* The next search sends such an agent the packet at once.  */
+  { "/entry/search-known-unsure",
+    5,
+    0,
+    { { 10, DATA, 7 },
+      { 10, EXPECT_QUERIES, 5 },
+      { 13, UNSURE, 0 },
+      { 13, EXPECT_PROBES, 5 },
+      { 500, DATA_OTHER, 7 },
+      { 500, EXPECT_PROBES, 5 },
+      { 501, EXPECT_QUERIES, 0 } } },
+  { "/entry/search-once-unsure",
+    5,
+    0,
+    { { 10, DATA, 7 },
+      { 10, EXPECT_QUERIES, 5 },
+      { 13, UNSURE, 0 },
+      { 13, EXPECT_PROBES, 5 },
+      { 15, OWNED, 0 },
+      { 700, EXPECT_PROBES, 0 },
+      { 1400, EXPECT_QUERIES, 0 },
+      { 2100, DATA_OTHER, 7 },
+      { 2100, EXPECT_QUERIES, 5 } } },
+  /* Searches may use what others leave of 60 % of the link, 6 bytes per ms: 4
+     queries in 60 ms after a burst of 5 that leaves 25 bytes.  */
+  { "/entry/search-idle-link",
+    32,
+    80,
+    { { 1010, DATA, 7 },
+      { 1010, EXPECT_QUERIES, 5 },
+      { 1070, EXPECT_QUERIES, 4 } } },
   /* Searches get a quarter of the link, 2.5 bytes per ms, as a token bucket of
      250 ms; a query takes 120 bytes.  */
   { "/entry/search-share",
@@ -339,7 +372,9 @@
 static struct galena_flow_key
 key_of (enum step_kind kind)
 {
-  return (struct galena_flow_key){ { CALLER_IP + (kind == OPEN_OTHER), 40001 },
+  bool other = kind == OPEN_OTHER || kind == DATA_OTHER;
+
+  return (struct galena_flow_key){ { CALLER_IP + other, 40001 },
                                    { ROUTE_IP, PORT } };
 }
 
@@ -348,16 +383,16 @@
 {
   struct galena_input *input = galena_plane_next_input (run->plane);
   struct galena_flow_key key = key_of (step->kind);
+  bool data = step->kind == DATA || step->kind == DATA_OTHER;
 
   input->side = GALENA_SIDE_CALLER;
   input->packet = (struct galena_packet){
     .source = key.caller,
     .destination = key.service_address,
-    .flags
-    = step->kind == DATA ? GALENA_PACKET_ACKNOWLEDGES : GALENA_PACKET_OPENS,
-    .acknowledged = step->kind == DATA ? step->value : 0,
+    .flags = data ? GALENA_PACKET_ACKNOWLEDGES : GALENA_PACKET_OPENS,
+    .acknowledged = data ? step->value : 0,
     .bytes = run->bytes,
-    .size = step->kind == DATA ? HEADER_BYTES : step->value,
+    .size = data ? HEADER_BYTES : step->value,
   };
   galena_plane_push (run->plane);
   tick (run);
@@ -539,6 +574,7 @@
   [OPEN] = run_packet,
   [OPEN_OTHER] = run_packet,
   [DATA] = run_packet,
+  [DATA_OTHER] = run_packet,
   [BULK] = run_bulk,
   [ACCEPTED] = run_accepted,
   [REFUSED] = run_refused,
