Entry: ask for agents that are not published before resetting a flow

One that lapsed while the store was down lives on; its agent announces itself within 500 ms, and the entry had reset its flows before.

Ruled out: waiting for the announcements alone (after the loss of all power each lost flow would be reset seconds late).

An entry that has started, or was paused, asks for agents with its hellos, also of entries it has just learned of; the others reply with the live agents whose upstreams are not published (a new message, usually empty), and whether they have just started too.

--- a/packages/flows/include/galenaford/peer.h
+++ b/packages/flows/include/galenaford/peer.h
@@ -43,7 +43,10 @@
   /* Entry to agent: asks whether the upstream holds the flow.  */            \
   X (GALENA_PEER_QUERY, 12, "ask")                                            \
   /* Agent to entry: the agent does not know; a probe would show it.  */      \
-  X (GALENA_PEER_UNSURE, 13, "unsure")
+  X (GALENA_PEER_UNSURE, 13, "unsure")                                        \
+  /* Reply to a hello of an entry that asks for it: agents that the sender    \
+     has heard lately and whose upstreams are not published.  */              \
+  X (GALENA_PEER_AGENTS, 14, "agents")
 
 enum galena_peer_type
 {
@@ -103,7 +106,9 @@
   enum galena_published_state published_state;
   uint64_t started_unix_ms;
   /* In opened: first sequence number of the upstream.  In a query: the last
-     sequence number that the caller acknowledged.  */
+     sequence number that the caller acknowledged.  In hello of an entry: 1 if
+     it asks for agents.  In agents: 0 if the sender has just started, 1 if
+     these are all, 2 if there are more.  */
   uint32_t sequence;
   /* In refused: the reason.  */
   enum galena_result result;
@@ -111,7 +116,7 @@
   struct galena_load load;
   /* In hello and members: state of the entry that sends it.  */
   struct galena_entry_state state;
-  /* In members: IP addresses of entries.  */
+  /* In members: IP addresses of entries.  In agents: those of agents.  */
   uint32_t member_count;
   uint32_t members[GALENA_PEER_MEMBERS_MAX];
   /* Packet that the message carries, of SIZE bytes; borrowed.  NULL when it
--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -25,7 +25,34 @@
   entry_update_from_agent (plane, peer, message, &handle);
 }
 
+static void
+on_hello (struct galena_plane *plane, struct galena_endpoint peer,
+          const struct galena_peer_message *message)
+{
+  members_on_hello (plane, peer, message);
+  if (message->role == GALENA_ROLE_ENTRY && message->sequence != 0)
+    entry_send_agents (plane, peer);
+}
+
+static void
+on_members (struct galena_plane *plane, struct galena_endpoint peer,
+            const struct galena_peer_message *message)
+{
+  members_on_list (plane, peer, message);
+  if (plane->entry->knowledge.asks)
+    members_greet (plane);
+}
+
+/* Asks for agents from the first tick on.  */
+static void
+run_knowledge (struct galena_plane *plane)
+{
+  if (plane->entry->knowledge.since.ms == 0)
+    entry_ask_for_agents (plane);
+}
+
 static const struct plane_system SYSTEMS[] = {
+  { "knowledge", 0, run_knowledge },
   { "link", 0, entry_run_bulk_refill },
   { "directory", 0, entry_run_directory },
   { "parked", 0, entry_run_parked },
@@ -124,6 +151,7 @@
   struct galena_handle handle;
   uint32_t cursor = 0;
 
+  entry_ask_for_agents (plane);
   plane->stale_until = galena_clock_add_ms (plane->now, REFRESH_TIMEOUT_MS);
   while ((upstream
           = galena_table_next (plane->entry->upstreams, &cursor, &handle))
@@ -160,8 +188,9 @@
     [GALENA_PEER_DISOWNED] = entry_on_disowned,
     [GALENA_PEER_LOST] = entry_on_lost,
     [GALENA_PEER_LOAD] = on_load,
-    [GALENA_PEER_HELLO] = members_on_hello,
-    [GALENA_PEER_MEMBERS] = members_on_list,
+    [GALENA_PEER_HELLO] = on_hello,
+    [GALENA_PEER_MEMBERS] = on_members,
+    [GALENA_PEER_AGENTS] = entry_on_agents,
   },
   .systems = SYSTEMS,
   .system_count = sizeof SYSTEMS / sizeof SYSTEMS[0],
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -221,8 +221,21 @@
   struct galena_clock refilled_at;
 };
 
+/* What the entry knows of agents whose upstreams are not published.  */
+struct agent_knowledge
+{
+  /* Whether it asks other entries for them, and since when.  */
+  bool asks;
+  struct galena_clock since;
+  /* Whether another entry knows more than fit in its reply.  */
+  bool truncated;
+  /* One bit per seed that has just started as well.  */
+  uint32_t partial_seeds;
+};
+
 struct entry_tables
 {
+  struct agent_knowledge knowledge;
   struct bulk_bucket bulk_bucket;
   struct link_usage link_usage;
   struct galena_table *upstreams;
@@ -294,6 +307,25 @@
 /* System: sends heartbeats to agents, and removes upstreams that are gone.  */
 void entry_run_hello (struct galena_plane *plane);
 
+/* entry_knowledge.c */
+
+/* Makes the entry ask other entries for agents that it may lack, from now
+   on.  */
+void entry_ask_for_agents (struct galena_plane *plane);
+
+/* Returns whether the entry knows all agents whose upstreams may hold a
+   flow.  */
+bool entry_knows_agents (struct galena_plane *plane);
+
+/* Sends the entry at PEER the live agents whose upstreams are not
+   published.  */
+void entry_send_agents (struct galena_plane *plane,
+                        struct galena_endpoint peer);
+
+/* Handler of such a list.  */
+void entry_on_agents (struct galena_plane *plane, struct galena_endpoint peer,
+                      const struct galena_peer_message *message);
+
 /* entry_published.c */
 
 /* System: applies a new directory to the table of upstreams.  */
--- a/packages/flows/src/members.c
+++ b/packages/flows/src/members.c
@@ -1,7 +1,7 @@
 /* Membership of entries.  Processes first contact the seeds; messages and the
    lists in them then make the other entries known.  */
 
-#include "plane_private.h"
+#include "entry_tables.h"
 
 enum
 {
@@ -144,12 +144,25 @@
     members_add (plane, message->members[i]);
 }
 
+/* Returns a hello of this process.  */
+static struct galena_peer_message
+make_hello (struct galena_plane *plane)
+{
+  struct galena_peer_message hello
+      = { .type = GALENA_PEER_HELLO, .service = plane->options.service };
+
+  add_state (plane, &hello);
+  if (plane->options.role == GALENA_ROLE_ENTRY)
+    hello.sequence = !entry_knows_agents (plane);
+  return hello;
+}
+
 static void
 send_hello (struct galena_plane *plane, struct member *member)
 {
-  struct galena_peer_message hello = { .type = GALENA_PEER_HELLO };
+  struct galena_peer_message hello = make_hello (plane);
 
-  add_state (plane, &hello);
+  member->greeted = true;
   plane_send_message (plane, member->address, &hello);
 }
 
@@ -187,10 +200,8 @@
 static void
 send_hello_to_seeds (struct galena_plane *plane)
 {
-  struct galena_peer_message hello
-      = { .type = GALENA_PEER_HELLO, .service = plane->options.service };
+  struct galena_peer_message hello = make_hello (plane);
 
-  add_state (plane, &hello);
   for (uint32_t i = 0; i < plane->options.seed_count; i++)
     if (plane->options.seeds[i].ip != plane->options.self.ip)
       plane_send_message (plane, plane->options.seeds[i], &hello);
@@ -211,6 +222,19 @@
       galena_table_remove (plane->members, handle);
 }
 
+void
+members_greet (struct galena_plane *plane)
+{
+  struct member *member;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((member = galena_table_next (plane->members, &cursor, &handle))
+         != NULL)
+    if (!member->greeted && member->last_seen.ms == 0)
+      send_hello (plane, member);
+}
+
 void
 members_run (struct galena_plane *plane)
 {
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -63,6 +63,8 @@
   struct galena_clock last_seen;
   /* When its last message came or another entry last listed it.  */
   struct galena_clock last_mentioned;
+  /* Whether it was sent a hello.  */
+  bool greeted;
   /* State that it reported last.  */
   struct galena_entry_state state;
   /* Agent only: when it last sent an open.  */
@@ -184,6 +186,9 @@
 void members_on_list (struct galena_plane *plane, struct galena_endpoint peer,
                       const struct galena_peer_message *message);
 
+/* Entry only: sends a hello to the entries that were not sent one yet.  */
+void members_greet (struct galena_plane *plane);
+
 /* System: sends heartbeats to seeds and, as an entry, to other entries, and
    removes entries that have timed out.  */
 void members_run (struct galena_plane *plane);
--- a/packages/wire/src/peer.c
+++ b/packages/wire/src/peer.c
@@ -1,5 +1,5 @@
 /* Peer messages are flat arrays of integers and one binary item: the packet,
-   or the addresses of entries.  */
+   or the addresses of entries or agents.  */
 
 #include <string.h>
 
@@ -66,7 +66,14 @@
   [ITEM_UPSTREAM_PORT] = UINT16_MAX,
 };
 
-/* Decodes the IP addresses of entries.  */
+/* Returns whether messages of TYPE carry IP addresses.  */
+static bool
+has_addresses (enum galena_peer_type type)
+{
+  return type == GALENA_PEER_MEMBERS || type == GALENA_PEER_AGENTS;
+}
+
+/* Decodes the IP addresses of entries or agents.  */
 static enum galena_result
 decode_members (const struct unpack_item *body,
                 struct galena_peer_message *message)
@@ -95,7 +102,7 @@
   message->member_count = 0;
   message->bytes = NULL;
   message->size = 0;
-  if (message->type == GALENA_PEER_MEMBERS)
+  if (has_addresses (message->type))
     return decode_members (body, message);
   if (body->size == 0)
     return GALENA_OK;
@@ -198,7 +205,7 @@
   failed = msgpack_pack_array (&packer, ITEM_COUNT);
   for (uint32_t i = 0; i < ITEM_BODY; i++)
     failed |= msgpack_pack_uint64 (&packer, values[i]);
-  if (message->type == GALENA_PEER_MEMBERS)
+  if (has_addresses (message->type))
     failed |= encode_members (&packer, message);
   else
     {
--- a/test/unit/test_peer_wire.c
+++ b/test/unit/test_peer_wire.c
@@ -57,6 +57,12 @@
       .member_count = 3,
       .members = { 0x0a010001, UINT32_MAX, 1 } },
     NULL },
+  { "/peer/agents",
+    { .type = GALENA_PEER_AGENTS,
+      .sequence = 1,
+      .member_count = 2,
+      .members = { 0x0a020001, UINT32_MAX } },
+    NULL },
 };
 
 static void
--- a/test/unit/test_planes.c
+++ b/test/unit/test_planes.c
@@ -325,6 +325,18 @@
     0,
     0,
     0 },
+  /* An entry that has just started learns of live upstreams that are not
+     published from its peers, before it resets a flow.  */
+  { "/planes/unlisted-owner-of-started-entry",
+    { FLEET, .actions = { { 5000, PLANES_PUBLISH_ABSENT, 0, 0 },
+                          { 9100, PLANES_RESTART_ENTRIES, 0, 0 },
+                          { 11100, PLANES_RESTART_ENTRIES, 1, 1 },
+                          { 13100, PLANES_RESTART_ENTRIES, 2, 2 } } },
+    60,
+    700,
+    0,
+    0,
+    0 },
   { "/planes/entry-misses-new-upstreams",
     { FLEET, .actions = { { 1, PLANES_PUBLISH_ABSENT, 4, 6 },
                           { 4000, PLANES_DISCONNECT_ENTRIES, 0, 0 },
