Members: lists go round all entries

Cause: a reply to a hello listed the first 31 live entries of the table, each time the same. Of 59 entries, 28 were never listed, so that an agent found them only by their hellos.

Change: each list begins where the last one ended.

Test: test_members; 59 and 300 entries fail before.

--- a/packages/flows/src/members.c
+++ b/packages/flows/src/members.c
@@ -72,6 +72,14 @@
     find_or_add (plane, ip);
 }
 
+static bool
+is_live (const struct galena_plane *plane, const struct member *member)
+{
+  return member->last_seen.ms != 0
+         && galena_clock_elapsed_ms (member->last_seen, plane->now)
+                < MEMBER_LIVE_MS;
+}
+
 uint32_t
 galena_plane_live_entries (const struct galena_plane *plane, uint32_t *ips,
                            uint32_t max)
@@ -84,9 +92,7 @@
   while (count < max
          && (member = galena_table_next (plane->members, &cursor, &handle))
                 != NULL)
-    if (member->last_seen.ms != 0
-        && galena_clock_elapsed_ms (member->last_seen, plane->now)
-               < MEMBER_LIVE_MS)
+    if (is_live (plane, member))
       ips[count++] = member->address.ip;
   return count;
 }
@@ -115,6 +121,32 @@
     member->state = message->state;
 }
 
+/* Stores in IPS as many live entries as fit in one message beside the sender,
+   beginning where the last list ended.  Returns how many.  */
+static uint32_t
+list_members (struct galena_plane *plane, uint32_t *ips)
+{
+  uint32_t left = galena_table_count (plane->members);
+  uint32_t count = 0;
+
+  while (left > 0 && count < GALENA_PEER_MEMBERS_MAX - 1)
+    {
+      struct galena_handle handle;
+      const struct member *member
+          = galena_table_next (plane->members, &plane->list_cursor, &handle);
+
+      if (member == NULL)
+        {
+          plane->list_cursor = 0;
+          continue;
+        }
+      left--;
+      if (is_live (plane, member))
+        ips[count++] = member->address.ip;
+    }
+  return count;
+}
+
 /* An entry replies with the list of entries seen lately.  */
 void
 members_on_hello (struct galena_plane *plane, struct galena_endpoint peer,
@@ -128,10 +160,7 @@
   if (plane->options.role != GALENA_ROLE_ENTRY)
     return;
   reply.members[0] = plane->options.self.ip;
-  reply.member_count
-      = 1
-        + galena_plane_live_entries (plane, reply.members + 1,
-                                     GALENA_PEER_MEMBERS_MAX - 1);
+  reply.member_count = 1 + list_members (plane, reply.members + 1);
   plane_send_message (plane, peer, &reply);
 }
 
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -100,6 +100,8 @@
   struct galena_table *members;
   /* Where the next round over the members begins.  */
   uint32_t member_cursor;
+  /* Where the next list of members begins.  */
+  uint32_t list_cursor;
   /* Tables of the role; those of the other role are NULL.  */
   struct entry_tables *entry;
   struct agent_tables *agent;
