Agent: an upstream that has left is silent sooner

Change: an agent to which entries reported that its upstream drained and then was not published any more needs one packet without an answer for 250 ms.

Test: /agent/silent-upstream-left fails before.

--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -15,7 +15,7 @@
   DRAINING_MS = 3000,
   /* It counts as not published for this long after an entry reported it, or
      until one reports the contrary.  */
-  UNPUBLISHED_MS = 3000,
+  EVIDENCE_MS = 3000,
   /* The newest start that entries have reported is forgotten after this time
      without such a report: several rounds of hellos to all agents.  */
   START_VALID_MS = 10000,
@@ -49,6 +49,22 @@
   return true;
 }
 
+/* Notes what the published STATE says on whether the upstream has ended.  */
+static void
+note_evidence (struct galena_plane *plane, enum galena_published_state state)
+{
+  struct agent_tables *agent = plane->agent;
+
+  agent->evidence = EVIDENCE_NONE;
+  if (state != GALENA_PUBLISHED_ABSENT)
+    {
+      agent->was_draining = state == GALENA_PUBLISHED_DRAINING;
+      return;
+    }
+  agent->evidence = agent->was_draining ? EVIDENCE_LEFT : EVIDENCE_UNPUBLISHED;
+  agent->evidence_until = galena_clock_add_ms (plane->now, EVIDENCE_MS);
+}
+
 /* Applies what an entry reports as published of the upstream.  */
 static void
 apply_published (struct galena_plane *plane,
@@ -58,10 +74,7 @@
 
   if (message->slots != 0)
     agent->slots = message->slots;
-  agent->unpublished_until
-      = message->published_state == GALENA_PUBLISHED_ABSENT
-            ? galena_clock_add_ms (plane->now, UNPUBLISHED_MS)
-            : plane->now;
+  note_evidence (plane, message->published_state);
   if (message->published_state == GALENA_PUBLISHED_ABSENT
       || (message->started_unix_ms != 0
           && !apply_start (plane, message->started_unix_ms))
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -32,12 +32,13 @@
 {
   uint32_t packets;
   int64_t after_ms;
-  /* Whether entries must report that it is not published.  */
-  bool unpublished;
+  /* Least evidence of entries that it has ended.  */
+  enum agent_evidence evidence;
 } SILENCE_RULES[] = {
-  { 8, 500, false },
-  { 1, 1000, true },
-  { 1, 3000, false },
+  { 8, 500, EVIDENCE_NONE },
+  { 1, 250, EVIDENCE_LEFT },
+  { 1, 1000, EVIDENCE_UNPUBLISHED },
+  { 1, 3000, EVIDENCE_NONE },
 };
 
 static struct agent_flow *
@@ -95,11 +96,13 @@
 agent_upstream_is_silent (const struct galena_plane *plane)
 {
   const struct agent_tables *agent = plane->agent;
-  bool unpublished
-      = !galena_clock_reached (plane->now, agent->unpublished_until);
+  enum agent_evidence evidence
+      = galena_clock_reached (plane->now, agent->evidence_until)
+            ? EVIDENCE_NONE
+            : agent->evidence;
 
   for (size_t i = 0; i < sizeof SILENCE_RULES / sizeof SILENCE_RULES[0]; i++)
-    if ((unpublished || !SILENCE_RULES[i].unpublished)
+    if (evidence >= SILENCE_RULES[i].evidence
         && agent->unanswered_packets >= SILENCE_RULES[i].packets
         && agent->unanswered_ms >= SILENCE_RULES[i].after_ms)
       return true;
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -21,6 +21,16 @@
   AGENT_FLOW_OPEN
 };
 
+/* What suggests that the upstream has ended, weakest first.  */
+enum agent_evidence
+{
+  EVIDENCE_NONE,
+  /* It is not published.  */
+  EVIDENCE_UNPUBLISHED,
+  /* It is not published any more and was draining before.  */
+  EVIDENCE_LEFT
+};
+
 struct agent_flow
 {
   struct galena_flow_key key;
@@ -69,8 +79,12 @@
   uint64_t upstream_started_unix_ms;
   struct galena_clock start_valid_until;
   struct galena_clock draining_until;
-  /* Until when the upstream counts as not published.  */
-  struct galena_clock unpublished_until;
+  /* Whether the last state that was published is draining.  */
+  bool was_draining;
+  /* What entries have reported that suggests the end of the upstream, and
+     until when that is valid.  */
+  enum agent_evidence evidence;
+  struct galena_clock evidence_until;
   /* Moving average of the service time in microseconds; 0 while unknown.  */
   double service_us;
   /* Sum over all slots of the time in microseconds that they were busy since
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -254,6 +254,18 @@
       { 1070, HELLO_READY, 0 },
       { 1080, QUERY, 5 },
       { 1080, EXPECT_REPLY, GALENA_PEER_UNSURE } } },
+  /* Still less so if it was draining before.  */
+  { "/agent/silent-upstream-left",
+    false,
+    { { 10, HELLO_DRAINING, 100 },
+      { 50, PROBES, 1 },
+      { 100, HELLO_ABSENT, 0 },
+      { 200, RUN, 0 },
+      { 200, QUERY, 5 },
+      { 200, EXPECT_REPLY, GALENA_PEER_UNSURE },
+      { 340, RUN, 0 },
+      { 340, QUERY, 5 },
+      { 340, EXPECT_REPLY, GALENA_PEER_DISOWNED } } },
   /* Packets without data need no reply.  */
   { "/agent/silent-upstream-without-data",
     false,
