Search: send a probe again when the agent replies unsure again

Change: a query ends the wait for the last probe; only the first query of an upstream may be left out for a probe.

Test: /entry/search-lost-probe fails before.

--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -80,6 +80,12 @@
   bits[upstream.index / 64] |= UINT64_C (1) << (upstream.index % 64);
 }
 
+static void
+clear_bit (uint64_t *bits, struct galena_handle upstream)
+{
+  bits[upstream.index / 64] &= ~(UINT64_C (1) << (upstream.index % 64));
+}
+
 /* Records that UPSTREAM does not hold the flow.  */
 static void
 add_denial (const struct galena_plane *plane, struct search_row *search,
@@ -222,7 +228,7 @@
                      const struct upstream_row *upstream,
                      struct galena_handle handle)
 {
-  return search->first_pass && !has_bit (search->probed, handle)
+  return search->first_pass && !has_bit (search->queried, handle)
          && !galena_clock_reached (plane->now, upstream->unsure_until);
 }
 
@@ -246,7 +252,11 @@
   else if (!take_tokens (plane, QUERY_BYTES))
     return false;
   else
-    plane_send_message (plane, upstream->agent, &query);
+    {
+      /* The last probe may have been lost.  */
+      clear_bit (search->probed, handle);
+      plane_send_message (plane, upstream->agent, &query);
+    }
   if (!has_bit (search->queried, handle))
     search->unanswered++;
   set_bit (search->queried, handle);
@@ -324,18 +334,6 @@
     search->repeat_ms *= 2;
   if (search->repeat_ms > REPEAT_MAX_MS)
     search->repeat_ms = REPEAT_MAX_MS;
-  search->repetitions++;
-}
-
-/* Prepares the search to repeat the queries that are being sent now.  After
-   the first repetition probes are sent again, once, in case the first ones
-   were lost.  */
-static void
-end_repetition (struct search_row *search)
-{
-  memset (search->fresh, 0, sizeof search->fresh);
-  if (search->repetitions == 2)
-    memset (search->probed, 0, sizeof search->probed);
 }
 
 /* Begins to query all upstreams, with the smallest batch.  */
@@ -406,7 +404,7 @@
       && !advance (plane, search->flow))
     return;
   if (repeats && !galena_clock_reached (plane->now, search->repeat_due))
-    end_repetition (search);
+    memset (search->fresh, 0, sizeof search->fresh);
 }
 
 void
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -130,7 +130,7 @@
   bool all_services;
   /* One bit per row of an upstream: those that replied "disowned", those that
      were queried, those that were queried since the last repetition, and those
-     that got a probe.  */
+     that got a probe since their last query.  */
   uint64_t denied[SEARCH_BITMAP_WORDS];
   uint64_t queried[SEARCH_BITMAP_WORDS];
   uint64_t fresh[SEARCH_BITMAP_WORDS];
@@ -146,11 +146,10 @@
   uint32_t unanswered;
   /* Whether all upstreams are queried for the first time.  */
   bool first_pass;
-  /* When queries without an answer are repeated, the interval after that, and
-     how often they were.  */
+  /* When queries without an answer are repeated, and the interval after
+     that.  */
   struct galena_clock repeat_due;
   uint32_t repeat_ms;
-  uint32_t repetitions;
   /* The packet that began the search, sent in probes and to the owner.  */
   uint32_t size;
   uint8_t bytes[GALENA_BUFFERED_PACKET_BYTES];
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -44,6 +44,8 @@
   OWNED,
   /* All of them reply that they need a packet of the flow to find out.  */
   UNSURE,
+  /* The same about OPEN_OTHER's flow.  */
+  UNSURE_OTHER,
   /* All upstreams are published as draining.  */
   DRAIN,
   /* The front end reports that the directory is up to date again.  */
@@ -249,6 +251,27 @@
       { 500, DATA_OTHER, 7 },
       { 500, EXPECT_PROBES, 5 },
       { 501, EXPECT_QUERIES, 0 } } },
+  /* The agents have just ended, so that the packet is lost.  Once they reply
+     that they are unsure again, they get it again.  */
+  { "/entry/search-lost-probe",
+    5,
+    0,
+    { { 10, DATA, 7 },
+      { 10, EXPECT_QUERIES, 5 },
+      { 13, UNSURE, 0 },
+      { 13, EXPECT_PROBES, 5 },
+      { 14, OWNED, 0 },
+      { 500, DATA_OTHER, 7 },
+      { 500, EXPECT_PROBES, 5 },
+      { 600, EXPECT_QUERIES, 0 },
+      { 700, EXPECT_QUERIES, 5 },
+      { 701, UNSURE_OTHER, 0 },
+      { 701, EXPECT_PROBES, 5 },
+      { 702, UNSURE_OTHER, 0 },
+      { 702, EXPECT_PROBES, 0 },
+      { 1000, EXPECT_QUERIES, 5 },
+      { 1001, UNSURE_OTHER, 0 },
+      { 1001, EXPECT_PROBES, 5 } } },
   { "/entry/search-once-unsure",
     5,
     0,
@@ -374,7 +397,8 @@
 static struct galena_flow_key
 key_of (enum step_kind kind)
 {
-  bool other = kind == OPEN_OTHER || kind == DATA_OTHER;
+  bool other
+      = kind == OPEN_OTHER || kind == DATA_OTHER || kind == UNSURE_OTHER;
 
   return (struct galena_flow_key){ { CALLER_IP + other, 40001 },
                                    { ROUTE_IP, PORT } };
@@ -426,7 +450,7 @@
 /* Adds MESSAGE from the agent at PEER to the input of the plane.  */
 static void
 push_message (struct run *run, struct galena_endpoint peer,
-              struct galena_peer_message message)
+              struct galena_flow_key flow, struct galena_peer_message message)
 {
   struct galena_input *input = galena_plane_next_input (run->plane);
 
@@ -434,7 +458,7 @@
   input->peer = peer;
   input->message = message;
   input->message.role = GALENA_ROLE_AGENT;
-  input->message.flow = key_of (OPEN);
+  input->message.flow = flow;
   input->message.service = galena_service_key_of ("first");
   galena_plane_push (run->plane);
 }
@@ -442,7 +466,7 @@
 static void
 run_accepted (struct run *run, const struct step *step)
 {
-  push_message (run, run->opened,
+  push_message (run, run->opened, key_of (OPEN),
                 (struct galena_peer_message){ .type = GALENA_PEER_OPENED,
                                               .sequence = step->value });
   tick (run);
@@ -453,7 +477,7 @@
 {
   (void)step;
   push_message (
-      run, run->opened,
+      run, run->opened, key_of (OPEN),
       (struct galena_peer_message){ .type = GALENA_PEER_REFUSED,
                                     .result = GALENA_REFUSED_BY_UPSTREAM });
   tick (run);
@@ -468,7 +492,7 @@
   run->queried_count = 0;
   for (uint32_t i = 0; i < count; i++)
     push_message (
-        run, run->queried[i],
+        run, run->queried[i], key_of (OPEN),
         (struct galena_peer_message){ .type = GALENA_PEER_DISOWNED });
   tick (run);
 }
@@ -476,9 +500,8 @@
 static void
 run_unsure (struct run *run, const struct step *step)
 {
-  (void)step;
   for (uint32_t i = 0; i < run->queried_count; i++)
-    push_message (run, run->queried[i],
+    push_message (run, run->queried[i], key_of (step->kind),
                   (struct galena_peer_message){ .type = GALENA_PEER_UNSURE });
   tick (run);
 }
@@ -487,7 +510,7 @@
 run_owned (struct run *run, const struct step *step)
 {
   (void)step;
-  push_message (run, run->queried[0],
+  push_message (run, run->queried[0], key_of (OPEN),
                 (struct galena_peer_message){ .type = GALENA_PEER_OWNED });
   tick (run);
 }
@@ -583,6 +606,7 @@
   [DISOWNED] = run_disowned,
   [OWNED] = run_owned,
   [UNSURE] = run_unsure,
+  [UNSURE_OTHER] = run_unsure,
   [DRAIN] = run_drain,
   [REFRESHED] = run_refreshed,
   [EXPECT_OPENS] = expect_opens,
