Agent: report the end of its upstream when it is stopped

Ruled out: upstreams that are silent while their agents run (their hosts still returned packets 80 ms before the agents ended).

Change: an agent that is being stopped, and to which entries have reported for 2 s that its upstream drained and is not published any more, says so in its last load reports, which go to all entries. A search does not wait for such an agent once it has not replied for 250 ms. Open flows at it are not affected.

Tests: /agent/stopped-after-upstream and three that must not report it.

--- a/packages/flows/include/galenaford/peer.h
+++ b/packages/flows/include/galenaford/peer.h
@@ -107,8 +107,9 @@
   uint64_t started_unix_ms;
   /* In opened: first sequence number of the upstream.  In a query: the last
      sequence number that the caller acknowledged.  In hello of an entry: 1 if
-     it asks for agents.  In agents: 0 if the sender has just started, 1 if
-     these are all, 2 if there are more.  */
+     it asks for agents.  In load: 1 if the upstream has ended.  In agents: 0
+     if the sender has just started, 1 if these are all, 2 if there are more.
+   */
   uint32_t sequence;
   /* In refused: the reason.  */
   enum galena_result result;
--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -54,14 +54,16 @@
 note_evidence (struct galena_plane *plane, enum galena_published_state state)
 {
   struct agent_tables *agent = plane->agent;
+  enum agent_evidence evidence = EVIDENCE_NONE;
 
-  agent->evidence = EVIDENCE_NONE;
   if (state != GALENA_PUBLISHED_ABSENT)
-    {
-      agent->was_draining = state == GALENA_PUBLISHED_DRAINING;
-      return;
-    }
-  agent->evidence = agent->was_draining ? EVIDENCE_LEFT : EVIDENCE_UNPUBLISHED;
+    agent->was_draining = state == GALENA_PUBLISHED_DRAINING;
+  else
+    evidence = agent->was_draining ? EVIDENCE_LEFT : EVIDENCE_UNPUBLISHED;
+  if (evidence != agent->evidence
+      || galena_clock_reached (plane->now, agent->evidence_until))
+    agent->evidence_since = plane->now;
+  agent->evidence = evidence;
   agent->evidence_until = galena_clock_add_ms (plane->now, EVIDENCE_MS);
 }
 
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -21,7 +21,10 @@
   HALF_OPEN_LINGER_MS = 12000,
   /* Most milliseconds of silence that one run of the system counts: twice its
      period.  */
-  SILENCE_STEP_MAX_MS = 50
+  SILENCE_STEP_MAX_MS = 50,
+  /* A registration that has lapsed is back within this time if its upstream
+     lives.  */
+  LEFT_FOR_GOOD_MS = 2000
 };
 
 /* An upstream is silent when it has left at least PACKETS packets unanswered,
@@ -92,14 +95,21 @@
     plane->agent->open_count++;
 }
 
+static enum agent_evidence
+evidence_of_end (const struct galena_plane *plane)
+{
+  const struct agent_tables *agent = plane->agent;
+
+  return galena_clock_reached (plane->now, agent->evidence_until)
+             ? EVIDENCE_NONE
+             : agent->evidence;
+}
+
 bool
 agent_upstream_is_silent (const struct galena_plane *plane)
 {
   const struct agent_tables *agent = plane->agent;
-  enum agent_evidence evidence
-      = galena_clock_reached (plane->now, agent->evidence_until)
-            ? EVIDENCE_NONE
-            : agent->evidence;
+  enum agent_evidence evidence = evidence_of_end (plane);
 
   for (size_t i = 0; i < sizeof SILENCE_RULES / sizeof SILENCE_RULES[0]; i++)
     if (evidence >= SILENCE_RULES[i].evidence
@@ -109,6 +119,14 @@
   return false;
 }
 
+bool
+agent_upstream_has_ended (const struct galena_plane *plane)
+{
+  return plane->draining && evidence_of_end (plane) == EVIDENCE_LEFT
+         && galena_clock_elapsed_ms (plane->agent->evidence_since, plane->now)
+                >= LEFT_FOR_GOOD_MS;
+}
+
 /* Counts PACKET, which the upstream is given, if it calls for a reply: an
    upstream takes packets without data silently.  */
 static void
--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -155,7 +155,9 @@
 static void
 send_load (struct galena_plane *plane, struct member *member)
 {
-  struct galena_peer_message message = { .type = GALENA_PEER_LOAD };
+  struct galena_peer_message message
+      = { .type = GALENA_PEER_LOAD,
+          .sequence = agent_upstream_has_ended (plane) };
 
   agent_reply (plane, member->address, &message);
 }
@@ -206,5 +208,9 @@
 void
 agent_run_periodic_load (struct galena_plane *plane)
 {
-  members_visit (plane, REPORTS_MAX, send_load);
+  /* The last reports go to all, since none may follow.  */
+  members_visit (plane,
+                 plane->draining ? galena_table_count (plane->members)
+                                 : REPORTS_MAX,
+                 send_load);
 }
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -81,9 +81,10 @@
   struct galena_clock draining_until;
   /* Whether the last state that was published is draining.  */
   bool was_draining;
-  /* What entries have reported that suggests the end of the upstream, and
-     until when that is valid.  */
+  /* What entries have reported that suggests the end of the upstream, since
+     when, and until when that is valid.  */
   enum agent_evidence evidence;
+  struct galena_clock evidence_since;
   struct galena_clock evidence_until;
   /* Moving average of the service time in microseconds; 0 while unknown.  */
   double service_us;
@@ -121,6 +122,10 @@
    holds no flow any more, although its agent runs.  */
 bool agent_upstream_is_silent (const struct galena_plane *plane);
 
+/* Returns whether the instance goes away: the upstream has left the platform
+   for good, and the agent is being stopped.  */
+bool agent_upstream_has_ended (const struct galena_plane *plane);
+
 /* System: counts for how long the upstream has left packets unanswered.  */
 void agent_run_silence (struct galena_plane *plane);
 
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -124,7 +124,8 @@
          const struct search_row *search, const struct upstream_row *upstream,
          struct galena_handle handle)
 {
-  if (has_bit (search->denied, handle) || entry_is_gone (plane, upstream))
+  if (has_bit (search->denied, handle) || entry_is_gone (plane, upstream)
+      || entry_has_ended (plane, upstream))
     return false;
   return search->all_services
          || is_routed (plane, flow->key.service_address,
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -53,6 +53,8 @@
   struct galena_clock warmed_up_at;
   /* When the last message of the agent came; ms 0 when none did.  */
   struct galena_clock last_seen;
+  /* Whether the agent reported last that the upstream has ended.  */
+  bool ended;
   struct galena_load load;
   /* Opens that this entry sent and that are not answered, and when it sent the
      last one.  */
@@ -288,6 +290,11 @@
 bool entry_is_gone (const struct galena_plane *plane,
                     const struct upstream_row *upstream);
 
+/* Returns whether UPSTREAM has ended together with its agent, which reported
+   this when it was stopped.  */
+bool entry_has_ended (const struct galena_plane *plane,
+                      const struct upstream_row *upstream);
+
 /* Updates the row of the agent at PEER from the load in MESSAGE.  Returns the
    row, which is added if needed, and its handle; NULL when the table is
    full.  */
--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -11,11 +11,15 @@
      its next message.  */
   SUSPECT_MS = 1000,
   /* An upstream is gone when the platform has not published it for this time
-     (one that is alive is published again within two seconds) ...  */
+     (one that is alive is published again within
+     two seconds) ...  */
   GONE_ABSENT_MS = 2000,
   /* ... and no message of its agent has come for this time: four periods of
      its load report.  */
   GONE_UNSEEN_MS = 2000,
+  /* The agent of an upstream that has ended is away if it has not replied for
+     this time: twice the interval of the first repeated queries.  */
+  ENDED_UNSEEN_MS = 250,
   /* The row of an upstream that is gone is kept for this time, since the
      oldest flows may still refer to it.  */
   REMOVE_AFTER_MS = 60000,
@@ -67,6 +71,16 @@
                 >= GONE_UNSEEN_MS;
 }
 
+bool
+entry_has_ended (const struct galena_plane *plane,
+                 const struct upstream_row *upstream)
+{
+  return upstream->published_state == GALENA_PUBLISHED_ABSENT
+         && upstream->ended
+         && galena_clock_elapsed_ms (upstream->last_seen, plane->now)
+                >= ENDED_UNSEEN_MS;
+}
+
 static void
 remove_row (struct galena_plane *plane, const struct upstream_row *upstream,
             struct galena_handle handle)
@@ -117,6 +131,8 @@
   entry_apply_report (plane, upstream, message->service,
                       message->upstream_port);
   upstream->load = message->load;
+  if (message->type == GALENA_PEER_LOAD)
+    upstream->ended = message->sequence != 0;
   if (galena_clock_elapsed_ms (upstream->last_open_at, plane->now)
       > REPLY_EXPECTED_MS)
     upstream->unanswered_opens = 0;
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -51,6 +51,10 @@
      service, or another port.  */
   HELLO_OTHER_SERVICE,
   HELLO_OTHER_PORT,
+  /* The process begins to stop.  */
+  STOP,
+  /* Whether the last load report says that the upstream has ended.  */
+  EXPECT_ENDED,
   /* Expected since the last step of the same kind: VALUE packets to the
      upstream or to the caller, and one reply of the type VALUE or none to the
      entry.  */
@@ -266,6 +270,39 @@
       { 340, RUN, 0 },
       { 340, QUERY, 5 },
       { 340, EXPECT_REPLY, GALENA_PEER_DISOWNED } } },
+  /* An agent that is stopped reports that its upstream has ended if that left
+     the platform two seconds ago.  */
+  { "/agent/stopped-after-upstream",
+    false,
+    { { 20, HELLO_DRAINING, 100 },
+      { 100, HELLO_ABSENT, 0 },
+      { 2000, HELLO_ABSENT, 0 },
+      { 2200, STOP, 0 },
+      { 2800, RUN, 0 },
+      { 2800, EXPECT_ENDED, 1 } } },
+  { "/agent/stopped-soon-after-upstream",
+    false,
+    { { 20, HELLO_DRAINING, 100 },
+      { 1500, HELLO_ABSENT, 0 },
+      { 2000, HELLO_ABSENT, 0 },
+      { 2200, STOP, 0 },
+      { 2800, RUN, 0 },
+      { 2800, EXPECT_ENDED, 0 } } },
+  { "/agent/stopped-before-upstream",
+    false,
+    { { 20, HELLO_DRAINING, 100 },
+      { 2000, HELLO_DRAINING, 100 },
+      { 2200, STOP, 0 },
+      { 2800, RUN, 0 },
+      { 2800, EXPECT_ENDED, 0 } } },
+  { "/agent/stopped-without-drain",
+    false,
+    { { 20, HELLO_READY, 100 },
+      { 100, HELLO_ABSENT, 0 },
+      { 2000, HELLO_ABSENT, 0 },
+      { 2200, STOP, 0 },
+      { 2800, RUN, 0 },
+      { 2800, EXPECT_ENDED, 0 } } },
   /* Packets without data need no reply.  */
   { "/agent/silent-upstream-without-data",
     false,
@@ -390,6 +427,7 @@
   uint32_t to_upstream;
   uint32_t to_caller;
   uint32_t replies;
+  uint32_t ended;
   struct galena_peer_message reply;
 };
 
@@ -409,8 +447,9 @@
           run->to_upstream += output->side == GALENA_SIDE_APPLICATION;
           run->to_caller += output->side == GALENA_SIDE_CALLER;
         }
-      else if (output->message.type != GALENA_PEER_LOAD
-               && output->message.type != GALENA_PEER_HELLO)
+      else if (output->message.type == GALENA_PEER_LOAD)
+        run->ended = output->message.sequence;
+      else if (output->message.type != GALENA_PEER_HELLO)
         {
           run->replies++;
           run->reply = output->message;
@@ -550,6 +589,19 @@
   *count = 0;
 }
 
+static void
+run_stop (struct run *run, const struct step *step)
+{
+  (void)step;
+  galena_plane_drain (run->plane);
+}
+
+static void
+expect_ended (struct run *run, const struct step *step)
+{
+  g_assert_cmpuint (run->ended, ==, step->value);
+}
+
 static void
 expect_to_upstream (struct run *run, const struct step *step)
 {
@@ -596,6 +648,8 @@
   [HELLO_READY] = run_hello,
   [HELLO_DRAINING] = run_hello,
   [HELLO_ABSENT] = run_hello,
+  [STOP] = run_stop,
+  [EXPECT_ENDED] = expect_ended,
   [HELLO_OTHER_SERVICE] = run_hello,
   [HELLO_OTHER_PORT] = run_hello,
   [EXPECT_TO_UPSTREAM] = expect_to_upstream,
