Load: an answer is shed if it overtook its queue

Cause: an agent left out answers that came in less than half of the estimated service time to a request that had queued, as shed by the upstream. With an estimate that is too high, as after a cold start, that is every answer of an upstream whose requests all queue. The estimate then stays for good, and the time of the answers that were left out counts for the next one that is not.

Ruled out: the number of slots (4 at all agents), the report's age.

Change: an answer is shed if as many requests as the upstream has slots were there before it and still are. That needs no estimate.

Test: test_load; /load/full-after-slow-start reports 399 ms for 30 ms before.

--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -65,20 +65,20 @@
   flow->running = true;
   flow->request_began = plane->now;
   flow->queue_position = ++plane->agent->running_count;
+  flow->finished_before = plane->agent->finished_requests;
 }
 
-/* Returns whether the answer of FLOW came too early for a request that had to
-   queue: the upstream has shed it.  */
+/* Returns whether the answer of FLOW overtook a queue: at least as many
+   requests as the upstream has slots were there before it and still are.  The
+   upstream has shed it.  */
 static bool
 is_shed (const struct galena_plane *plane, const struct agent_flow *flow)
 {
   const struct agent_tables *agent = plane->agent;
-  double took_us
-      = (double)galena_clock_elapsed_ms (flow->request_began, plane->now)
-        * US_PER_MS;
+  uint32_t ahead = flow->queue_position - 1;
+  uint32_t finished = agent->finished_requests - flow->finished_before;
 
-  return agent->slots > 0 && flow->queue_position > agent->slots
-         && took_us < agent->service_us / 2;
+  return agent->slots > 0 && ahead >= agent->slots + finished;
 }
 
 void
@@ -94,6 +94,7 @@
   agent->running_count--;
   if (is_shed (plane, flow))
     return;
+  agent->finished_requests++;
   /* On average, the slots together are busy for one service time between two
      answers, whether requests queue or not.  */
   if (agent->service_us <= 0)
@@ -111,6 +112,7 @@
     return;
   update_busy_time (plane);
   plane->agent->running_count--;
+  plane->agent->finished_requests++;
   flow->running = false;
 }
 
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -49,8 +49,10 @@
      when.  */
   bool awaiting_request;
   struct galena_clock opened_at;
-  /* Requests that ran when this one began, including it.  */
+  /* Requests that ran when this one began, including it, and the number of
+     finished ones at that time.  */
   uint32_t queue_position;
+  uint32_t finished_before;
   /* Whether the upstream has accepted the flow, and its first sequence
      number.  */
   bool accepted;
@@ -67,6 +69,9 @@
   struct galena_map *flows_by_key;
   /* Flows with a queued or running request.  */
   uint32_t running_count;
+  /* Number of requests that were answered or dropped, except those that were
+     shed; it wraps.  */
+  uint32_t finished_requests;
   /* Flows that were opened and wait for their first request.  */
   uint32_t awaiting_count;
   /* Open flows that the upstream has not ended.  */
