Load: forget an estimate of the service time that nothing confirms

Cause: entries send an upstream that seems slow nothing, so that its agent measures nothing, and it seems slow for good.

Change: an agent without requests that has measured no answer for 2 s reports the service time as unknown; entries then assume the mean of the service.

Test: /load/unused-after-slow-start fails before.

--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -17,6 +17,9 @@
      acceptance, about 10 ms; a flow without one by then was opened at another
      upstream.  */
   FIRST_REQUEST_TIMEOUT_MS = 100,
+  /* An estimate of the service time is forgotten when no answer has confirmed
+     it for this time, so that entries try an upstream again that was slow.  */
+  ESTIMATE_VALID_MS = 2000,
   /* Entries whose last open is younger than this get a report at each change
      of load.  */
   RECENT_OPEN_MS = 1000,
@@ -95,6 +98,7 @@
   if (is_shed (plane, flow))
     return;
   agent->finished_requests++;
+  agent->estimated_at = plane->now;
   /* On average, the slots together are busy for one service time between two
      answers, whether requests queue or not.  */
   if (agent->service_us <= 0)
@@ -207,9 +211,23 @@
   members_visit (plane, REPORTS_MAX, send_load_if_recent);
 }
 
+static void
+expire_estimate (struct galena_plane *plane)
+{
+  struct agent_tables *agent = plane->agent;
+
+  if (agent->running_count > 0
+      || galena_clock_elapsed_ms (agent->estimated_at, plane->now)
+             < ESTIMATE_VALID_MS)
+    return;
+  agent->service_us = 0;
+  agent->busy_us = 0;
+}
+
 void
 agent_run_periodic_load (struct galena_plane *plane)
 {
+  expire_estimate (plane);
   /* The last reports go to all, since none may follow.  */
   members_visit (plane,
                  plane->draining ? galena_table_count (plane->members)
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -91,8 +91,10 @@
   enum agent_evidence evidence;
   struct galena_clock evidence_since;
   struct galena_clock evidence_until;
-  /* Moving average of the service time in microseconds; 0 while unknown.  */
+  /* Moving average of the service time in microseconds, 0 while unknown, and
+     when the last answer was added to it.  */
   double service_us;
+  struct galena_clock estimated_at;
   /* Sum over all slots of the time in microseconds that they were busy since
      the last answer, counted until BUSY_COUNTED_UNTIL.  */
   double busy_us;
--- a/test/unit/test_load.c
+++ b/test/unit/test_load.c
@@ -55,6 +55,9 @@
      than the estimate of the slow start.  */
   { "/load/full-after-slow-start", 0, 6, 0, 2000, RIGHT },
   { "/load/overload-after-slow-start", 4, 0, 0, 2000, RIGHT },
+  /* Entries send an upstream that seems slow no requests, and would never
+     learn that it is not any more.  */
+  { "/load/unused-after-slow-start", 9, 0, 1900, 2000, 0, 0 },
 };
 
 struct run
