Knowledge of agents: a system ends the asking, members need no table of entries

members.c, which both roles use, included the header of the entry's tables. Whether the entry asks is a member of the plane now, set by a system of the entry. No change of behaviour; all cases of test_planes, test_entry, test_agent, test_search, test_load and test_members pass.

--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -39,20 +39,12 @@
             const struct galena_peer_message *message)
 {
   members_on_list (plane, peer, message);
-  if (plane->entry->knowledge.asks)
+  if (plane->asks_for_agents)
     members_greet (plane);
 }
 
-/* Asks for agents from the first tick on.  */
-static void
-run_knowledge (struct galena_plane *plane)
-{
-  if (plane->entry->knowledge.since.ms == 0)
-    entry_ask_for_agents (plane);
-}
-
 static const struct plane_system SYSTEMS[] = {
-  { "knowledge", 0, run_knowledge },
+  { "knowledge", 0, entry_run_knowledge },
   { "link", 0, entry_run_bulk_refill },
   { "directory", 0, entry_run_directory },
   { "parked", 0, entry_run_parked },
--- a/packages/flows/src/entry_knowledge.c
+++ b/packages/flows/src/entry_knowledge.c
@@ -39,8 +39,8 @@
 void
 entry_ask_for_agents (struct galena_plane *plane)
 {
-  plane->entry->knowledge
-      = (struct agent_knowledge){ .asks = true, .since = plane->now };
+  plane->entry->knowledge = (struct agent_knowledge){ .since = plane->now };
+  plane->asks_for_agents = true;
 }
 
 /* Returns whether all seeds other than this entry have replied that they know
@@ -68,20 +68,26 @@
   return true;
 }
 
-bool
-entry_knows_agents (struct galena_plane *plane)
+/* Returns whether what this entry waits for has happened.  */
+static bool
+has_asked_enough (const struct galena_plane *plane)
 {
-  struct agent_knowledge *knowledge = &plane->entry->knowledge;
+  const struct agent_knowledge *knowledge = &plane->entry->knowledge;
   int64_t ms = galena_clock_elapsed_ms (knowledge->since, plane->now);
 
-  if (!knowledge->asks)
+  if (ms >= ANNOUNCED_MS || is_alone (plane))
     return true;
-  if (ms < ANNOUNCED_MS && !is_alone (plane)
-      && (ms < REPLIES_MS || knowledge->truncated
-          || !seeds_know_no_more (plane)))
-    return false;
-  knowledge->asks = false;
-  return true;
+  return ms >= REPLIES_MS && !knowledge->truncated
+         && seeds_know_no_more (plane);
+}
+
+void
+entry_run_knowledge (struct galena_plane *plane)
+{
+  if (plane->entry->knowledge.since.ms == 0)
+    entry_ask_for_agents (plane);
+  if (plane->asks_for_agents && has_asked_enough (plane))
+    plane->asks_for_agents = false;
 }
 
 void
@@ -110,7 +116,7 @@
   if (!fits)
     list.sequence = LIST_TRUNCATED;
   else
-    list.sequence = entry_knows_agents (plane) ? LIST_COMPLETE : LIST_PARTIAL;
+    list.sequence = plane->asks_for_agents ? LIST_PARTIAL : LIST_COMPLETE;
   plane_send_message (plane, peer, &list);
 }
 
@@ -125,7 +131,7 @@
     if (entry_upstream_at (plane, message->members[i], &handle) == NULL)
       entry_upstream_add (plane, message->members[i], &handle);
   if (message->sequence == LIST_COMPLETE)
-    knowledge->asks = false;
+    plane->asks_for_agents = false;
   if (message->sequence == LIST_TRUNCATED)
     knowledge->truncated = true;
   if (message->sequence != LIST_PARTIAL)
--- a/packages/flows/src/entry_search.c
+++ b/packages/flows/src/entry_search.c
@@ -377,7 +377,7 @@
   if (!has_candidate (plane, flow, search))
     search->all_services = true;
   if (!has_candidate (plane, flow, search) && check_denials (plane, search)
-      && entry_knows_agents (plane))
+      && !plane->asks_for_agents)
     {
       entry_flow_reset (plane, handle, GALENA_UNKNOWN_FLOW);
       return false;
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -222,11 +222,11 @@
   struct galena_clock refilled_at;
 };
 
-/* What the entry knows of agents whose upstreams are not published.  */
+/* The replies of other entries about agents whose upstreams are not
+   published.  */
 struct agent_knowledge
 {
-  /* Whether it asks other entries for them, and since when.  */
-  bool asks;
+  /* Since when it asks them; ms 0 before the first tick.  */
   struct galena_clock since;
   /* Whether another entry knows more than fit in its reply.  */
   bool truncated;
@@ -319,9 +319,8 @@
    on.  */
 void entry_ask_for_agents (struct galena_plane *plane);
 
-/* Returns whether the entry knows all agents whose upstreams may hold a
-   flow.  */
-bool entry_knows_agents (struct galena_plane *plane);
+/* System: asks from the first tick on, until enough is known.  */
+void entry_run_knowledge (struct galena_plane *plane);
 
 /* Sends the entry at PEER the live agents whose upstreams are not
    published.  */
--- a/packages/flows/src/members.c
+++ b/packages/flows/src/members.c
@@ -1,7 +1,7 @@
 /* Membership of entries.  Processes first contact the seeds; messages and the
    lists in them then make the other entries known.  */
 
-#include "entry_tables.h"
+#include "plane_private.h"
 
 enum
 {
@@ -181,8 +181,7 @@
       = { .type = GALENA_PEER_HELLO, .service = plane->options.service };
 
   add_state (plane, &hello);
-  if (plane->options.role == GALENA_ROLE_ENTRY)
-    hello.sequence = !entry_knows_agents (plane);
+  hello.sequence = plane->asks_for_agents;
   return hello;
 }
 
