--- a/review/lab2/callers.c
+++ b/review/lab2/callers.c
@@ -19,8 +19,7 @@
 
 static void
 send_out (struct lab *lab, const struct caller *caller,
-          const struct caller_flow *flow, uint8_t flags, uint32_t seq,
-          uint16_t size)
+          struct caller_flow *flow, uint8_t flags, uint32_t seq, uint16_t size)
 {
   uint8_t data[REQUEST_BYTES];
   struct head head
@@ -32,6 +31,7 @@
           .flags = flags };
   int entry = route_packet (lab, head.src, head.dst);
 
+  flow->active_at = lab->now;
   memset (data, 'q', sizeof data);
   if (entry >= 0)
     send_packet (caller->fd,
@@ -186,7 +186,13 @@
 {
   if (!flow->waiting)
     {
-      if (lab->now >= flow->request_at)
+      if (lab->quiet && lab->now - flow->active_at >= IDLE_TIMEOUT_MS)
+        {
+          note (lab, "caller %u port %u: discards the idle flow",
+                caller->index, flow->port);
+          flow->state = FLOW_CLOSED;
+        }
+      else if (!lab->quiet && lab->now >= flow->request_at)
         begin_request (lab, caller, flow);
     }
   else if (lab->now - flow->request_at >= DEADLINE_MS)
--- a/review/lab2/hosts.c
+++ b/review/lab2/hosts.c
@@ -8,6 +8,8 @@
 enum
 {
   BEAT_MS = 1200,
+  DRAIN_MS = 3000,
+  CONFIG_APPLY_MS = 3000,
   WORK_MIN_MS = 5,
   WORK_RANGE_MS = 20,
   ANSWER_BYTES = 400,
@@ -87,6 +89,32 @@
                data);
 }
 
+/* Counts an opening of ROUTE that HOST took later than drainMs after its
+   report that it drains, or later than configApplyMs after a configuration
+   that sends the route to another service.  */
+static void
+note_late (struct lab *lab, const struct host *host, struct address route)
+{
+  uint32_t index = route.ip - route_address (0).ip;
+
+  if (host->drained_at != 0 && lab->now - host->drained_at > DRAIN_MS)
+    {
+      lab->late_opens++;
+      note (lab,
+            "LATE host %u took it %lld ms after its report that it drains",
+            host->index, (long long)(lab->now - host->drained_at));
+    }
+  if (index < SERVICES_MAX && lab->route_service[index] != host->service
+      && lab->now - lab->config_at > CONFIG_APPLY_MS)
+    {
+      lab->stale_opens++;
+      note (lab,
+            "STALE host %u, of the old service, took it %lld ms after the "
+            "configuration",
+            host->index, (long long)(lab->now - lab->config_at));
+    }
+}
+
 static void
 on_syn (struct lab *lab, struct host *host, const struct head *head)
 {
@@ -107,6 +135,7 @@
                                   .next = head->seq + 1 };
       note (lab, "host %u took the opening of port %u of caller %08x",
             host->index, head->src.port, head->src.ip);
+      note_late (lab, host, head->dst);
     }
   flow->active_at = lab->now;
   if (flow->state == HOST_FLOW_HALF_OPEN)
@@ -192,6 +221,8 @@
 {
   bool resend = flow->resend_at != 0 && lab->now >= flow->resend_at;
 
+  if (lab->now - flow->active_at >= IDLE_TIMEOUT_MS)
+    flow->state = HOST_FLOW_FREE;
   if (flow->state != HOST_FLOW_OPEN)
     return;
   if (flow->answer_at != 0 && lab->now >= flow->answer_at)
--- a/review/lab2/lab2.h
+++ b/review/lab2/lab2.h
@@ -32,7 +32,11 @@
   PORT_APP = 8165,
   PORT_PEERS = 7720,
   PORT_STORE = 8169,
-  ROUTE_PORT = 8443
+  ROUTE_PORT = 8443,
+  /* The limit of the configuration after which either end may discard an idle
+     flow.  */
+  IDLE_TIMEOUT_MS = 15000,
+  CALLER_FIRST_PORT = 20000
 };
 
 /* Bits of the flags of a packet.  */
@@ -140,6 +144,8 @@
   int64_t resend_ms;
   bool waiting;
   int64_t request_at;
+  /* When the last packet of the flow was sent.  */
+  int64_t active_at;
   uint32_t requests;
   int64_t pause_ms;
 };
@@ -169,6 +175,8 @@
   uint32_t random;
   struct store *store;
   uint64_t config_version;
+  /* When the store acknowledged the last configuration.  */
+  int64_t config_at;
   /* Service of each route; SERVICES_MAX for a route that is not there.  */
   uint32_t route_service[SERVICES_MAX];
   struct process processes[ENTRIES_MAX + HOSTS_MAX];
@@ -176,6 +184,8 @@
   bool in_rotation[ENTRIES_MAX];
   struct host hosts[HOSTS_MAX];
   struct caller callers[CALLERS_MAX];
+  /* Whether the callers send no further requests.  */
+  bool quiet;
   /* Results.  */
   uint32_t opened;
   uint32_t answered;
@@ -183,6 +193,7 @@
   uint32_t resets;
   uint32_t cut;
   uint32_t late_opens;
+  uint32_t stale_opens;
   uint32_t bad_exits;
 };
 
--- a/review/lab2/main.c
+++ b/review/lab2/main.c
@@ -86,7 +86,7 @@
   for (uint32_t i = 0; i < lab->callers_count; i++)
     {
       lab->callers[i].index = i;
-      lab->callers[i].next_port = 20000;
+      lab->callers[i].next_port = CALLER_FIRST_PORT;
       lab->callers[i].fd = open_socket (caller_address (lab, i, PORT_PACKETS));
       if (lab->callers[i].fd < 0)
         return false;
@@ -160,9 +160,10 @@
   note (lab,
         "flows opened %u, openings failed %u, requests answered %u, resets "
         "of open flows %u, of which the host lived and held the flow %u, "
-        "late openings %u, bad exits %u: result %d",
+        "openings at a draining host %u, at a host of the old service %u, bad "
+        "exits %u: result %d",
         lab->opened, lab->failed_opens, lab->answered, lab->resets, lab->cut,
-        lab->late_opens, lab->bad_exits, result);
+        lab->late_opens, lab->stale_opens, lab->bad_exits, result);
   fclose (lab->record);
   return result;
 }
--- a/review/lab2/publish.c
+++ b/review/lab2/publish.c
@@ -62,7 +62,8 @@
                        (json_int_t)lab->config_version, "routes", routes,
                        "services", services, "limits", "maxHeaderBytes", 16384,
                        "maxBodyBytes", 262144, "headerTimeoutMs", 3000,
-                       "idleTimeoutMs", 15000));
+                       "idleTimeoutMs", (int)IDLE_TIMEOUT_MS));
+  lab->config_at = lab->now;
   note (lab, "config version %llu acknowledged: route 0 to %s, route 1 to %s",
         (unsigned long long)lab->config_version,
         SERVICES[lab->route_service[0]], SERVICES[lab->route_service[1]]);
--- a/review/lab2/scenarios.c
+++ b/review/lab2/scenarios.c
@@ -48,6 +48,87 @@
   return lab->cut > 0 ? 1 : 0;
 }
 
+/* From now on the callers send no requests, and discard their flows when these
+   have been idle long enough.  */
+static void
+fall_silent (struct lab *lab, uint32_t index)
+{
+  (void)index;
+  note (lab, "the callers send no further requests");
+  lab->quiet = true;
+}
+
+/* The callers use the ports of discarded flows again.  */
+static void
+open_from_same_ports (struct lab *lab, uint32_t index)
+{
+  lab->quiet = false;
+  for (uint32_t i = 0; i < lab->callers_count; i++)
+    lab->callers[i].next_port = CALLER_FIRST_PORT;
+  open_long_flows (lab, index);
+}
+
+static void
+drain_host (struct lab *lab, uint32_t index)
+{
+  host_drain (lab, &lab->hosts[index]);
+}
+
+/* DRAIN: no host takes an opening later than drainMs after its report.  */
+static int
+judge_late (const struct lab *lab)
+{
+  if (lab->answered < ANSWERS_MIN || lab->bad_exits > 0)
+    return 2;
+  return lab->late_opens > 0 ? 1 : 0;
+}
+
+/* CONFIG: no host of the old service takes an opening later than
+   configApplyMs after the configuration.  */
+static int
+judge_stale (const struct lab *lab)
+{
+  if (lab->answered < ANSWERS_MIN || lab->bad_exits > 0)
+    return 2;
+  return lab->stale_opens > 0 ? 1 : 0;
+}
+
+/* The entries are stopped and started in turn while flows are open.  These
+   then fall idle and are discarded at both ends, route 0 moves to another
+   service, and the callers open flows from the ports that they had.  */
+static const struct step MOVED_PORTS[] = {
+  { 3500, false, open_long_flows, 0 },
+  { 6000, true, stop_entry, 0 },
+  { 9250, true, stop_entry, 1 },
+  { 12500, true, stop_entry, 2 },
+  { 17000, false, fall_silent, 0 },
+  { 30000, false, move_route, 1 },
+  { 35000, false, open_from_same_ports, 0 },
+};
+
+/* The same with a host that drains in place of the move.  */
+static const struct step SAME_PORTS[] = {
+  { 3500, false, open_long_flows, 0 },
+  { 6000, true, stop_entry, 0 },
+  { 9250, true, stop_entry, 1 },
+  { 12500, true, stop_entry, 2 },
+  { 17000, false, fall_silent, 0 },
+  { 30000, false, drain_host, 0 },
+  { 34000, false, open_from_same_ports, 0 },
+};
+
+/* Flows fall idle and are discarded at both ends, and the callers open flows
+   from the ports that they had.  Then the entries are stopped and started in
+   turn.  */
+static const struct step NEW_FLOWS[] = {
+  { 3500, false, open_long_flows, 0 },
+  { 8000, false, fall_silent, 0 },
+  { 26000, false, open_from_same_ports, 0 },
+  { 30000, true, stop_entry, 0 },
+  { 33250, true, stop_entry, 1 },
+  { 36500, true, stop_entry, 2 },
+};
+
 /* Route 0 moves to another service, so that no route leads to the first one
    any more, while flows are open there; then the entries are stopped and
    started in turn.  */
@@ -69,6 +150,12 @@
 static const struct scenario SCENARIOS[] = {
   { "moved-route", 3, 6, 12, CONTRACTS, 34000, MOVED_ROUTE,
     sizeof MOVED_ROUTE / sizeof *MOVED_ROUTE, judge_cut },
+  { "same-ports", 3, 6, 12, CONTRACTS, 37000, SAME_PORTS,
+    sizeof SAME_PORTS / sizeof *SAME_PORTS, judge_late },
+  { "moved-ports", 3, 6, 12, CONTRACTS, 38000, MOVED_PORTS,
+    sizeof MOVED_PORTS / sizeof *MOVED_PORTS, judge_stale },
+  { "new-flows", 3, 6, 12, CONTRACTS, 41000, NEW_FLOWS,
+    sizeof NEW_FLOWS / sizeof *NEW_FLOWS, judge_cut },
   { "kept-route", 3, 6, 12, CONTRACTS, 34000, KEPT_ROUTE,
     sizeof KEPT_ROUTE / sizeof *KEPT_ROUTE, judge_cut },
 };
