Flows: a row answers only for the flow whose numbers it has seen

Cause: rows were found by addresses alone and outlive their flows. The agent of the earlier flow answered "owned", its upstream returned the packet, and the report that the flow was lost made the entry reset it.

Ruled out: to shorten the life of rows to the configured idle timeout. A flow that ends unseen before that still answers for the next one.

Change: an agent keeps the range of sequence numbers that its upstream has used on a flow and compares the acknowledged number in one place, for queries alone and in batches, probes, forwarded and returned packets, and packets with which the upstream answers a probe. Replies and reports of lost flows name that number, and an entry ignores those about another flow of the same addresses. Rows of an entry that are reset, search, or whose owner is gone give way to a packet of another flow.

--- a/packages/flows/include/galenaford/packet.h
+++ b/packages/flows/include/galenaford/packet.h
@@ -56,7 +56,12 @@
 {
   /* Maximum number of bytes that the upstream can have sent, and the caller
      acknowledged, before the first packet of the open flow is seen.  */
-  GALENA_PACKET_FIRST_WINDOW = 65536
+  GALENA_PACKET_FIRST_WINDOW = 65536,
+  /* Maximum distance between the sequence numbers of two packets of one flow
+     and direction that are seen soon after each other: more than callers and
+     upstreams have in flight.  Flows choose their first numbers at random, so
+     those of another flow of the same addresses are rarely as near.  */
+  GALENA_PACKET_NEAR = 131072
 };
 
 /* Returns whether ACKNOWLEDGED, which a caller acknowledges, shows that its
@@ -67,6 +72,13 @@
   return acknowledged - sequence <= GALENA_PACKET_FIRST_WINDOW;
 }
 
+/* Returns whether A and B, of the same direction, may be of one flow.  */
+static inline bool
+galena_packet_is_near (uint32_t a, uint32_t b)
+{
+  return a - b + GALENA_PACKET_NEAR <= 2U * GALENA_PACKET_NEAR;
+}
+
 /* Returns whether PACKET is the caller's first packet of a flow, as TCP's
    SYN.  */
 static inline bool
--- a/packages/flows/include/galenaford/peer.h
+++ b/packages/flows/include/galenaford/peer.h
@@ -147,8 +147,10 @@
   uint64_t started_unix_ms;
   /* In hello: milliseconds for which the sender has known that start.  */
   uint32_t start_known_ms;
-  /* In opened: first sequence number of the upstream.  In a query: the last
-     sequence number that the caller acknowledged.  In hello of an entry to
+  /* In opened: first sequence number of the upstream.  In a query, in the
+     replies to queries, probes and packets, and in lost: the sequence number
+     that the caller acknowledged, which tells its flow from others of the same
+     addresses.  In hello of an entry to
      another one: 1 if it asks for agents; to an agent: number of further
      registrations that may be that of its upstream.  In load: 1 if the
      upstream has ended.  In agents: 0 if the sender has just started, 1 if
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -20,6 +20,9 @@
      NOT_HELD_DIVISOR are used for this.  */
   NOT_HELD_LINGER_MS = 10000,
   NOT_HELD_DIVISOR = 2,
+  /* A packet of an earlier flow of the same addresses may arrive until a
+     packet of the flow is this old: longer than the queue of a full link.  */
+  STRAY_MS = 1000,
   /* An upstream keeps an accepted flow until it has retransmitted its
      acceptance eight times without a reply of the caller, at intervals that
      double from 200 ms up to 1.6 s.  */
@@ -144,35 +147,96 @@
   return flow;
 }
 
+/* Sends a reply of TYPE about the flow KEY whose caller has acknowledged
+   ACKNOWLEDGED.  */
 static void
 reply_about_flow (struct galena_plane *plane, struct galena_endpoint entry,
                   struct galena_flow_key key, enum galena_peer_type type,
-                  const struct galena_packet *packet)
+                  uint32_t acknowledged)
 {
-  struct galena_peer_message reply = { .type = type, .flow = key };
+  struct galena_peer_message reply
+      = { .type = type, .flow = key, .sequence = acknowledged };
+
+  agent_reply (plane, entry, &reply);
+}
 
-  if (packet != NULL)
+/* Same with PACKET of the caller, which another upstream may take.  */
+static void
+reply_with_packet (struct galena_plane *plane, struct galena_endpoint entry,
+                   struct galena_flow_key key, enum galena_peer_type type,
+                   const struct galena_packet *packet)
+{
+  struct galena_peer_message reply = { .type = type,
+                                       .flow = key,
+                                       .sequence = packet->acknowledged,
+                                       .bytes = packet->bytes,
+                                       .size = packet->size };
+
+  agent_reply (plane, entry, &reply);
+}
+
+/* Notes the sequence numbers of PACKET of the upstream.  Some packets of FLOW
+   may have passed before this process started.  */
+static void
+note_upstream_numbers (struct agent_flow *flow,
+                       const struct galena_packet *packet)
+{
+  uint32_t next = packet->sequence + packet->data_size;
+
+  if ((packet->flags & GALENA_PACKET_RESETS) != 0)
+    return;
+  if (!flow->upstream_seen)
     {
-      reply.bytes = packet->bytes;
-      reply.size = packet->size;
+      flow->upstream_seen = true;
+      flow->upstream_first = packet->sequence - GALENA_PACKET_NEAR;
+      flow->upstream_next = next;
     }
-  agent_reply (plane, entry, &reply);
+  else if ((int32_t)(next - flow->upstream_next) > 0)
+    flow->upstream_next = next;
+}
+
+/* Returns whether ACKNOWLEDGED, from a caller, is a sequence number that the
+   upstream has used on FLOW.  If not, the caller means another flow of the
+   same addresses, or one that is open at another upstream: FLOW then says
+   nothing about it.  */
+static bool
+is_number_of (const struct agent_flow *flow, uint32_t acknowledged)
+{
+  switch (flow->state)
+    {
+    case AGENT_FLOW_HALF_OPEN:
+      return flow->accepted
+             && galena_packet_confirms_open (acknowledged, flow->sequence);
+    case AGENT_FLOW_OPEN:
+      return !flow->upstream_seen
+             || acknowledged - flow->upstream_first
+                    <= flow->upstream_next - flow->upstream_first
+                           + GALENA_PACKET_NEAR;
+    default:
+      return true;
+    }
+}
+
+/* Same for PACKET of the caller.  */
+static bool
+is_packet_of (const struct agent_flow *flow,
+              const struct galena_packet *packet)
+{
+  return (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0
+         || is_number_of (flow, packet->acknowledged);
 }
 
 /* Marks a half-open FLOW as open when ACKNOWLEDGED, from its caller, matches
-   the acceptance of this upstream.  Returns false when the flow is open at
-   another upstream: this one has not accepted it yet, or has chosen another
-   first sequence number.  */
+   the acceptance of this upstream.  Returns false when FLOW is not the one
+   that the caller means.  */
 static bool
 confirm_open (struct galena_plane *plane, struct agent_flow *flow,
               uint32_t acknowledged)
 {
-  if (flow->state != AGENT_FLOW_HALF_OPEN)
-    return true;
-  if (!flow->accepted
-      || !galena_packet_confirms_open (acknowledged, flow->sequence))
+  if (!is_number_of (flow, acknowledged))
     return false;
-  become_open (plane, flow);
+  if (flow->state == AGENT_FLOW_HALF_OPEN)
+    become_open (plane, flow);
   return true;
 }
 
@@ -229,7 +293,7 @@
   reply_about_flow (
       plane, peer, message->flow,
       REPLIES[answer_query (plane, peer, message->flow, message->sequence)],
-      NULL);
+      message->sequence);
 }
 
 void
@@ -279,6 +343,16 @@
          && (flow == NULL || flow->state != AGENT_FLOW_OPEN);
 }
 
+/* Returns whether a packet of another flow than FLOW, at the same addresses,
+   is probably a late one of an earlier flow.  */
+static bool
+may_be_stray (const struct galena_plane *plane, const struct agent_flow *flow)
+{
+  return flow->state == AGENT_FLOW_OPEN && !flow->caller_ended
+         && !flow->upstream_ended
+         && galena_clock_elapsed_ms (flow->last_active, plane->now) < STRAY_MS;
+}
+
 void
 agent_on_forward (struct galena_plane *plane, struct galena_endpoint peer,
                   const struct galena_peer_message *message)
@@ -292,8 +366,9 @@
   flow = find_or_add_flow (plane, peer, message, &handle);
   if (flow != NULL && !confirm_open_packet (plane, flow, &message->packet))
     {
-      reply_about_flow (plane, peer, message->flow, GALENA_PEER_DISOWNED,
-                        &message->packet);
+      if (!may_be_stray (plane, flow))
+        reply_with_packet (plane, peer, message->flow, GALENA_PEER_DISOWNED,
+                           &message->packet);
       return;
     }
   if (flow != NULL && agent_requests_take (plane, flow, handle, message))
@@ -344,7 +419,7 @@
           && !confirm_open_packet (plane, flow, &message->packet)))
     {
       reply_about_flow (plane, peer, message->flow, GALENA_PEER_DISOWNED,
-                        NULL);
+                        message->packet.acknowledged);
       return;
     }
   flow = find_or_add_flow (plane, peer, message, &handle);
@@ -352,7 +427,8 @@
     return;
   if (flow->state == AGENT_FLOW_OPEN)
     {
-      reply_about_flow (plane, peer, message->flow, GALENA_PEER_OWNED, NULL);
+      reply_about_flow (plane, peer, message->flow, GALENA_PEER_OWNED,
+                        message->packet.acknowledged);
       if (agent_requests_take (plane, flow, handle, message))
         return;
       agent_note_caller_packet (plane, flow, &message->packet);
@@ -362,6 +438,7 @@
       /* The request is counted only once the upstream is known to hold the
          flow.  */
       flow->probe_pending = true;
+      flow->probe_acknowledged = message->packet.acknowledged;
       flow->last_active = plane->now;
     }
   agent_send_to_upstream (plane, message);
@@ -398,7 +475,7 @@
   bool ended;
 
   plane_count (plane, GALENA_PLANE_RETURNED);
-  if (flow == NULL)
+  if (flow == NULL || !is_packet_of (flow, packet))
     return;
   entry = flow->entry;
   state = flow->state;
@@ -406,6 +483,9 @@
   ended = flow->caller_ended && flow->upstream_ended;
   if (galena_packet_is_opening (packet))
     {
+      /* That of an earlier flow of the same addresses.  */
+      if (flow->opening_seen && packet->sequence != flow->opening_sequence)
+        return;
       agent_health_note_returned_open (plane, flow);
       if (state == AGENT_FLOW_HALF_OPEN)
         agent_flow_remove (plane, flow, handle);
@@ -418,12 +498,16 @@
     mark_not_held (plane, flow, handle);
   if (ended)
     return;
-  if (state != AGENT_FLOW_OPEN)
+  if (state == AGENT_FLOW_OPEN)
+    {
+      if (packet->data_size > 0)
+        reply_with_packet (plane, entry, key, GALENA_PEER_LOST, packet);
+    }
+  else if (probe_pending || state == AGENT_FLOW_NOT_HELD)
     reply_about_flow (plane, entry, key, GALENA_PEER_DISOWNED,
-                      probe_pending || state == AGENT_FLOW_NOT_HELD ? NULL
-                                                                    : packet);
-  else if (packet->data_size > 0)
-    reply_about_flow (plane, entry, key, GALENA_PEER_LOST, packet);
+                      packet->acknowledged);
+  else
+    reply_with_packet (plane, entry, key, GALENA_PEER_DISOWNED, packet);
 }
 
 static void
@@ -436,6 +520,12 @@
 
   if (flow->state == AGENT_FLOW_NOT_HELD)
     flow->state = AGENT_FLOW_HALF_OPEN;
+  if (!flow->accepted || flow->sequence != packet->sequence)
+    {
+      flow->upstream_seen = true;
+      flow->upstream_first = packet->sequence;
+      flow->upstream_next = packet->sequence;
+    }
   flow->accepted = true;
   flow->sequence = packet->sequence;
   plane_count (plane, GALENA_PLANE_OPENED);
@@ -449,8 +539,14 @@
                       const struct galena_packet *packet)
 {
   become_open (plane, flow);
+  note_upstream_numbers (flow, packet);
+  /* The upstream may hold an earlier flow of the same addresses.  */
   if (flow->probe_pending)
-    reply_about_flow (plane, flow->entry, flow->key, GALENA_PEER_OWNED, NULL);
+    reply_about_flow (plane, flow->entry, flow->key,
+                      is_number_of (flow, flow->probe_acknowledged)
+                          ? GALENA_PEER_OWNED
+                          : GALENA_PEER_DISOWNED,
+                      flow->probe_acknowledged);
   flow->probe_pending = false;
   if (packet->data_size > 0)
     agent_answer_began (plane, flow);
@@ -484,12 +580,13 @@
 {
   struct galena_endpoint entry = flow->entry;
   struct galena_flow_key key = flow->key;
+  uint32_t acknowledged = flow->probe_acknowledged;
 
   plane_count (plane, GALENA_PLANE_WITHHELD);
   if (!flow->probe_pending)
     return;
   agent_flow_remove (plane, flow, handle);
-  reply_about_flow (plane, entry, key, GALENA_PEER_DISOWNED, NULL);
+  reply_about_flow (plane, entry, key, GALENA_PEER_DISOWNED, acknowledged);
 }
 
 void
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -45,8 +45,10 @@
   struct galena_work_class work;
   /* Entry that sent the last packet; ip 0 when unknown.  */
   struct galena_endpoint entry;
-  /* Whether the entry sent a probe that has no reply yet.  */
+  /* Whether the entry sent a probe that has no reply yet, and the sequence
+     number that the caller acknowledges in it.  */
   bool probe_pending;
+  uint32_t probe_acknowledged;
   /* Whether each end has closed.  */
   bool caller_ended;
   bool upstream_ended;
@@ -69,6 +71,11 @@
      number.  */
   bool accepted;
   uint32_t sequence;
+  /* Whether packets of the upstream were seen, the lowest sequence number that
+     it can have used, and the next one after those seen.  */
+  bool upstream_seen;
+  uint32_t upstream_first;
+  uint32_t upstream_next;
   /* Next sequence number of the caller's data.  */
   uint32_t caller_next;
   /* Whether this agent has seen the opening packet, and its sequence
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -252,12 +252,49 @@
   flow->request_acknowledged = packet->acknowledged;
 }
 
+/* Returns whether PACKET may be of FLOW, an open one, and not of another one
+   of the same addresses.  */
+static bool
+is_packet_of (const struct entry_flow *flow,
+              const struct galena_packet *packet)
+{
+  return (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0
+         || galena_packet_is_near (packet->acknowledged, flow->acknowledged);
+}
+
+/* Returns whether PACKET may be of FLOW, which is being opened, and not of an
+   earlier one of the same addresses.  */
+static bool
+follows_opening (const struct entry_flow *flow,
+                 const struct galena_packet *packet)
+{
+  return acknowledged_attempt (flow, packet->acknowledged) != NULL
+         || galena_packet_is_near (packet->sequence, flow->opening_sequence);
+}
+
+/* Returns whether the row of FLOW says nothing about PACKET, whose caller has
+   opened another flow of the same addresses at another entry.  The agent of an
+   owner that may live decides itself.  */
+static bool
+is_superseded (const struct galena_plane *plane, const struct entry_flow *flow,
+               const struct galena_packet *packet)
+{
+  const struct upstream_row *owner = entry_upstream (plane, flow->owner);
+
+  if (flow->state == FLOW_OPENING || is_packet_of (flow, packet))
+    return false;
+  return flow->state != FLOW_OPEN || owner == NULL
+         || entry_is_gone (plane, owner);
+}
+
 static void
 on_flow_packet (struct galena_plane *plane, struct galena_handle handle,
                 const struct galena_packet *packet)
 {
   struct entry_flow *flow = entry_flow (plane, handle);
 
+  if (flow->state == FLOW_OPENING && !follows_opening (flow, packet))
+    return;
   if (flow->state == FLOW_RESET)
     {
       if ((packet->flags & GALENA_PACKET_RESETS) == 0)
@@ -437,6 +474,11 @@
     return;
   if (!galena_packet_is_opening (packet))
     {
+      if (flow != NULL && is_superseded (plane, flow, packet))
+        {
+          entry_flow_remove (plane, handle);
+          flow = NULL;
+        }
       if (flow != NULL)
         on_flow_packet (plane, handle, packet);
       else
--- a/packages/flows/src/entry_search_replies.c
+++ b/packages/flows/src/entry_search_replies.c
@@ -20,7 +20,8 @@
 };
 
 /* Updates the row of the agent at PEER from MESSAGE and finds the rows that
-   the message concerns; returns false when the flow is not known.  */
+   the message concerns; returns false when the flow is not known, or when the
+   message is about another flow of the same addresses.  */
 static bool
 apply_reply (struct galena_plane *plane, struct galena_endpoint peer,
              const struct galena_peer_message *message, struct reply *reply)
@@ -31,7 +32,8 @@
   if (message->type != GALENA_PEER_UNSURE)
     entry_probe_answered (plane, reply->upstream);
   reply->flow = entry_flow_find (plane, message->flow, &reply->flow_handle);
-  if (reply->flow == NULL)
+  if (reply->flow == NULL || reply->flow->state == FLOW_OPENING
+      || !galena_packet_is_near (message->sequence, reply->flow->acknowledged))
     return false;
   if (reply->flow->state == FLOW_SEARCHING)
     reply->search = entry_search_of (plane, reply->flow);
--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -180,6 +180,8 @@
   uint32_t full_left;
   /* Flows that were opened for the request again.  */
   uint32_t retries;
+  /* Whether the next request opens a flow from the port of the last one.  */
+  bool reuses_port;
 };
 
 struct fleet
@@ -522,6 +524,32 @@
   send_request (fleet, index);
 }
 
+static struct upstream_flow *find_flow (struct fake_upstream *upstream,
+                                        struct galena_flow_key key);
+
+/* Discards the flow of caller INDEX at both ends, so that the next one gets
+   the same port.  */
+static void
+discard_flow (struct fleet *fleet, uint32_t index)
+{
+  struct fake_caller *caller = &fleet->callers[index];
+  struct galena_flow_key key
+      = { caller_address (fleet, index), route_of (fleet, index) };
+
+  caller->reuses_port = false;
+  if (!caller->open)
+    return;
+  for (uint32_t i = 0; i < fleet->options->upstreams; i++)
+    {
+      struct upstream_flow *flow = find_flow (&fleet->upstreams[i], key);
+
+      if (flow != NULL)
+        flow->used = false;
+    }
+  caller->open = false;
+  caller->port--;
+}
+
 static void
 run_callers (struct fleet *fleet)
 {
@@ -550,6 +578,8 @@
           caller->retries = 0;
           fleet->report->requests++;
           count_share (fleet, i, offsetof (struct planes_share, requests));
+          if (caller->reuses_port)
+            discard_flow (fleet, i);
           if (!caller->open)
             {
               begin_open (fleet, i);
@@ -1334,6 +1364,12 @@
   set_evacuated (fleet, zone, false);
 }
 
+static void
+reuse_port (struct fleet *fleet, uint32_t index)
+{
+  fleet->callers[index].reuses_port = true;
+}
+
 static action_runner *const RUNNERS[PLANES_ACTION_COUNT] = {
   [PLANES_RESTART_ENTRIES] = restart_entry,
   [PLANES_RESTART_AGENTS] = restart_agent,
@@ -1364,6 +1400,7 @@
   [PLANES_DROP_ROUTE] = drop_route,
   [PLANES_EVACUATE_ZONE] = evacuate_zone,
   [PLANES_RETURN_ZONE] = return_zone,
+  [PLANES_REUSE_PORTS] = reuse_port,
 };
 
 static void
--- a/test/fake/planes.h
+++ b/test/fake/planes.h
@@ -26,7 +26,7 @@
 };
 
 /* Actions on the fleet.  FIRST and LAST of struct planes_action are a range of
-   entries or upstreams.  */
+   entries or upstreams, unless stated otherwise.  */
 enum planes_action_kind
 {
   PLANES_NOTHING,
@@ -78,6 +78,10 @@
      are zones; process or upstream I is in zone I modulo PLANES_ZONES.  */
   PLANES_EVACUATE_ZONE,
   PLANES_RETURN_ZONE,
+  /* Before its next request, a caller and its upstream both discard their flow
+     without a packet, and the caller opens one from the same port.  FIRST and
+     LAST are callers.  */
+  PLANES_REUSE_PORTS,
   PLANES_ACTION_COUNT
 };
 
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -17,7 +17,9 @@
   CALLER_IP = 0x64400001,
   ROUTE_IP = 0xC6120001,
   PORT = 443,
-  PEER_PORT = 7000
+  PEER_PORT = 7000,
+  /* Sequence number of the packets of DATA_EARLIER.  */
+  EARLIER_SEQUENCE = 0x40000000
 };
 
 enum step_kind
@@ -37,6 +39,8 @@
   DATA,
   /* The same of OPEN_OTHER's flow.  */
   DATA_OTHER,
+  /* The same of an earlier flow from that port.  */
+  DATA_EARLIER,
   /* VALUE packets of OPEN's flow, each full of data.  */
   BULK,
   /* The agent that was last sent the open accepts it, with the first sequence
@@ -46,8 +50,12 @@
      would answer sooner.  */
   REFUSED,
   HANDED_BACK,
+  /* The agent that was last sent the open reports that its upstream has lost
+     the flow whose caller acknowledged VALUE.  */
+  LOST,
   /* All agents that were queried since the last DISOWNED reply that they do
-     not own the flow, or the first of them replies that it does.  */
+     not own the flow whose caller acknowledged VALUE, or the first of them
+     replies that it does.  */
   DISOWNED,
   OWNED,
   /* All of them reply that they need a packet of the flow to find out.  */
@@ -404,6 +412,63 @@
       { 40, OPEN_AGAIN, HEADER_BYTES },
       { 40, EXPECT_OPENS, 1 },
       { 40, EXPECT_FORWARDS, 0 } } },
+  /* Reports and replies about an earlier flow of the same addresses reset or
+     move a new one.  */
+  { "/entry/lost-earlier-flow",
+    1,
+    0,
+    false,
+    { { 10, OPEN, HEADER_BYTES },
+      { 20, ACCEPTED, 1000 },
+      { 25, LOST, 900000 },
+      { 25, EXPECT_RESETS, 0 },
+      { 30, DATA, 1001 },
+      { 30, EXPECT_FORWARDS, 1 },
+      { 40, LOST, 900000 },
+      { 40, EXPECT_RESETS, 0 },
+      { 50, LOST, 1001 },
+      { 50, EXPECT_RESETS, 1 } } },
+  { "/entry/replies-about-earlier-flow",
+    2,
+    0,
+    false,
+    { { 10, DATA, 7 },
+      { 10, EXPECT_QUERIES, 2 },
+      { 20, DATA, 900000 },
+      { 20, EXPECT_QUERIES, 2 },
+      { 21, OWNED, 7 },
+      { 21, EXPECT_FORWARDS, 0 },
+      { 22, DISOWNED, 7 },
+      { 22, EXPECT_RESETS, 0 },
+      { 85, EXPECT_QUERIES, 0 },
+      { 150, EXPECT_QUERIES, 2 },
+      { 160, OWNED, 900000 },
+      { 160, EXPECT_FORWARDS, 1 } } },
+  /* A flow that was reset, and another one from its port that was opened at
+     another entry.  */
+  { "/entry/port-again-after-reset",
+    2,
+    0,
+    false,
+    { { 10, DATA, 7 },
+      { 200, DISOWNED, 7 },
+      { 200, EXPECT_RESETS, 1 },
+      { 210, DATA, 900000 },
+      { 210, EXPECT_RESETS, 0 },
+      { 211, OWNED, 900000 },
+      { 212, EXPECT_FORWARDS, 1 } } },
+  /* A late packet of an earlier flow ends the open of a new one.  */
+  { "/entry/late-packet-while-opening",
+    2,
+    0,
+    false,
+    { { 10, OPEN, HEADER_BYTES },
+      { 10, EXPECT_OPENS, 1 },
+      { 15, DATA_EARLIER, 900000 },
+      { 15, EXPECT_QUERIES, 0 },
+      { 20, ACCEPTED, 1000 },
+      { 30, DATA, 1001 },
+      { 30, EXPECT_FORWARDS, 1 } } },
   /* An open is not sent again to an upstream that begins to drain before it
      has replied.  */
   { "/entry/leaves-while-silent",
@@ -651,7 +716,9 @@
   struct galena_input *input = galena_plane_next_input (run->plane);
   struct galena_flow_key key = key_of (step->kind);
   bool ends = step->kind == END_FLOW;
-  bool data = step->kind == DATA || step->kind == DATA_OTHER || ends;
+  bool earlier = step->kind == DATA_EARLIER;
+  bool data
+      = step->kind == DATA || step->kind == DATA_OTHER || earlier || ends;
 
   input->side = GALENA_SIDE_CALLER;
   input->packet = (struct galena_packet){
@@ -659,7 +726,7 @@
     .destination = key.service_address,
     .flags = (data ? GALENA_PACKET_ACKNOWLEDGES : GALENA_PACKET_OPENS)
              | (ends ? GALENA_PACKET_ENDS : 0),
-    .sequence = step->kind == OPEN_AGAIN,
+    .sequence = earlier ? EARLIER_SEQUENCE : step->kind == OPEN_AGAIN,
     .acknowledged = data ? step->value : 0,
     .bytes = run->bytes,
     .size = data ? HEADER_BYTES : step->value,
@@ -735,12 +802,20 @@
 {
   uint32_t count = run->queried_count;
 
-  (void)step;
   run->queried_count = 0;
   for (uint32_t i = 0; i < count; i++)
-    push_message (
-        run, run->queried[i], key_of (OPEN),
-        (struct galena_peer_message){ .type = GALENA_PEER_DISOWNED });
+    push_message (run, run->queried[i], key_of (OPEN),
+                  (struct galena_peer_message){ .type = GALENA_PEER_DISOWNED,
+                                                .sequence = step->value });
+  tick (run);
+}
+
+static void
+run_lost (struct run *run, const struct step *step)
+{
+  push_message (run, run->opened, key_of (OPEN),
+                (struct galena_peer_message){ .type = GALENA_PEER_LOST,
+                                              .sequence = step->value });
   tick (run);
 }
 
@@ -756,9 +831,9 @@
 static void
 run_owned (struct run *run, const struct step *step)
 {
-  (void)step;
   push_message (run, run->queried[0], key_of (OPEN),
-                (struct galena_peer_message){ .type = GALENA_PEER_OWNED });
+                (struct galena_peer_message){ .type = GALENA_PEER_OWNED,
+                                              .sequence = step->value });
   tick (run);
 }
 
@@ -922,10 +997,12 @@
   [OPEN_OTHER] = run_packet,
   [DATA] = run_packet,
   [DATA_OTHER] = run_packet,
+  [DATA_EARLIER] = run_packet,
   [BULK] = run_bulk,
   [ACCEPTED] = run_accepted,
   [REFUSED] = run_refused,
   [HANDED_BACK] = run_refused,
+  [LOST] = run_lost,
   [DISOWNED] = run_disowned,
   [OWNED] = run_owned,
   [UNSURE] = run_unsure,
