Flows: an opening packet is a copy only if its number fits the row

Cause: a row that a search has made did not have the number of the opening packet and took each one for a copy, which it forwarded to the old owner. Its agent let it pass because its own row was open, and took an open for a copy where its row came from a probe, a forwarded packet or the upstream.

Ruled out: to take each opening packet for a new flow where the first was not seen, since a late copy would then open a second flow.

Change: rows of entries and agents keep the first number of the caller that was seen. One rule says for both whether an opening packet is a copy. Otherwise the row and the packets parked for it give way, and the packet is handled like that of an unknown flow, so that it waits for the directory after a pause. An agent takes an open for a copy only if it has given the upstream the first one, or the upstream has answered; others pass all checks. Returned opening packets of an earlier flow are ignored.

--- a/packages/flows/include/galenaford/packet.h
+++ b/packages/flows/include/galenaford/packet.h
@@ -88,6 +88,27 @@
          == GALENA_PACKET_OPENS;
 }
 
+/* What is known of the sequence numbers of a flow's caller.  */
+struct galena_caller_numbers
+{
+  /* Number of its first packet that was seen, and whether that was the opening
+     packet.  */
+  uint32_t first;
+  bool opening_seen;
+};
+
+/* Returns whether PACKET, an opening packet, may be a copy of the one that
+   opened the flow with NUMBERS, and not one of another flow of the same
+   addresses.  */
+static inline bool
+galena_packet_is_copy (const struct galena_packet *packet,
+                       struct galena_caller_numbers numbers)
+{
+  return numbers.opening_seen
+             ? packet->sequence == numbers.first
+             : numbers.first - packet->sequence <= GALENA_PACKET_NEAR;
+}
+
 /* Returns whether PACKET accepts a flow on behalf of the upstream, as TCP's
    SYN-ACK.  */
 static inline bool
--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -126,23 +126,38 @@
   agent_note_request_packet (plane, flow, packet);
 }
 
+/* Notes that the caller of FLOW uses sequence number FIRST on a packet that
+   does not open it.  */
+static void
+set_first_number (struct agent_flow *flow, uint32_t first)
+{
+  flow->caller_next = first;
+  flow->numbers = (struct galena_caller_numbers){ first, false };
+}
+
 static struct agent_flow *
 find_or_add_flow (struct galena_plane *plane, struct galena_endpoint peer,
                   const struct galena_peer_message *message,
                   struct galena_handle *handle)
 {
   struct agent_flow *flow = agent_flow_find (plane, message->flow, handle);
+  bool fresh = flow == NULL;
 
-  if (flow == NULL)
+  if (fresh)
     {
       flow = agent_flow_add (plane, message->flow, AGENT_FLOW_UNCONFIRMED);
       if (flow == NULL)
         return NULL;
       agent_flow_find (plane, message->flow, handle);
-      flow->caller_next = message->packet.sequence;
     }
   if (flow->state == AGENT_FLOW_NOT_HELD)
     flow->state = AGENT_FLOW_UNCONFIRMED;
+  /* The row may be of an earlier flow of the same addresses.  */
+  if (flow->state == AGENT_FLOW_UNCONFIRMED && !flow->accepted
+      && (fresh
+          || !galena_packet_is_near (message->packet.sequence,
+                                     flow->numbers.first)))
+    set_first_number (flow, message->packet.sequence);
   flow->entry = peer;
   return flow;
 }
@@ -328,9 +343,17 @@
     }
 }
 
-/* Returns whether MESSAGE, a forwarded packet, is a late copy of an opening
-   packet.  The upstream would open a flow with it that no check has
-   admitted.  */
+bool
+agent_flow_opens_again (const struct agent_flow *flow,
+                        const struct galena_packet *packet)
+{
+  return flow->state == AGENT_FLOW_NOT_HELD || flow->caller_ended
+         || flow->upstream_ended
+         || !galena_packet_is_copy (packet, flow->numbers);
+}
+
+/* Returns whether MESSAGE, a forwarded packet, opens another flow than the one
+   that the upstream holds.  It would open one that no check has admitted.  */
 static bool
 is_stale_opening (const struct galena_plane *plane,
                   const struct galena_peer_message *message)
@@ -340,7 +363,8 @@
       = agent_flow_find (plane, message->flow, &handle);
 
   return galena_packet_is_opening (&message->packet)
-         && (flow == NULL || flow->state != AGENT_FLOW_OPEN);
+         && (flow == NULL || flow->state != AGENT_FLOW_OPEN
+             || agent_flow_opens_again (flow, &message->packet));
 }
 
 /* Returns whether a packet of another flow than FLOW, at the same addresses,
@@ -483,8 +507,7 @@
   ended = flow->caller_ended && flow->upstream_ended;
   if (galena_packet_is_opening (packet))
     {
-      /* That of an earlier flow of the same addresses.  */
-      if (flow->opening_seen && packet->sequence != flow->opening_sequence)
+      if (!galena_packet_is_copy (packet, flow->numbers))
         return;
       agent_health_note_returned_open (plane, flow);
       if (state == AGENT_FLOW_HALF_OPEN)
@@ -617,7 +640,7 @@
       flow = agent_flow_add (plane, key, AGENT_FLOW_UNCONFIRMED);
       if (flow == NULL)
         return;
-      flow->caller_next = packet->acknowledged;
+      set_first_number (flow, packet->acknowledged);
     }
   flow->last_active = plane->now;
   if (galena_packet_is_accept (packet))
--- a/packages/flows/src/agent_open.c
+++ b/packages/flows/src/agent_open.c
@@ -175,23 +175,24 @@
   if (*flow == NULL)
     return GALENA_REFUSED_CONNECTIONS;
   (*flow)->caller_next = message->packet.sequence;
-  (*flow)->opening_seen = true;
-  (*flow)->opening_sequence = message->packet.sequence;
+  (*flow)->numbers
+      = (struct galena_caller_numbers){ message->packet.sequence, true };
   (*flow)->work = message->work;
   galena_rate_window_add (&plane->agent->opens, plane->now);
   agent_request_expected (plane, *flow);
   return GALENA_OK;
 }
 
-/* Returns whether PACKET opens a new flow with the key of FLOW, which the
-   upstream does not hold, which has ended, or which was opened by another
-   packet: its caller uses the port again.  */
+/* Returns whether PACKET is a copy of the opening packet of FLOW, which this
+   agent or one before it has given the upstream.  A row that a search or a
+   packet of the flow has made shows neither, unless the upstream has answered:
+   the packet then passes all checks.  */
 static bool
-opens_again (const struct agent_flow *flow, const struct galena_packet *packet)
+is_copy (const struct agent_flow *flow, const struct galena_packet *packet)
 {
-  return flow->state == AGENT_FLOW_NOT_HELD || flow->caller_ended
-         || flow->upstream_ended
-         || (flow->opening_seen && packet->sequence != flow->opening_sequence);
+  return !agent_flow_opens_again (flow, packet)
+         && (flow->numbers.opening_seen || flow->accepted
+             || flow->state == AGENT_FLOW_OPEN);
 }
 
 void
@@ -213,7 +214,7 @@
   agent_apply_zone_state (plane, message->zone_state);
   agent_apply_warm_up (plane, message);
   flow = agent_flow_find (plane, message->flow, &handle);
-  if (flow != NULL && opens_again (flow, &message->packet))
+  if (flow != NULL && !is_copy (flow, &message->packet))
     {
       agent_flow_remove (plane, flow, handle);
       flow = NULL;
--- a/packages/flows/src/agent_tables.h
+++ b/packages/flows/src/agent_tables.h
@@ -78,10 +78,8 @@
   uint32_t upstream_next;
   /* Next sequence number of the caller's data.  */
   uint32_t caller_next;
-  /* Whether this agent has seen the opening packet, and its sequence
-     number.  */
-  bool opening_seen;
-  uint32_t opening_sequence;
+  /* Sequence numbers of the caller.  */
+  struct galena_caller_numbers numbers;
   struct galena_clock request_began;
   /* When the last data of its request came, and whether the request was
      counted as overdue.  */
@@ -206,6 +204,12 @@
 void agent_flow_remove (struct galena_plane *plane, struct agent_flow *flow,
                         struct galena_handle handle);
 
+/* Returns whether PACKET, an opening packet, opens a new flow with the key of
+   FLOW, which the upstream does not hold, which has ended, or which was opened
+   by another packet: its caller uses the port again.  */
+bool agent_flow_opens_again (const struct agent_flow *flow,
+                             const struct galena_packet *packet);
+
 /* Updates the state of FLOW, and of its request, from PACKET of the caller,
    which the upstream is given.  */
 void agent_note_caller_packet (struct galena_plane *plane,
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -70,18 +70,6 @@
                      flow->key, handle);
 }
 
-void
-entry_flow_restart (struct galena_plane *plane, struct galena_handle handle)
-{
-  struct entry_flow *flow = entry_flow (plane, handle);
-
-  entry_opening_remove (plane, flow);
-  entry_search_remove (plane, flow);
-  *flow = (struct entry_flow){ .key = flow->key,
-                               .began = plane->now,
-                               .last_active = plane->now };
-}
-
 static void
 mark_reset (struct galena_plane *plane, struct entry_flow *flow)
 {
@@ -269,18 +257,30 @@
                  const struct galena_packet *packet)
 {
   return acknowledged_attempt (flow, packet->acknowledged) != NULL
-         || galena_packet_is_near (packet->sequence, flow->opening_sequence);
+         || galena_packet_is_near (packet->sequence, flow->numbers.first);
 }
 
-/* Returns whether the row of FLOW says nothing about PACKET, whose caller has
-   opened another flow of the same addresses at another entry.  The agent of an
-   owner that may live decides itself.  */
+/* Returns whether PACKET opens a new flow with the key of FLOW, which has
+   ended or was opened by another packet: its caller uses the port again.  */
+static bool
+opens_again (const struct entry_flow *flow, const struct galena_packet *packet)
+{
+  return flow->state == FLOW_RESET || flow->ended
+         || !galena_packet_is_copy (packet, flow->numbers);
+}
+
+/* Returns whether the row of FLOW says nothing about PACKET, which opens
+   another flow of the same addresses, or is of one that was opened at another
+   entry.  The agent of an owner that may live decides itself about packets of
+   open flows.  */
 static bool
 is_superseded (const struct galena_plane *plane, const struct entry_flow *flow,
                const struct galena_packet *packet)
 {
   const struct upstream_row *owner = entry_upstream (plane, flow->owner);
 
+  if (galena_packet_is_opening (packet))
+    return opens_again (flow, packet);
   if (flow->state == FLOW_OPENING || is_packet_of (flow, packet))
     return false;
   return flow->state != FLOW_OPEN || owner == NULL
@@ -335,6 +335,7 @@
     return;
   flow->work
       = galena_directory_route (plane->directory, key.service_address)->work;
+  flow->numbers.first = packet->sequence;
   note_data (plane, flow, packet);
   flow->acknowledged = packet->acknowledged;
   flow->ended = (packet->flags & GALENA_PACKET_ENDS) != 0;
@@ -377,6 +378,27 @@
   memcpy (parked->bytes, packet->bytes, packet->size);
 }
 
+/* Drops the parked packets of the flow KEY, whose addresses another flow has
+   got.  */
+static void
+drop_parked (struct galena_plane *plane, struct galena_flow_key key)
+{
+  const struct parked_row *parked;
+  struct galena_handle handle;
+  uint32_t cursor = 0;
+
+  while ((parked = galena_table_next (plane->entry->parked, &cursor, &handle))
+         != NULL)
+    if (!parked->processed
+        && galena_endpoint_equal (parked->packet.source, key.caller)
+        && galena_endpoint_equal (parked->packet.destination,
+                                  key.service_address))
+      {
+        galena_table_remove (plane->entry->parked, handle);
+        plane_count (plane, GALENA_PLANE_GIVEN_UP);
+      }
+}
+
 /* Returns whether PACKET, which was parked, can be processed now.  */
 static bool
 can_process (const struct galena_plane *plane,
@@ -463,6 +485,12 @@
       return;
     }
   flow = entry_flow_find (plane, key, &handle);
+  if (flow != NULL && is_superseded (plane, flow, packet))
+    {
+      drop_parked (plane, key);
+      entry_flow_remove (plane, handle);
+      flow = NULL;
+    }
   if (galena_packet_is_opening (packet)
       && (flow == NULL ? !directory_is_current (plane)
                        : flow->state == FLOW_SEARCHING))
@@ -474,11 +502,6 @@
     return;
   if (!galena_packet_is_opening (packet))
     {
-      if (flow != NULL && is_superseded (plane, flow, packet))
-        {
-          entry_flow_remove (plane, handle);
-          flow = NULL;
-        }
       if (flow != NULL)
         on_flow_packet (plane, handle, packet);
       else
--- a/packages/flows/src/entry_open.c
+++ b/packages/flows/src/entry_open.c
@@ -299,15 +299,6 @@
                      packet->size);
 }
 
-/* Returns whether PACKET opens a new flow with the key of FLOW, which has
-   ended or was opened by another packet: its caller uses the port again.  */
-static bool
-opens_again (const struct entry_flow *flow, const struct galena_packet *packet)
-{
-  return flow->state == FLOW_RESET || flow->ended
-         || (flow->opening_seen && packet->sequence != flow->opening_sequence);
-}
-
 void
 entry_on_open_packet (struct galena_plane *plane, struct entry_flow *flow,
                       struct galena_handle handle,
@@ -315,8 +306,6 @@
 {
   const struct galena_route *route;
 
-  if (opens_again (flow, packet))
-    entry_flow_restart (plane, handle);
   flow->last_active = plane->now;
   if (flow->state == FLOW_OPENING && !galena_handle_is_none (flow->opening))
     {
@@ -335,8 +324,7 @@
                        packet->bytes, packet->size);
       return;
     }
-  flow->opening_seen = true;
-  flow->opening_sequence = packet->sequence;
+  flow->numbers = (struct galena_caller_numbers){ packet->sequence, true };
   route = galena_directory_route (plane->directory, flow->key.service_address);
   flow->service = entry_service_for (route, flow->key);
   flow->work = route->work;
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -197,10 +197,8 @@
   uint32_t alternative_us;
   /* Sequence number that the caller acknowledged last.  */
   uint32_t acknowledged;
-  /* Whether this entry has seen the opening packet, and its sequence
-     number.  */
-  bool opening_seen;
-  uint32_t opening_sequence;
+  /* Sequence numbers of the caller.  */
+  struct galena_caller_numbers numbers;
   /* When the caller's current request began, ms 0 before the first one, and
      what its packets acknowledge: only the next request acknowledges more.  */
   struct galena_clock request_began;
@@ -697,10 +695,6 @@
 void entry_flow_remove (struct galena_plane *plane,
                         struct galena_handle handle);
 
-/* Makes the row that HANDLE names that of a new flow with the same key.  */
-void entry_flow_restart (struct galena_plane *plane,
-                         struct galena_handle handle);
-
 /* Sends a reset to the caller of the flow that HANDLE names and logs it with
    REASON.  Removes the flow, or keeps it as reset for a while if REASON is
    GALENA_UNKNOWN_FLOW.  */
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -11,6 +11,8 @@
 {
   STEPS_MAX = 16,
   PACKET_BYTES = 32,
+  /* Sequence number of the packets of OPEN_AGAIN and FORWARD_OPEN_AGAIN.  */
+  AGAIN_SEQUENCE = 0x40000000,
   DATA_BYTES = 100,
   ENTRY_IP = 0x0A010001,
   AGENT_IP = 0x0A020001,
@@ -37,6 +39,10 @@
   /* The entry forwards a packet that ends the flow, or an opening packet.  */
   END_FLOW,
   FORWARD_OPEN,
+  /* The same as OPEN and FORWARD_OPEN with another sequence number: a new flow
+     from the same port.  */
+  OPEN_AGAIN,
+  FORWARD_OPEN_AGAIN,
   /* The entry forwards a request on the open flow; VALUE is the acknowledged
      sequence number.  */
   REQUEST,
@@ -364,6 +370,51 @@
       { 30, OPEN, 0 },
       { 30, EXPECT_TO_UPSTREAM, 0 },
       { 30, EXPECT_REPLY, GALENA_PEER_REFUSED } } },
+  { "/agent/port-again-forwarded-open",
+    true,
+    false,
+    { { 10, OPEN, 0 },
+      { 11, ACCEPT, 1000 },
+      { 12, FORWARD, 1001 },
+      { 12, EXPECT_TO_UPSTREAM, 2 },
+      { 13, FORWARD_OPEN, 0 },
+      { 13, EXPECT_TO_UPSTREAM, 1 },
+      { 14, FORWARD_OPEN_AGAIN, 0 },
+      { 14, EXPECT_TO_UPSTREAM, 0 } } },
+  /* The same where the agent has not seen the opening of the earlier flow: its
+     row is taken for that of an admitted one.  */
+  { "/agent/port-again-unseen-opening",
+    false,
+    false,
+    { { 10, FORWARD, 5 },
+      { 11, ANSWER, 0 },
+      { 12, EXPECT_TO_UPSTREAM, 1 },
+      { 20, HELLO_DRAINING, 1500 },
+      { 30, FORWARD_OPEN_AGAIN, 0 },
+      { 30, EXPECT_TO_UPSTREAM, 0 },
+      { 40, OPEN_AGAIN, 0 },
+      { 40, EXPECT_TO_UPSTREAM, 0 },
+      { 40, EXPECT_REPLY, GALENA_PEER_REFUSED } } },
+  /* A probe has left a row, and its packet is taken for one of a flow that was
+     admitted here.  */
+  { "/agent/open-after-probe-while-draining",
+    false,
+    false,
+    { { 10, HELLO_DRAINING, 1500 },
+      { 20, PROBE, 900000 },
+      { 20, EXPECT_TO_UPSTREAM, 1 },
+      { 30, OPEN, 0 },
+      { 30, EXPECT_TO_UPSTREAM, 0 },
+      { 30, EXPECT_REPLY, GALENA_PEER_REFUSED } } },
+  /* A copy of the opening packet that reaches another agent after a restart
+     still passes to the upstream that has accepted the flow.  */
+  { "/agent/copy-of-open-after-restart",
+    false,
+    false,
+    { { 10, HELLO_DRAINING, 500 },
+      { 20, ACCEPT, 1000 },
+      { 30, OPEN, 0 },
+      { 30, EXPECT_TO_UPSTREAM, 1 } } },
   { "/agent/forwarded-open-of-unknown-flow",
     true,
     false,
@@ -990,23 +1041,32 @@
 run_message (struct run *run, const struct step *step)
 {
   static const enum galena_peer_type TYPES[] = {
-    [OPEN] = GALENA_PEER_OPEN,        [FORWARD] = GALENA_PEER_FORWARD,
-    [END_FLOW] = GALENA_PEER_FORWARD, [FORWARD_OPEN] = GALENA_PEER_FORWARD,
-    [PROBE] = GALENA_PEER_PROBE,      [QUERY] = GALENA_PEER_QUERY,
+    [OPEN] = GALENA_PEER_OPEN,
+    [FORWARD] = GALENA_PEER_FORWARD,
+    [END_FLOW] = GALENA_PEER_FORWARD,
+    [FORWARD_OPEN] = GALENA_PEER_FORWARD,
+    [PROBE] = GALENA_PEER_PROBE,
+    [QUERY] = GALENA_PEER_QUERY,
+    [OPEN_AGAIN] = GALENA_PEER_OPEN,
+    [FORWARD_OPEN_AGAIN] = GALENA_PEER_FORWARD,
   };
   static const uint8_t FLAGS[] = {
     [OPEN] = GALENA_PACKET_OPENS,
     [FORWARD] = GALENA_PACKET_ACKNOWLEDGES,
     [END_FLOW] = GALENA_PACKET_ACKNOWLEDGES | GALENA_PACKET_ENDS,
     [FORWARD_OPEN] = GALENA_PACKET_OPENS,
+    [OPEN_AGAIN] = GALENA_PACKET_OPENS,
+    [FORWARD_OPEN_AGAIN] = GALENA_PACKET_OPENS,
     [PROBE] = GALENA_PACKET_ACKNOWLEDGES,
     [QUERY] = GALENA_PACKET_ACKNOWLEDGES,
   };
+  bool again = step->kind == OPEN_AGAIN || step->kind == FORWARD_OPEN_AGAIN;
 
   push_message (run, TYPES[step->kind],
                 (struct galena_packet){
                     .source = FLOW.caller,
                     .destination = FLOW.service_address,
+                    .sequence = again ? AGAIN_SEQUENCE : 0,
                     .acknowledged = step->value,
                     .flags = FLAGS[step->kind],
                     .bytes = run->bytes,
@@ -1363,6 +1423,8 @@
   [PROBE] = run_message,
   [END_FLOW] = run_message,
   [FORWARD_OPEN] = run_message,
+  [OPEN_AGAIN] = run_message,
+  [FORWARD_OPEN_AGAIN] = run_message,
   [REQUEST] = run_request,
   [OPEN_OTHERS] = run_open_others,
   [OPEN_OFFERED] = run_open_offered,
