Flows: what resets of callers acknowledge does not count; fewer lists at a start

A reset of a caller may acknowledge nothing, so its number no longer decides whether it is of a row's flow: it passes to the upstream as before. The uptime that an agent reports stops at the largest value of its field, since it would begin again after 49 days.

An entry that starts among others that know all agents asked each member that a seed named, and got a whole list from each: 31 lists of 12 messages with 2,900 agents. It now asks further entries once a seed has replied that it has just started too.

test_agent, test_entry, test_knowledge, test_planes (-p port-again, start) and test_outage -p /outage pass.

--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -232,12 +232,13 @@
     }
 }
 
-/* Same for PACKET of the caller.  */
+/* Same for PACKET of the caller; a reset may acknowledge nothing.  */
 static bool
 is_packet_of (const struct agent_flow *flow,
               const struct galena_packet *packet)
 {
   return (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0
+         || (packet->flags & GALENA_PACKET_RESETS) != 0
          || is_number_of (flow, packet->acknowledged);
 }
 
@@ -260,6 +261,8 @@
 confirm_open_packet (struct galena_plane *plane, struct agent_flow *flow,
                      const struct galena_packet *packet)
 {
+  if (flow->state == AGENT_FLOW_OPEN)
+    return is_packet_of (flow, packet);
   return (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0
          || confirm_open (plane, flow, packet->acknowledged);
 }
--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -227,12 +227,15 @@
 agent_reply (struct galena_plane *plane, struct galena_endpoint peer,
              struct galena_peer_message *message)
 {
+  int64_t uptime_ms
+      = galena_clock_elapsed_ms (plane->agent->started, plane->now);
+
   if (peer.ip == 0)
     return NULL;
   message->service = plane->options.service;
   message->upstream_port = plane->options.upstream_port;
   message->uptime_ms
-      = (uint32_t)galena_clock_elapsed_ms (plane->agent->started, plane->now);
+      = uptime_ms < UINT32_MAX ? (uint32_t)uptime_ms : UINT32_MAX;
   message->load = agent_load (plane);
   return plane_send_message (plane, peer, message);
 }
--- a/packages/flows/src/entry.c
+++ b/packages/flows/src/entry.c
@@ -41,15 +41,6 @@
     entry_send_agents (plane, peer);
 }
 
-static void
-on_members (struct galena_plane *plane, struct galena_endpoint peer,
-            const struct galena_peer_message *message)
-{
-  members_on_list (plane, peer, message);
-  if (plane->asks_for_agents)
-    members_greet (plane);
-}
-
 static const struct plane_system SYSTEMS[] = {
   { "knowledge", 0, entry_run_knowledge },
   { "link", 0, entry_run_bulk_refill },
@@ -209,7 +200,7 @@
     [GALENA_PEER_LOST] = entry_on_lost,
     [GALENA_PEER_LOAD] = on_load,
     [GALENA_PEER_HELLO] = on_hello,
-    [GALENA_PEER_MEMBERS] = on_members,
+    [GALENA_PEER_MEMBERS] = members_on_list,
     [GALENA_PEER_AGENTS] = entry_on_agents,
     [GALENA_PEER_ANSWER_MANY] = entry_on_answers,
   },
--- a/packages/flows/src/entry_flows.c
+++ b/packages/flows/src/entry_flows.c
@@ -247,6 +247,7 @@
               const struct galena_packet *packet)
 {
   return (packet->flags & GALENA_PACKET_ACKNOWLEDGES) == 0
+         || (packet->flags & GALENA_PACKET_RESETS) != 0
          || galena_packet_is_near (packet->acknowledged, flow->acknowledged);
 }
 
@@ -256,7 +257,8 @@
 follows_opening (const struct entry_flow *flow,
                  const struct galena_packet *packet)
 {
-  return acknowledged_attempt (flow, packet->acknowledged) != NULL
+  return (packet->flags & GALENA_PACKET_RESETS) != 0
+         || acknowledged_attempt (flow, packet->acknowledged) != NULL
          || galena_packet_is_near (packet->sequence, flow->numbers.first);
 }
 
--- a/packages/flows/src/entry_knowledge.c
+++ b/packages/flows/src/entry_knowledge.c
@@ -260,4 +260,7 @@
   for (uint32_t i = 0; i < plane->options.seed_count; i++)
     if (plane->options.seeds[i].ip == peer.ip)
       knowledge->partial_seeds |= 1U << i;
+  /* Another entry may know all.  */
+  if (plane->asks_for_agents)
+    members_greet (plane);
 }
