Knowledge: the registration of a listed agent counts without a route

An entry that started while agents were stopped for two seconds reset open flows of a service that no route leads to any more, although its upstreams live and stand in the store.

Cause: without a report of the agent a registration counted only if a route led to its service, so that an upstream whose agent another entry had listed was absent, and gone after two seconds without a message of the agent.

Ruled out: a longer time until an upstream without a registration is gone, as flows that are lost would be reset that much later.

Change: a registration at the address of an agent that another entry has listed counts until that agent reports its service.

--- a/packages/flows/src/entry_knowledge.c
+++ b/packages/flows/src/entry_knowledge.c
@@ -236,13 +236,24 @@
     knowledge->listed = true;
 }
 
+static void
+add_listed (struct galena_plane *plane, uint32_t ip)
+{
+  struct galena_handle handle;
+  struct upstream_row *upstream = entry_upstream_at (plane, ip, &handle);
+
+  if (upstream == NULL)
+    upstream = entry_upstream_add (plane, ip, &handle);
+  if (upstream != NULL)
+    entry_apply_listed (plane, upstream);
+}
+
 void
 entry_on_agents (struct galena_plane *plane, struct galena_endpoint peer,
                  const struct galena_peer_message *message)
 {
   struct agent_knowledge *knowledge = &plane->entry->knowledge;
   struct galena_agent_list list;
-  struct galena_handle handle;
 
   if (!galena_agent_list_read (message->bytes, message->size, &list))
     {
@@ -250,8 +261,7 @@
       return;
     }
   for (uint32_t i = 0; i < list.count; i++)
-    if (entry_upstream_at (plane, list.agents[i], &handle) == NULL)
-      entry_upstream_add (plane, list.agents[i], &handle);
+    add_listed (plane, list.agents[i]);
   if (message->sequence == LIST_COMPLETE)
     {
       note_part (plane, peer, &list);
--- a/packages/flows/src/entry_published.c
+++ b/packages/flows/src/entry_published.c
@@ -75,14 +75,16 @@
 /* Returns whether PUBLISHED may be that of the upstream at its address;
    UPSTREAM is the row there, or NULL.  The agent beside the upstream knows its
    service and port.  Before an agent has reported, it counts if the
-   configuration names its service.  */
+   configuration names its service, or if another entry has listed the
+   agent.  */
 static bool
 may_be_upstream (const struct galena_directory *directory,
                  const struct upstream_row *upstream,
                  const struct galena_published_upstream *published)
 {
   if (upstream == NULL || upstream->reported_service == 0)
-    return galena_directory_routes_to (directory, published->service);
+    return (upstream != NULL && upstream->listed)
+           || galena_directory_routes_to (directory, published->service);
   return upstream->reported_service == published->service
          && (upstream->reported_port == 0
              || upstream->reported_port == published->address.port);
@@ -283,6 +285,17 @@
                                                  .age_ms = -1 });
 }
 
+void
+entry_apply_listed (struct galena_plane *plane, struct upstream_row *upstream)
+{
+  if (upstream->listed || upstream->reported_service != 0)
+    return;
+  upstream->listed = true;
+  /* A registration of the directory may be that of the upstream.  */
+  plane->entry->directory_number = 0;
+  plane->tick_again = true;
+}
+
 void
 entry_apply_report (struct galena_plane *plane, struct upstream_row *upstream,
                     galena_service_key service, uint16_t port)
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -60,6 +60,9 @@
   galena_service_key reported_service;
   uint16_t published_port;
   uint16_t reported_port;
+  /* Whether another entry has listed the agent, which has not reported to this
+     one yet.  */
+  bool listed;
   enum galena_published_state published_state;
   /* Pass over a directory that last found a registration of it, the index of
      that in the directory, and the number of further ones that may be its own
@@ -600,6 +603,10 @@
 /* System: applies a new directory to the table of upstreams.  */
 void entry_run_directory (struct galena_plane *plane);
 
+/* Applies that another entry has listed the agent of UPSTREAM.  */
+void entry_apply_listed (struct galena_plane *plane,
+                         struct upstream_row *upstream);
+
 /* Records that the agent of UPSTREAM reports SERVICE and the PORT of its
    upstream, 0 for unknown.  The directory is applied again if that may show
    another of its entries to be that of the upstream.  */
--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -182,6 +182,7 @@
     entry_search_wake (plane, upstream);
   upstream->suspect_until = plane->now;
   upstream->last_seen = plane->now;
+  upstream->listed = false;
   upstream->agent_started
       = galena_clock_add_ms (plane->now, -(int64_t)message->uptime_ms);
   entry_apply_report (plane, upstream, message->service,
@@ -345,6 +346,7 @@
           continue;
         }
       /* Another instance may have got its address.  */
+      upstream->listed = false;
       entry_apply_report (plane, upstream, 0, 0);
       if (galena_clock_elapsed_ms (upstream->absent_since, plane->now)
               > REMOVE_AFTER_MS
--- a/test/unit/test_planes.c
+++ b/test/unit/test_planes.c
@@ -358,6 +358,19 @@
     0,
     0,
     0 },
+  /* The same while the agents of the owners are stopped and started: their
+     upstreams are taken for gone, although they stand in the directory.  */
+  { "/planes/unrouted-owners-as-agents-restart",
+    { FLEET, .second_service = 4,
+      .actions = { { 5000, PLANES_REROUTE, 0, 0 },
+                   { 11000, PLANES_STOP_AGENTS, 0, 3 },
+                   { 11130, PLANES_RESTART_ENTRIES, 0, 0 },
+                   { 13600, PLANES_START_AGENTS, 0, 3 } } },
+    60,
+    4300,
+    0,
+    0,
+    0 },
   /* All entries start while the agents run on.  Their questions to each other
      say nothing about the agents that announce themselves later.  */
   { "/planes/unlisted-owners-of-started-entries",
