Agent: a late packet of an earlier flow does not widen a flow's numbers

A packet that the upstream sends late on an earlier flow of the same addresses could move the end of the range of sequence numbers by up to half of all numbers, after which the row answered for most other flows again.

Evidence: /agent/late-answer-on-earlier-flow failed before (owned in place of disowned). Found by reading the change; no caller has seen it.

Change: only numbers near the end of the range move it.

--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -206,7 +206,9 @@
       flow->upstream_first = packet->sequence - GALENA_PACKET_NEAR;
       flow->upstream_next = next;
     }
-  else if ((int32_t)(next - flow->upstream_next) > 0)
+  /* A late packet of an earlier flow does not widen the range.  */
+  else if (galena_packet_is_near (next, flow->upstream_next)
+           && (int32_t)(next - flow->upstream_next) > 0)
     flow->upstream_next = next;
 }
 
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -345,6 +345,20 @@
       { 300, FORWARD, 900000 },
       { 300, EXPECT_TO_UPSTREAM, 0 },
       { 300, EXPECT_NO_REPLY, 0 } } },
+  /* A late packet of the upstream on an earlier flow widens the numbers of the
+     new one.  */
+  { "/agent/late-answer-on-earlier-flow",
+    true,
+    false,
+    { { 10, OPEN, 0 },
+      { 11, ACCEPT, 1000 },
+      { 11, EXPECT_REPLY, GALENA_PEER_OPENED },
+      { 12, FORWARD, 1001 },
+      { 13, ANSWER, 900000000 },
+      { 14, QUERY, 450000000 },
+      { 14, EXPECT_REPLY, GALENA_PEER_DISOWNED },
+      { 15, QUERY, 1001 },
+      { 15, EXPECT_REPLY, GALENA_PEER_OWNED } } },
   /* The upstream still holds the earlier flow and answers a probe with a
      packet of that one.  */
   { "/agent/probe-answered-on-earlier-flow",
