Knowledge: an entry lists what it would ask, heard lately or not

An entry that started while agents had been silent for more than five seconds reset open flows of their upstreams, which live and stand in the store, where no route leads to their service: those that run leave such agents out of their lists, but still ask them.

Change: a list has the agents of all upstreams that the entry does not take for gone or ended, the same rule by which its searches end.

--- a/packages/flows/include/galenaford/peer.h
+++ b/packages/flows/include/galenaford/peer.h
@@ -45,7 +45,7 @@
   /* Agent to entry: the agent does not know; a probe would show it.  */      \
   X (GALENA_PEER_UNSURE, 13, "unsure")                                        \
   /* Reply to a hello of an entry that asks for it: agents that the sender    \
-     has heard lately; agent_list.h describes the body.  */                   \
+     would ask itself; agent_list.h describes the body.  */                   \
   X (GALENA_PEER_AGENTS, 14, "agents")                                        \
   /* Entry to agent: an owner query for several flows of one service address, \
      which the flow of the message names; query_batch.h describes the         \
--- a/packages/flows/src/entry_knowledge.c
+++ b/packages/flows/src/entry_knowledge.c
@@ -6,8 +6,8 @@
    service that no route leads to any more.  An entry that runs for a while
    knows their agents all the same, since agents announce themselves to all
    entries.  One that has started, or was paused, asks the others.  They list
-   all live agents, whatever their own directory says, since that of the asking
-   entry may differ.
+   all that they would ask about a flow themselves, whatever their directory
+   says, since that of the asking entry may differ.
 
    Until then it resets no unknown flow.  It has asked everybody when an entry
    that runs for long enough to know all agents has listed them, when each
@@ -31,9 +31,6 @@
   /* When all seeds have just started as well, other entries may still reply
      within this time.  */
   REPLIES_MS = 100,
-  /* An agent counts as live if its last message is younger than this: ten
-     periods of its announcement.  */
-  AGENT_LIVE_MS = 5000,
   /* Processes that start after the same loss of power start within this
      time.  */
   START_SPREAD_MS = 2000,
@@ -48,7 +45,7 @@
 {
   /* It has just started itself.  */
   LIST_PARTIAL,
-  /* The list has all live agents.  */
+  /* The list has all agents.  */
   LIST_COMPLETE
 };
 
@@ -133,16 +130,12 @@
   plane->asks_for_agents = !entry_knows_agents (plane);
 }
 
-/* Returns whether UPSTREAM is one that a search has to ask and whose agent was
-   heard lately.  */
+/* Returns whether a search of this entry asks the agent of UPSTREAM.  */
 static bool
 is_listed (const struct galena_plane *plane,
            const struct upstream_row *upstream)
 {
-  return upstream->last_seen.ms != 0
-         && galena_clock_elapsed_ms (upstream->last_seen, plane->now)
-                < AGENT_LIVE_MS
-         && !entry_is_gone (plane, upstream)
+  return !entry_is_gone (plane, upstream)
          && !entry_has_ended (plane, upstream);
 }
 
--- a/packages/flows/src/entry_tables.h
+++ b/packages/flows/src/entry_tables.h
@@ -590,7 +590,7 @@
    does not know can't hold a flow.  */
 bool entry_knows_agents (const struct galena_plane *plane);
 
-/* Sends the entry at PEER a list of the live agents.  */
+/* Sends the entry at PEER a list of the agents that this one would ask.  */
 void entry_send_agents (struct galena_plane *plane,
                         struct galena_endpoint peer);
 
--- a/test/unit/test_planes.c
+++ b/test/unit/test_planes.c
@@ -371,6 +371,18 @@
     0,
     0,
     0 },
+  /* The same where no entry has heard the agents for longer.  */
+  { "/planes/unrouted-owners-of-silent-agents",
+    { FLEET, .second_service = 4,
+      .actions = { { 5000, PLANES_REROUTE, 0, 0 },
+                   { 10500, PLANES_STOP_AGENTS, 0, 3 },
+                   { 16130, PLANES_RESTART_ENTRIES, 0, 0 },
+                   { 18600, PLANES_START_AGENTS, 0, 3 } } },
+    60,
+    9700,
+    0,
+    0,
+    0 },
   /* All entries start while the agents run on.  Their questions to each other
      say nothing about the agents that announce themselves later.  */
   { "/planes/unlisted-owners-of-started-entries",
