--- a/soak/callers.c
+++ b/soak/callers.c
@@ -29,6 +29,11 @@
   /* Source ports with which the callers begin.  */
   FIRST_PORT = 1024,
   PORTS = 200,
+  /* After one request in this many, a long flow is idle for IDLE_MS, until no
+     packet of it is under way any more.  Both ends then discard it, and the
+     next one is opened from its port.  */
+  REUSE_EVERY = 16,
+  IDLE_MS = 1500,
   /* Requests that begin between these times before the end of the run count
      for the recovery; later ones may not be answered in time.  */
   RECOVERY_WINDOW_BEGIN_MS = 4000,
@@ -180,6 +185,9 @@
      it would send hundreds of requests a second.  */
   if (answered && soak->bursts > 0 && caller->route == soak->burst_route)
     caller->due = galena_clock_add_ms (soak->now, BURST_THINK_MS);
+  caller->reuses_port = caller->open && caller->request % REUSE_EVERY == 0;
+  if (caller->reuses_port)
+    caller->due = galena_clock_add_ms (soak->now, IDLE_MS);
 }
 
 /* Opens another flow after one was lost, if the request may be repeated, or
@@ -199,6 +207,18 @@
     begin_open (soak, index);
 }
 
+/* Discards the flow of caller INDEX at both ends without a packet, so that the
+   next flow gets the same port.  */
+static void
+reuse_port (struct soak *soak, uint32_t index)
+{
+  struct caller *caller = &soak->callers[index];
+
+  hosts_discard_flow (soak, key_of (soak, index));
+  caller->open = false;
+  caller->port--;
+}
+
 static void
 begin_request (struct soak *soak, uint32_t index)
 {
@@ -217,6 +237,9 @@
                                     soak->now)
                > CONFIG_BOUND_MS;
   soak->report.requests++;
+  if (caller->open && caller->reuses_port)
+    reuse_port (soak, index);
+  caller->reuses_port = false;
   if (!caller->open)
     {
       begin_open (soak, index);
--- a/soak/hosts.c
+++ b/soak/hosts.c
@@ -142,6 +142,18 @@
   return false;
 }
 
+void
+hosts_discard_flow (struct soak *soak, struct galena_flow_key key)
+{
+  for (uint32_t i = 0; i < soak->options.hosts; i++)
+    {
+      struct host_flow *flow = find_flow (&soak->hosts[i], key);
+
+      if (flow != NULL)
+        *flow = (struct host_flow){ .state = HOST_FLOW_FREE };
+    }
+}
+
 static void
 send_packet (struct soak *soak, uint32_t index, const struct host_flow *flow,
              uint8_t flags, uint32_t sequence, const uint8_t *data,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -210,6 +210,8 @@
   /* Opens a new flow for each request.  Such requests are not idempotent and
      may run at most once.  */
   bool flow_per_request;
+  /* Whether the next flow is opened from the port of this one.  */
+  bool reuses_port;
   /* Copies of the opening packet sent for the current flow.  */
   uint32_t opens_sent;
   /* Flows that failed for the current request.  */
@@ -452,6 +454,8 @@
    has.  */
 bool hosts_find_flow (struct soak *soak, struct galena_flow_key key,
                       uint32_t *index);
+/* Makes the hosts discard the flow KEY without a packet.  */
+void hosts_discard_flow (struct soak *soak, struct galena_flow_key key);
 
 /* callers.c: the simulated callers */
 bool callers_create (struct soak *soak);
--- a/test/unit/test_peer_wire.c
+++ b/test/unit/test_peer_wire.c
@@ -39,6 +39,7 @@
     "packet" },
   { "/peer/opened",
     { .type = GALENA_PEER_OPENED,
+      .uptime_ms = UINT32_MAX,
       .role = GALENA_ROLE_AGENT,
       .flow = { { UINT32_MAX, UINT16_MAX }, { 1, 1 } },
       .sequence = UINT32_MAX,
@@ -196,6 +197,7 @@
   g_assert_cmpuint (decoded.state.link_kbps, ==, message.state.link_kbps);
   g_assert_cmpint (decoded.state.in_rotation, ==, message.state.in_rotation);
   g_assert_cmpuint (decoded.sequence, ==, message.sequence);
+  g_assert_cmpuint (decoded.uptime_ms, ==, message.uptime_ms);
   g_assert_cmpint (decoded.result, ==, message.result);
   g_assert_cmpuint (decoded.load.pending_requests, ==,
                     message.load.pending_requests);
