Soak: no answer is expected while all upstreams of a service leave

Upstreams that leave get no new flows by the promise itself, so that the requests can't be answered; the check already excepts those in evacuated zones and in their warm-up, and now also those that leave. With any upstream up that takes flows, and with none up, it is as strict as before.

--- a/soak/hosts.c
+++ b/soak/hosts.c
@@ -70,9 +70,9 @@
     {
       const struct host *host = &soak->hosts[i];
 
-      if (host->service != service || !host->up || host->draining)
+      if (host->service != service || !host->up)
         continue;
-      if (soak->zones[hosts_zone (i)].evacuations == 0
+      if (!host->draining && soak->zones[hosts_zone (i)].evacuations == 0
           && galena_clock_reached (soak->now, host->warm_at))
         return false;
       refusing = true;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -447,8 +447,8 @@
 void hosts_crash (struct soak *soak, uint32_t index);
 /* Returns the zone of host INDEX: each service has hosts in all zones.  */
 uint32_t hosts_zone (uint32_t index);
-/* Returns whether all upstreams of SERVICE that are up and do not leave are in
-   evacuated zones or warm up, so that new flows may be refused.  */
+/* Returns whether all upstreams of SERVICE that are up leave, are in evacuated
+   zones or warm up, so that new flows may be refused.  */
 bool hosts_may_refuse (const struct soak *soak, uint32_t service);
 /* Stores the host that has the flow KEY open in *INDEX; returns false if none
    has.  */
