Agents: announcements reach each entry in turn, and silence is judged by that

Cause: such an upstream is gone after two seconds without a message of its agent, which announces itself to 16 entries each 500 ms, and reports of a changed load moved the cursor of the announcements, so that they left entries out.

Evidence: /entry/unlisted-owner-of-many-entries failed before.

Ruled out: agents that announce themselves to all entries while they are not published, 45 % of a link of 10 Mbit/s with 2,900 agents and 100 entries (by calculation).

Change: a cursor of their own for announcements; the time until an upstream counts as gone, and until an entry has heard all agents, is at least that of two announcements and a period. With 16 entries or fewer both are as before.

--- a/packages/flows/src/agent.c
+++ b/packages/flows/src/agent.c
@@ -158,7 +158,7 @@
   { "silence", SILENCE_PERIOD_MS, agent_run_silence },
   { "health", HEALTH_PERIOD_MS, agent_run_health },
   { "load", LOAD_PERIOD_MS, agent_run_load },
-  { "announce", HEARTBEAT_PERIOD_MS, agent_run_periodic_load },
+  { "announce", PLANE_REPORT_PERIOD_MS, agent_run_periodic_load },
   { "expire", EXPIRE_PERIOD_MS, agent_run_expire },
   { "members", HEARTBEAT_PERIOD_MS, members_run },
 };
--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -23,8 +23,6 @@
   /* Entries whose last open is younger than this get a report at each change
      of load.  */
   RECENT_OPEN_MS = 1000,
-  /* Maximum number of reports per round.  */
-  REPORTS_MAX = 16,
   US_PER_MS = 1000,
   /* Time constant of the smoothed utilisation: a long flow sends a request
      about every second, so a shorter one would follow single requests.  */
@@ -291,7 +289,8 @@
       && load.refuses_flows == plane->agent->reported.refuses_flows)
     return;
   plane->agent->reported = load;
-  members_visit (plane, REPORTS_MAX, send_load_if_recent);
+  members_visit (plane, &plane->report_cursor, PLANE_REPORTS_MAX,
+                 send_load_if_recent);
 }
 
 static void
@@ -312,8 +311,8 @@
 {
   expire_estimate (plane);
   /* The last reports go to all, since none may follow.  */
-  members_visit (plane,
+  members_visit (plane, &plane->member_cursor,
                  plane->draining ? galena_table_count (plane->members)
-                                 : REPORTS_MAX,
+                                 : PLANE_REPORTS_MAX,
                  send_load);
 }
--- a/packages/flows/src/entry_knowledge.c
+++ b/packages/flows/src/entry_knowledge.c
@@ -26,7 +26,7 @@
 enum
 {
   /* Time in which each agent finds an entry by its seeds and announces itself
-     to it.  */
+     to it, or longer where many entries share the announcements.  */
   ANNOUNCED_MS = 3000,
   /* When all seeds have just started as well, other entries may still reply
      within this time.  */
@@ -107,6 +107,16 @@
   return false;
 }
 
+/* Returns whether each agent has had the time to announce itself to this
+   entry, also if one announcement was lost.  */
+static bool
+has_heard_all (const struct galena_plane *plane)
+{
+  int64_t ms = 2 * members_report_interval_ms (plane) + PLANE_REPORT_PERIOD_MS;
+
+  return listened_ms (plane) >= (ms > ANNOUNCED_MS ? ms : ANNOUNCED_MS);
+}
+
 bool
 entry_knows_agents (const struct galena_plane *plane)
 {
@@ -114,7 +124,7 @@
 
   if (knowledge->since.ms == 0)
     return false;
-  if (knowledge->listed || listened_ms (plane) >= ANNOUNCED_MS)
+  if (knowledge->listed || has_heard_all (plane))
     return true;
   if (!is_alone (plane)
       && (listened_ms (plane) < REPLIES_MS || !seeds_know_no_more (plane)))
@@ -181,8 +191,7 @@
 {
   struct galena_peer_message message
       = { .type = GALENA_PEER_AGENTS,
-          .sequence = listened_ms (plane) >= ANNOUNCED_MS ? LIST_COMPLETE
-                                                          : LIST_PARTIAL };
+          .sequence = has_heard_all (plane) ? LIST_COMPLETE : LIST_PARTIAL };
   struct galena_agent_list list
       = { .number = ++plane->entry->list_number, .parts = 1 };
   uint32_t cursor = 0;
--- a/packages/flows/src/entry_upstreams.c
+++ b/packages/flows/src/entry_upstreams.c
@@ -15,7 +15,7 @@
      two seconds) ...  */
   GONE_ABSENT_MS = 2000,
   /* ... and no message of its agent has come for this time: four periods of
-     its load report.  */
+     its announcements, or longer where many entries share them.  */
   GONE_UNSEEN_MS = 2000,
   /* The agent of an upstream that has ended is away if it has not replied for
      this time: twice the interval of the first repeated queries.  */
@@ -71,6 +71,17 @@
          && !upstream->load.refuses_flows;
 }
 
+/* Returns the time without a message of an agent after which its upstream may
+   count as gone: at least that of two announcements, one of which may be lost,
+   and a period besides.  */
+static int64_t
+gone_unseen_ms (const struct galena_plane *plane)
+{
+  int64_t ms = 2 * members_report_interval_ms (plane) + PLANE_REPORT_PERIOD_MS;
+
+  return ms > GONE_UNSEEN_MS ? ms : GONE_UNSEEN_MS;
+}
+
 bool
 entry_is_gone (const struct galena_plane *plane,
                const struct upstream_row *upstream)
@@ -79,7 +90,7 @@
          && galena_clock_elapsed_ms (upstream->absent_since, plane->now)
                 >= GONE_ABSENT_MS
          && galena_clock_elapsed_ms (upstream->last_seen, plane->now)
-                >= GONE_UNSEEN_MS;
+                >= gone_unseen_ms (plane);
 }
 
 bool
--- a/packages/flows/src/members.c
+++ b/packages/flows/src/members.c
@@ -284,13 +284,24 @@
   if (plane->options.role == GALENA_ROLE_ENTRY)
     {
       send_hello_to_zone_peers (plane);
-      members_visit (plane, OTHER_ZONE_HELLOS_MAX, send_hello_to_other_zone);
+      members_visit (plane, &plane->member_cursor, OTHER_ZONE_HELLOS_MAX,
+                     send_hello_to_other_zone);
     }
   expire (plane);
 }
 
+int64_t
+members_report_interval_ms (const struct galena_plane *plane)
+{
+  /* This entry as well.  */
+  uint32_t entries = galena_table_count (plane->members) + 1;
+
+  return (int64_t)PLANE_REPORT_PERIOD_MS
+         * ((entries + PLANE_REPORTS_MAX - 1) / PLANE_REPORTS_MAX);
+}
+
 void
-members_visit (struct galena_plane *plane, uint32_t count,
+members_visit (struct galena_plane *plane, uint32_t *cursor, uint32_t count,
                void (*send) (struct galena_plane *plane,
                              struct member *member))
 {
@@ -302,11 +313,11 @@
     {
       struct galena_handle handle;
       struct member *member
-          = galena_table_next (plane->members, &plane->member_cursor, &handle);
+          = galena_table_next (plane->members, cursor, &handle);
 
       if (member == NULL)
         {
-          plane->member_cursor = 0;
+          *cursor = 0;
           continue;
         }
       send (plane, member);
--- a/packages/flows/src/plane_private.h
+++ b/packages/flows/src/plane_private.h
@@ -52,7 +52,11 @@
   PLANE_SYSTEMS_MAX = 16,
   PLANE_EVENTS_MAX = 256,
   /* Maximum number of entries that a process remembers.  */
-  PLANE_MEMBERS_MAX = 512
+  PLANE_MEMBERS_MAX = 512,
+  /* Agents announce themselves to at most this many entries, round robin, in
+     each period.  */
+  PLANE_REPORTS_MAX = 16,
+  PLANE_REPORT_PERIOD_MS = 500
 };
 
 /* An entry of which this process knows.  */
@@ -100,8 +104,10 @@
   struct galena_plane_logged_event events[PLANE_EVENTS_MAX];
   struct galena_clock due[PLANE_SYSTEMS_MAX];
   struct galena_table *members;
-  /* Where the next round over the members begins.  */
+  /* Where the next round of hellos or announcements to the members begins, and
+     the next round of reports of a changed load.  */
   uint32_t member_cursor;
+  uint32_t report_cursor;
   /* Where the next list of members begins.  */
   uint32_t list_cursor;
   /* Tables of the role; those of the other role are NULL.  */
@@ -214,8 +220,14 @@
    removes entries that have timed out.  */
 void members_run (struct galena_plane *plane);
 
-/* Calls SEND for at most COUNT entries, round robin over successive calls.  */
-void members_visit (struct galena_plane *plane, uint32_t count,
+/* Returns the milliseconds between two announcements of an agent to the same
+   entry, by the number of entries that are known.  */
+int64_t members_report_interval_ms (const struct galena_plane *plane);
+
+/* Calls SEND for at most COUNT entries, round robin over successive calls with
+   the same CURSOR.  */
+void members_visit (struct galena_plane *plane, uint32_t *cursor,
+                    uint32_t count,
                     void (*send) (struct galena_plane *plane,
                                   struct member *member));
 
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -64,8 +64,12 @@
   UNSURE_OTHER,
   /* All upstreams are published as draining.  */
   DRAIN,
+  /* They are not published any more.  */
+  VANISH,
   /* They are published with another start, VALUE.  */
   START_AGAIN,
+  /* Another entry lists VALUE entries, of the addresses after its own.  */
+  MEMBERS,
   /* All agents report 20 requests of the last second; of those of the first
      one VALUE failed.  */
   REPORTS,
@@ -412,6 +416,40 @@
       { 40, OPEN_AGAIN, HEADER_BYTES },
       { 40, EXPECT_OPENS, 1 },
       { 40, EXPECT_FORWARDS, 0 } } },
+  /* Where many entries share the announcements of agents, the upstream of one
+     that is not heard for two seconds is taken for gone.  */
+  { "/entry/unlisted-owner-of-many-entries",
+    1,
+    0,
+    false,
+    { { 10, MEMBERS, 58 },
+      { 11, DATA, 7 },
+      { 12, OWNED, 7 },
+      { 12, EXPECT_FORWARDS, 1 },
+      { 20, VANISH, 0 },
+      { 1000, MEMBERS, 58 },
+      { 2000, MEMBERS, 58 },
+      { 3000, MEMBERS, 58 },
+      { 4000, MEMBERS, 58 },
+      { 4400, BULK, 1 },
+      { 4400, EXPECT_FORWARDS, 1 },
+      { 4400, EXPECT_RESETS, 0 },
+      { 5000, BULK, 1 },
+      { 5000, EXPECT_RESETS, 1 } } },
+  { "/entry/unlisted-owner-of-few-entries",
+    1,
+    0,
+    false,
+    { { 10, MEMBERS, 5 },
+      { 11, DATA, 7 },
+      { 12, OWNED, 7 },
+      { 12, EXPECT_FORWARDS, 1 },
+      { 20, VANISH, 0 },
+      { 1000, MEMBERS, 5 },
+      { 2000, BULK, 1 },
+      { 2000, EXPECT_RESETS, 0 },
+      { 2100, BULK, 1 },
+      { 2100, EXPECT_RESETS, 1 } } },
   /* The row of a search lets an opening packet from the port of that flow pass
      to the owner of the flow.  A copy of the packet that opened it does.  */
   { "/entry/port-again-of-found-flow",
@@ -1009,6 +1047,40 @@
       = make_directory (run->upstreams, GALENA_PUBLISHED_DRAINING, 0);
 }
 
+static void
+run_vanish (struct run *run, const struct step *step)
+{
+  (void)step;
+  galena_directory_destroy (run->directory);
+  run->directory = make_directory (0, GALENA_PUBLISHED_READY, 0);
+  tick (run);
+}
+
+static void
+run_members (struct run *run, const struct step *step)
+{
+  for (uint32_t first = 0; first < step->value;
+       first += GALENA_PEER_MEMBERS_MAX)
+    {
+      struct galena_input *input = galena_plane_next_input (run->plane);
+      struct galena_peer_message *message = &input->message;
+
+      input->side = GALENA_SIDE_PEER;
+      input->peer = (struct galena_endpoint){ ENTRY_IP + 1, PEER_PORT };
+      *message = (struct galena_peer_message){ .type = GALENA_PEER_MEMBERS,
+                                               .role = GALENA_ROLE_ENTRY };
+      while (message->member_count < GALENA_PEER_MEMBERS_MAX
+             && first + message->member_count < step->value)
+        {
+          message->members[message->member_count]
+              = ENTRY_IP + 1 + first + message->member_count;
+          message->member_count++;
+        }
+      galena_plane_push (run->plane);
+    }
+  tick (run);
+}
+
 static void
 run_start_again (struct run *run, const struct step *step)
 {
@@ -1049,7 +1121,9 @@
   [UNSURE] = run_unsure,
   [UNSURE_OTHER] = run_unsure,
   [DRAIN] = run_drain,
+  [VANISH] = run_vanish,
   [START_AGAIN] = run_start_again,
+  [MEMBERS] = run_members,
   [REPORTS] = run_reports,
   [PENDING] = run_pending,
   [PENDING_LONG] = run_pending,
