--- a/test/unit/test_planes.c
+++ b/test/unit/test_planes.c
@@ -437,7 +437,7 @@
     0 },
   /* Rows of flows that both ends have discarded answer for new flows of the
      same ports, which entries that start again then reset.  */
-  { "/planes/port-again-found",
+  { "/planes/port-again/found",
     { FLEET, .actions = { { 4000, PLANES_REUSE_PORTS, 0, 59 },
                           { 8000, PLANES_RESTART_ENTRIES, 0, 2 } } },
     0,
@@ -446,7 +446,7 @@
     0,
     0 },
   /* The same where agents have seen neither opening.  */
-  { "/planes/port-again-found-by-new-agents",
+  { "/planes/port-again/found-by-new-agents",
     { FLEET, .actions = { { 3000, PLANES_RESTART_AGENTS, 0, 6 },
                           { 6000, PLANES_REUSE_PORTS, 0, 59 },
                           { 8000, PLANES_RESTART_AGENTS, 0, 2 },
@@ -457,7 +457,7 @@
     0,
     0 },
   /* The routers move the callers to another entry.  */
-  { "/planes/port-again-at-another-entry",
+  { "/planes/port-again/at-another-entry",
     { FLEET, .actions = { { 4000, PLANES_ENTRIES_OUT_OF_ROTATION, 0, 0 },
                           { 6000, PLANES_REUSE_PORTS, 0, 59 },
                           { 8000, PLANES_ENTRIES_IN_ROTATION, 0, 0 },
@@ -468,7 +468,7 @@
     0,
     0 },
   /* The same once the owners of the earlier flows have left.  */
-  { "/planes/port-again-owners-gone",
+  { "/planes/port-again/owners-gone",
     { FLEET, .actions = { { 4000, PLANES_ENTRIES_OUT_OF_ROTATION, 0, 0 },
                           { 5000, PLANES_PUBLISH_DRAINING, 0, 2 },
                           { 9000, PLANES_REUSE_PORTS, 0, 59 },
@@ -484,7 +484,7 @@
   /* Rows of a search let an opening packet from the port of a discarded flow
      pass to the owner of that flow, past the route of now and the checks of an
      open.  */
-  { "/planes/port-again-after-reroute",
+  { "/planes/port-again/after-reroute",
     { FLEET, .second_service = 4,
       .actions = { { 3130, PLANES_RESTART_ENTRIES, 0, 2 },
                    { 5000, PLANES_REROUTE, 0, 0 },
@@ -494,7 +494,7 @@
     0,
     0,
     0 },
-  { "/planes/port-again-after-drain",
+  { "/planes/port-again/after-drain",
     { FLEET, .actions = { { 3130, PLANES_RESTART_ENTRIES, 0, 2 },
                           { 5000, PLANES_PUBLISH_DRAINING, 0, 2 },
                           { 9000, PLANES_REUSE_PORTS, 0, 59 } } },
@@ -503,7 +503,7 @@
     0,
     0,
     0 },
-  { "/planes/port-again-after-drain-at-new-agents",
+  { "/planes/port-again/after-drain-at-new-agents",
     { FLEET, .actions = { { 3130, PLANES_RESTART_ENTRIES, 0, 2 },
                           { 4130, PLANES_RESTART_AGENTS, 0, 6 },
                           { 5000, PLANES_PUBLISH_DRAINING, 0, 2 },
@@ -513,7 +513,7 @@
     0,
     0,
     0 },
-  { "/planes/port-again-after-evacuation",
+  { "/planes/port-again/after-evacuation",
     { FLEET, .actions = { { 3130, PLANES_RESTART_ENTRIES, 0, 2 },
                           { 5000, PLANES_EVACUATE_ZONE, 0, 0 },
                           { 8000, PLANES_REUSE_PORTS, 0, 59 } } },
@@ -522,7 +522,7 @@
     0,
     0,
     0 },
-  { "/planes/port-again-in-warm-up",
+  { "/planes/port-again/in-warm-up",
     { HALF_CAPACITY, .warm_up_ms = 4000, .warm_up_per_s = 4,
       .warm_up_overrun = 1.5, .warm_up_slack = 5,
       .actions = { { 3130, PLANES_RESTART_ENTRIES, 0, 2 },
