--- a/soak/callers.c
+++ b/soak/callers.c
@@ -1,9 +1,11 @@
 /* Simulated callers: half of them send request after request, with pauses, on
    one flow, the others open a flow for each request.  */
 
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+#include <galenaford/monotonic.h>
 #include <galenaford/platform/packet_codec.h>
 
 #include "soak.h"
@@ -38,6 +40,7 @@
      for the recovery; later ones may not be answered in time.  */
   RECOVERY_WINDOW_BEGIN_MS = 4000,
   RECOVERY_WINDOW_END_MS = 1000,
+  ADDRESS_BYTES = 32,
   ANSWER_TOTAL_BYTES = ANSWER_PACKETS * ANSWER_BYTES
 };
 
@@ -295,15 +298,27 @@
 check_reset (struct soak *soak, uint32_t index)
 {
   const struct caller *caller = &soak->callers[index];
+  char address[ADDRESS_BYTES];
   uint32_t host;
 
   if (!caller->open || is_route_dropped (soak, caller)
-      || !hosts_find_flow (soak, key_of (soak, index), &host))
+      || !hosts_find_flow (soak, key_of (soak, index), &host)
+      || !soak_is_fault_free (soak, STABLE_MS)
+      || galena_clock_elapsed_ms (soak->hosts[host].last_fault, soak->now)
+             <= STABLE_MS)
     return;
-  soak->report.cut
-      += soak_is_fault_free (soak, STABLE_MS)
-         && galena_clock_elapsed_ms (soak->hosts[host].last_fault, soak->now)
-                > STABLE_MS;
+  soak->report.cut++;
+  net_format (key_of (soak, index).caller, address, sizeof address);
+  printf (
+      "event=cut seed=%llu at_ms=%lld time_ms=%llu caller=%s host=%u "
+      "opened_ms=%lld request_ms=%lld state=%d\n",
+      (unsigned long long)soak->options.seed,
+      (long long)galena_clock_elapsed_ms (soak->started, soak->now),
+      (unsigned long long)galena_unix_ms (), address, host,
+      (long long)galena_clock_elapsed_ms (soak->started, caller->open_started),
+      (long long)galena_clock_elapsed_ms (soak->started,
+                                          caller->request_started),
+      (int)caller->state);
 }
 
 /* Handles one packet of an answer; checks that it is complete, in order and to
