Agent: a returned copy of an opening packet is no refusal of an open flow

Cause: the agent took each opening packet that the upstream returned for a refusal, whatever the state of the flow.

Where the flow is open the agent now answers with the acceptance, so that the entry stops trying. /agent/returned-copy-of-open-flow and /agent/returned-copy-after-restart get a refusal (type 5) before, the acceptance (4) after.

--- a/packages/flows/src/agent_flows.c
+++ b/packages/flows/src/agent_flows.c
@@ -491,6 +491,31 @@
   flow->last_active = plane->now;
 }
 
+/* Handles the opening PACKET, which the upstream returned.  An upstream that
+   holds FLOW open returns each late copy: the entry that forwarded it may know
+   nothing of the flow, and would reset it on a refusal.  */
+static void
+on_returned_opening (struct galena_plane *plane, struct agent_flow *flow,
+                     struct galena_handle handle,
+                     const struct galena_packet *packet)
+{
+  struct galena_endpoint entry = flow->entry;
+  struct galena_flow_key key = flow->key;
+
+  if (!galena_packet_is_copy (packet, flow->numbers))
+    return;
+  if (flow->state == AGENT_FLOW_OPEN)
+    {
+      reply_about_flow (plane, entry, key, GALENA_PEER_OPENED,
+                        flow->accepted ? flow->sequence : flow->upstream_next);
+      return;
+    }
+  agent_health_note_returned_open (plane, flow);
+  if (flow->state == AGENT_FLOW_HALF_OPEN)
+    agent_flow_remove (plane, flow, handle);
+  agent_refuse (plane, entry, key, GALENA_REFUSED_BY_UPSTREAM);
+}
+
 /* Handles PACKET, which the upstream returned.  */
 static void
 on_returned (struct galena_plane *plane, const struct galena_packet *packet)
@@ -512,12 +537,7 @@
   ended = flow->caller_ended && flow->upstream_ended;
   if (galena_packet_is_opening (packet))
     {
-      if (!galena_packet_is_copy (packet, flow->numbers))
-        return;
-      agent_health_note_returned_open (plane, flow);
-      if (state == AGENT_FLOW_HALF_OPEN)
-        agent_flow_remove (plane, flow, handle);
-      agent_refuse (plane, entry, key, GALENA_REFUSED_BY_UPSTREAM);
+      on_returned_opening (plane, flow, handle, packet);
       return;
     }
   if (state == AGENT_FLOW_OPEN || ended)
