Planes: late copies of opening packets reach another entry

Simulated upstreams now return a copy of the opening packet of a flow that they hold open, as those of the soak do.

--- a/test/fake/planes.c
+++ b/test/fake/planes.c
@@ -166,6 +166,8 @@
   uint16_t port;
   uint32_t transmissions;
   uint32_t sequence;
+  /* Number of the opening packet.  */
+  uint32_t opening_sequence;
   uint32_t acknowledged;
   uint32_t request;
   /* When the request was first sent, when the last attempt to open its flow
@@ -398,7 +400,7 @@
       = make_packet (caller_address (fleet, index), route_of (fleet, index),
                      GALENA_PACKET_OPENS);
 
-  packet.sequence = caller->sequence - 1;
+  packet.sequence = caller->opening_sequence;
   packet.acknowledged = caller->transmissions;
   send_from_caller (fleet, packet);
   caller->transmissions++;
@@ -418,6 +420,7 @@
   caller->open = false;
   caller->transmissions = 0;
   caller->sequence = (uint32_t)galena_random_next (&fleet->random);
+  caller->opening_sequence = caller->sequence - 1;
   caller->opened_ms = fleet->now_ms;
   send_open (fleet, index);
 }
@@ -761,7 +764,7 @@
   struct upstream_flow *flow = find_flow (upstream, key);
   struct raw_packet accept;
 
-  if (upstream->refuses_flows)
+  if (upstream->refuses_flows || (flow != NULL && flow->open))
     {
       return_packet (fleet, index, *packet);
       return;
@@ -1370,6 +1373,19 @@
   fleet->callers[index].reuses_port = true;
 }
 
+static void
+copy_opening (struct fleet *fleet, uint32_t index)
+{
+  const struct fake_caller *caller = &fleet->callers[index];
+  struct raw_packet packet
+      = make_packet (caller_address (fleet, index), route_of (fleet, index),
+                     GALENA_PACKET_OPENS);
+
+  packet.sequence = caller->opening_sequence;
+  if (caller->open)
+    send_from_caller (fleet, packet);
+}
+
 static action_runner *const RUNNERS[PLANES_ACTION_COUNT] = {
   [PLANES_RESTART_ENTRIES] = restart_entry,
   [PLANES_RESTART_AGENTS] = restart_agent,
@@ -1401,6 +1417,7 @@
   [PLANES_EVACUATE_ZONE] = evacuate_zone,
   [PLANES_RETURN_ZONE] = return_zone,
   [PLANES_REUSE_PORTS] = reuse_port,
+  [PLANES_COPY_OPENINGS] = copy_opening,
 };
 
 static void
--- a/test/fake/planes.h
+++ b/test/fake/planes.h
@@ -82,6 +82,9 @@
      without a packet, and the caller opens one from the same port.  FIRST and
      LAST are callers.  */
   PLANES_REUSE_PORTS,
+  /* A late copy of the opening packet of an open flow arrives.  FIRST and LAST
+     are callers.  */
+  PLANES_COPY_OPENINGS,
   PLANES_ACTION_COUNT
 };
 
