Soak: log requests that fail in the recovery window, and targets of faults

One line for each such request now tells its flow, its times and the upstream that holds the flow, if any; the lines of the faults tell which process or host they were for.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -151,6 +151,29 @@
     caller->interval_ms *= 2;
 }
 
+/* Prints EVENT of the flow and the request of caller INDEX.  */
+static void
+print_flow (struct soak *soak, uint32_t index, const char *event)
+{
+  const struct caller *caller = &soak->callers[index];
+  char address[ADDRESS_BYTES];
+  uint32_t host = 0;
+  bool held = hosts_find_flow (soak, key_of (soak, index), &host);
+
+  net_format (key_of (soak, index).caller, address, sizeof address);
+  printf (
+      "event=%s seed=%llu at_ms=%lld time_ms=%llu caller=%s route=%u "
+      "state=%d attempts=%u opened_ms=%lld request_ms=%lld host=%d\n",
+      event, (unsigned long long)soak->options.seed,
+      (long long)galena_clock_elapsed_ms (soak->started, soak->now),
+      (unsigned long long)galena_unix_ms (), address, caller->route,
+      (int)caller->state, caller->attempts,
+      (long long)galena_clock_elapsed_ms (soak->started, caller->open_started),
+      (long long)galena_clock_elapsed_ms (soak->started,
+                                          caller->request_started),
+      held ? (int)host : -1);
+}
+
 /* Returns whether the request of CALLER counts for the recovery.  */
 static bool
 counts_for_recovery (const struct soak *soak, const struct caller *caller)
@@ -174,6 +197,8 @@
     {
       soak->report.recovery_requests++;
       soak->report.recovery_answered += answered;
+      if (!answered)
+        print_flow (soak, index, "unanswered");
     }
   if (caller->flow_per_request || !answered)
     {
@@ -298,7 +323,6 @@
 check_reset (struct soak *soak, uint32_t index)
 {
   const struct caller *caller = &soak->callers[index];
-  char address[ADDRESS_BYTES];
   uint32_t host;
 
   if (!caller->open || is_route_dropped (soak, caller)
@@ -308,17 +332,7 @@
              <= STABLE_MS)
     return;
   soak->report.cut++;
-  net_format (key_of (soak, index).caller, address, sizeof address);
-  printf (
-      "event=cut seed=%llu at_ms=%lld time_ms=%llu caller=%s host=%u "
-      "opened_ms=%lld request_ms=%lld state=%d\n",
-      (unsigned long long)soak->options.seed,
-      (long long)galena_clock_elapsed_ms (soak->started, soak->now),
-      (unsigned long long)galena_unix_ms (), address, host,
-      (long long)galena_clock_elapsed_ms (soak->started, caller->open_started),
-      (long long)galena_clock_elapsed_ms (soak->started,
-                                          caller->request_started),
-      (int)caller->state);
+  print_flow (soak, index, "cut");
 }
 
 /* Handles one packet of an answer; checks that it is complete, in order and to
--- a/soak/main.c
+++ b/soak/main.c
@@ -158,8 +158,9 @@
   for (uint32_t i = 0; count_violations (report) > 0 && i < soak->fault_count;
        i++)
     printf (
-        "event=fault seed=%llu kind=%s at_ms=%lld until_ms=%lld\n",
+        "event=fault seed=%llu kind=%s target=%u at_ms=%lld until_ms=%lld\n",
         (unsigned long long)soak->options.seed, soak->faults[i].kind->name,
+        soak->faults[i].target,
         (long long)galena_clock_elapsed_ms (soak->started, soak->faults[i].at),
         (long long)galena_clock_elapsed_ms (soak->started,
                                             soak->faults[i].until));
