Agent: report at once that the upstream takes flows again

Cause: the agent's report that it refuses flows outlives the old upstream; the change was sent only to entries with an open in the last second, which an upstream that leaves doesn't get, and to the others with the next announcement.

--- a/packages/flows/src/agent_load.c
+++ b/packages/flows/src/agent_load.c
@@ -280,17 +280,25 @@
 agent_run_load (struct galena_plane *plane)
 {
   struct galena_load load;
+  bool refusal_changed;
 
   expire_waits_for_request (plane);
   update_busy_time (plane);
   load = agent_load (plane);
+  refusal_changed = load.refuses_flows != plane->agent->reported.refuses_flows;
 
   if (load.pending_requests == plane->agent->reported.pending_requests
-      && load.refuses_flows == plane->agent->reported.refuses_flows)
+      && !refusal_changed)
     return;
   plane->agent->reported = load;
-  members_visit (plane, &plane->report_cursor, PLANE_REPORTS_MAX,
-                 send_load_if_recent);
+  /* No entry has lately sent a flow to an upstream that was leaving, and it
+     may have no other one now.  */
+  if (refusal_changed)
+    members_visit (plane, &plane->report_cursor,
+                   galena_table_count (plane->members), send_load);
+  else
+    members_visit (plane, &plane->report_cursor, PLANE_REPORTS_MAX,
+                   send_load_if_recent);
 }
 
 static void
--- a/test/unit/test_agent.c
+++ b/test/unit/test_agent.c
@@ -120,7 +120,9 @@
   /* Expected reason of the last reply, a refusal.  */
   EXPECT_REASON,
   /* Expected share of busy slots in the last load report.  */
-  EXPECT_UTILISATION
+  EXPECT_UTILISATION,
+  /* Whether the last load report says that the upstream takes no flows.  */
+  EXPECT_REFUSES
 };
 
 struct step
@@ -457,6 +459,18 @@
       { 22, EXPECT_REPLY, GALENA_PEER_OPENED },
       { 30, QUERY, 5 },
       { 30, EXPECT_REPLY, GALENA_PEER_OWNED } } },
+  /* Entries learned only by the next periodic report that an upstream which
+     had left takes flows again, and rejected all while there was no other.  */
+  { "/agent/started-again-after-leaving",
+    false,
+    false,
+    { { 10, HELLO_READY, 500 },
+      { 20, HELLO_DRAINING, 500 },
+      { 600, RUN, 0 },
+      { 600, EXPECT_REFUSES, 1 },
+      { 610, HELLO_READY, 700 },
+      { 640, RUN, 0 },
+      { 640, EXPECT_REFUSES, 0 } } },
   { "/agent/forwarded-open-of-unknown-flow",
     true,
     false,
@@ -1401,6 +1415,12 @@
   g_assert_cmpuint (run->ended, ==, step->value);
 }
 
+static void
+expect_refuses (struct run *run, const struct step *step)
+{
+  g_assert_cmpuint (run->load.refuses_flows, ==, step->value);
+}
+
 static void
 expect_finished (struct run *run, const struct step *step)
 {
@@ -1508,6 +1528,7 @@
   [SPREAD] = run_spread,
   [EXPECT_REASON] = expect_reason,
   [EXPECT_UTILISATION] = expect_utilisation,
+  [EXPECT_REFUSES] = expect_refuses,
 };
 
 static void
