Odd entries: print the entry's log when its flows don't come

On a failure it now prints that of the entry concerned and the flows that each agent got.

Tried without reproducing it: 58 runs of /nested and /none, 12 at a time beside 30 and 60 busy processes; two of them failed as two runs at once had drawn the same addresses, which whole runs of the tests don't.

--- a/test/unit/test_odd_entries.c
+++ b/test/unit/test_odd_entries.c
@@ -68,6 +68,7 @@
   TEXT_BYTES = 512,
   KEY_BYTES = 256,
   LINE_BYTES_MAX = 1024,
+  LOG_BYTES_PRINTED = 16384,
   LARGE_BYTES = 1024 * 1024,
   /* Items that take more than two pages of the store, and more entries than a
      process has rows for.  */
@@ -342,6 +343,31 @@
   return opens >= OPENS && others == 0;
 }
 
+static char *
+path_of (const struct site *site, uint32_t entry, const char *suffix)
+{
+  char name[TEXT_BYTES];
+
+  g_snprintf (name, sizeof name, "entry-%u.%s", entry, suffix);
+  return g_build_filename (site->folder, name, NULL);
+}
+
+/* Prints the begin of the log of ENTRY, which is gone after a failed run in
+   CI.  */
+static void
+print_log (const struct site *site, uint32_t entry)
+{
+  char *path = path_of (site, entry, "log");
+  char *text = NULL;
+
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    g_printerr ("log of entry %u, time_ms=%llu:\n%.*s\n", entry,
+                (unsigned long long)galena_unix_ms (), LOG_BYTES_PRINTED,
+                text);
+  g_free (text);
+  g_free (path);
+}
+
 /* Asserts that ENTRY opens flows on ROUTE at agents of RANGE only within
    BOUND_MS.  */
 static void
@@ -355,10 +381,14 @@
     {
       run_agents (site, POLL_MS);
       tried = galena_monotonic_now ();
-      if (galena_clock_elapsed_ms (began, tried) > bound_ms)
-        g_error ("entry %u: no flow of route %u only at agents %u to %u "
-                 "within %lld ms",
-                 entry, route, range.first, range.last, (long long)bound_ms);
+      if (galena_clock_elapsed_ms (began, tried) <= bound_ms)
+        continue;
+      print_log (site, entry);
+      g_error ("entry %u: no flow of route %u only at agents %u to %u "
+               "within %lld ms, but %u, %u and %u",
+               entry, route, range.first, range.last, (long long)bound_ms,
+               site->agents[0].opens, site->agents[1].opens,
+               site->agents[LATE_AGENT].opens);
     }
   g_test_message ("entry %u, route %u, agents %u to %u: after %lld ms", entry,
                   route, range.first, range.last,
@@ -722,15 +752,6 @@
   { "/odd-entries/large", write_large, NULL },
 };
 
-static char *
-path_of (const struct site *site, uint32_t entry, const char *suffix)
-{
-  char name[TEXT_BYTES];
-
-  g_snprintf (name, sizeof name, "entry-%u.%s", entry, suffix);
-  return g_build_filename (site->folder, name, NULL);
-}
-
 /* The platform of an entry that learns by a peer is where nobody listens.  */
 static void
 write_settings (const struct site *site, uint32_t entry, const char *path)
